--- /dev/null
+++ b/engine.go
@@ -0,0 +1,113 @@
+package oleanderspool
+
+import "context"
+
+// GenerateRequest asks an engine to generate.
+type GenerateRequest struct {
+	Attempt   AttemptID
+	Model     ModelID
+	Adapter   AdapterID
+	Prompt    string
+	Continued string // generated text to continue from
+	MaxTokens int
+	Priority  int
+	Remaining Millis // span until the answer is due
+}
+
+// EngineReport is an engine's lagging account of itself.
+type EngineReport struct {
+	SizeTokens int64 // memory, in tokens
+	FreeTokens int64 // free memory, in tokens
+	Running    int
+	Models     []ModelID
+	Adapters   []AdapterID
+	// Started identifies the run of the engine process. A changed value means
+	// that the engine was restarted and lost its memory.
+	Started string
+}
+
+// EngineEntry is memory that an engine holds for an owner.
+type EngineEntry struct {
+	Owner  string // attempt or group that the memory was reserved for
+	Tokens int64
+}
+
+// OrderKind tells what an order asks for.
+type OrderKind string
+
+// The kinds of order.
+const (
+	OrderLoad       OrderKind = "load"
+	OrderUnload     OrderKind = "unload"
+	OrderChangeRole OrderKind = "change_role"
+)
+
+// Order changes what an engine serves.
+type Order struct {
+	Kind    OrderKind
+	Model   ModelID
+	Version VersionID
+	Adapter AdapterID // empty for an order about the model itself
+	Role    string
+	Fencing int64 // rises with each order; some engines refuse a lower one
+}
+
+// CacheEvent is an engine's late news of its prefix cache. Sequence numbers
+// may have gaps.
+type CacheEvent struct {
+	Sequence int64
+	Prefix   Fingerprint
+	Tokens   int64
+	Evicted  bool
+}
+
+// Engine is the model engine beside an agent. Errors of type [ErrNotSent]
+// say that the engine did not receive the call.
+type Engine interface {
+	// Generate runs a request and calls emit for each part of the answer, in
+	// order, from one goroutine. It returns when the answer ended or failed.
+	Generate(ctx context.Context, request GenerateRequest, emit func(text string, tokens int, finish string)) error
+	// Cancel ends an attempt and frees its memory. Cancelling an unknown
+	// attempt is no error.
+	Cancel(ctx context.Context, owner string) error
+	// Report returns the engine's account of itself.
+	Report(ctx context.Context) (EngineReport, error)
+	// Entries lists the memory that the engine holds.
+	Entries(ctx context.Context) ([]EngineEntry, error)
+	// Apply carries out an order and returns once it is in force.
+	Apply(ctx context.Context, order Order) error
+	// Reserve holds memory for an owner before work starts.
+	Reserve(ctx context.Context, owner string, tokens int64) error
+	// Export returns the KV cache of an attempt.
+	Export(ctx context.Context, owner string) ([]byte, error)
+	// Import takes a KV cache for an attempt.
+	Import(ctx context.Context, owner string, data []byte) error
+	// CacheEvents returns cache events after the given sequence number.
+	CacheEvents(ctx context.Context, after int64) ([]CacheEvent, error)
+}
+
+// ServiceRequest is a call of a plain service.
+type ServiceRequest struct {
+	Attempt    AttemptID
+	Route      RouteID
+	Method     string
+	Path       string
+	Body       []byte
+	Idempotent bool
+	Remaining  Millis
+}
+
+// ServiceAnswer is the answer of a plain service.
+type ServiceAnswer struct {
+	Status int
+	Type   string
+	Body   []byte
+}
+
+// Service is the plain service beside an agent.
+type Service interface {
+	// Call makes one call and never repeats it. An error of type [ErrNotSent]
+	// says that the service did not receive it; after any other error it may
+	// have run.
+	Call(ctx context.Context, request ServiceRequest) (ServiceAnswer, error)
+}
