--- /dev/null
+++ b/internal/observe/metrics.go
@@ -0,0 +1,179 @@
+// Package observe holds the counters and the logger of the processes.
+//
+// No label grows with client accounts or requests: the labels are closed
+// lists, so that 20,000 accounts cost no memory here.
+package observe
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/oleanderspool/oleanderspool"
+)
+
+const namespace = "oleanderspool"
+
+// Length classes of prompts, by their upper bound in tokens.
+var lengthClasses = []struct {
+	bound int
+	name  string
+}{
+	{2_000, "short"},
+	{20_000, "medium"},
+	{100_000, "long"},
+}
+
+// LengthClass returns the name of the class of a prompt length in tokens.
+func LengthClass(tokens int) string {
+	for _, c := range lengthClasses {
+		if tokens <= c.bound {
+			return c.name
+		}
+	}
+	return "very_long"
+}
+
+// Metrics holds the counters of one process. It is safe for concurrent use.
+type Metrics struct {
+	registry     *prometheus.Registry
+	admitted     *prometheus.CounterVec
+	finished     *prometheus.CounterVec
+	refused      *prometheus.CounterVec
+	retried      *prometheus.CounterVec
+	dropped      *prometheus.CounterVec
+	transitions  *prometheus.CounterVec
+	orders       *prometheus.CounterVec
+	firstToken   *prometheus.HistogramVec
+	revision     prometheus.Gauge
+	running      prometheus.Gauge
+	engineMemory *prometheus.GaugeVec
+}
+
+// New returns the counters of one process, with every refusal and retry
+// reason present at 0.
+func New() *Metrics {
+	m := &Metrics{
+		registry:    prometheus.NewRegistry(),
+		admitted:    counter("requests_admitted_total", "Admitted requests by kind.", "kind"),
+		finished:    counter("requests_finished_total", "Completely answered requests by kind.", "kind"),
+		refused:     counter("refusals_total", "Refusals by reason and execution.", "reason", "execution"),
+		retried:     counter("retries_total", "Retries by reason.", "reason"),
+		dropped:     counter("pieces_dropped_total", "Dropped pieces of answers by cause.", "cause"),
+		transitions: counter("state_changes_total", "Changes of state by name.", "change"),
+		orders:      counter("engine_orders_total", "Engine orders by kind and result.", "kind", "result"),
+		firstToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace,
+			Name:      "first_token_seconds",
+			Help:      "Time to first token by length class of the prompt.",
+			Buckets:   prometheus.ExponentialBuckets(0.005, 2, 18),
+		}, []string{"length"}),
+		revision: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "configuration_revision", Help: "Revision of the configuration in force.",
+		}),
+		running: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "requests_running", Help: "Requests in progress.",
+		}),
+		engineMemory: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "engine_memory_tokens", Help: "Engine memory by state.",
+		}, []string{"state"}),
+	}
+	m.register()
+	return m
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func (m *Metrics) register() {
+	m.registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		m.admitted, m.finished, m.refused, m.retried, m.dropped, m.transitions, m.orders,
+		m.firstToken, m.revision, m.running, m.engineMemory,
+	)
+	for _, r := range oleanderspool.RefusalReasons {
+		m.refused.WithLabelValues(string(r), oleanderspool.NotRun.String())
+	}
+	for _, r := range oleanderspool.RetryReasons {
+		m.retried.WithLabelValues(string(r))
+	}
+}
+
+// Handler serves the counters over HTTP.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Registry returns the registry of the counters, for tests.
+func (m *Metrics) Registry() *prometheus.Registry {
+	return m.registry
+}
+
+// Admitted counts an admitted request and marks it as running.
+func (m *Metrics) Admitted(kind oleanderspool.Kind) {
+	m.admitted.WithLabelValues(kindName(kind)).Inc()
+	m.running.Inc()
+}
+
+// Ended marks an admitted request as no longer running.
+func (m *Metrics) Ended() {
+	m.running.Dec()
+}
+
+// Finished counts a completely answered request.
+func (m *Metrics) Finished(kind oleanderspool.Kind) {
+	m.finished.WithLabelValues(kindName(kind)).Inc()
+}
+
+// Refused counts a refusal.
+func (m *Metrics) Refused(r *oleanderspool.Refusal) {
+	m.refused.WithLabelValues(string(r.Reason), r.Execution.String()).Inc()
+}
+
+// Retried counts a retry.
+func (m *Metrics) Retried(reason oleanderspool.RetryReason) {
+	m.retried.WithLabelValues(string(reason)).Inc()
+}
+
+// Dropped counts a dropped piece. cause is one of a closed list.
+func (m *Metrics) Dropped(cause string) {
+	m.dropped.WithLabelValues(cause).Inc()
+}
+
+// Changed counts a change of state. change is one of a closed list.
+func (m *Metrics) Changed(change string) {
+	m.transitions.WithLabelValues(change).Inc()
+}
+
+// Ordered counts an engine order. result is "applied", "fenced" or "failed".
+func (m *Metrics) Ordered(kind oleanderspool.OrderKind, result string) {
+	m.orders.WithLabelValues(string(kind), result).Inc()
+}
+
+// FirstToken records the time to the first token of a prompt of the given
+// length in tokens.
+func (m *Metrics) FirstToken(tokens int, span oleanderspool.Millis) {
+	m.firstToken.WithLabelValues(LengthClass(tokens)).Observe(span.Duration().Seconds())
+}
+
+// Revision sets the revision of the configuration in force.
+func (m *Metrics) Revision(r oleanderspool.Revision) {
+	m.revision.Set(float64(r))
+}
+
+// EngineMemory sets the free and owned engine memory in tokens.
+func (m *Metrics) EngineMemory(free, owned int64) {
+	m.engineMemory.WithLabelValues("free").Set(float64(free))
+	m.engineMemory.WithLabelValues("owned").Set(float64(owned))
+}
+
+func kindName(k oleanderspool.Kind) string {
+	if k == oleanderspool.KindService {
+		return "service"
+	}
+	return "model"
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,102 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
+)
+
+const (
+	// maxMessageBytes holds a prompt of a million tokens with room to spare.
+	maxMessageBytes = 32 << 20
+	// idleExpiration bounds how long an idle connection is kept. A connection
+	// can go silent while idle, and the shorter it is kept the fewer calls meet
+	// a silent one.
+	idleExpiration = 20 * time.Second
+	dialTimeout    = 1 * time.Second
+	maxIdle        = 512
+	maxIdlePerPeer = 16
+)
+
+// Client dials peers. One connection carries one call at a time, so idle
+// connections are pooled by address. It is safe for concurrent use.
+type Client struct {
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewClient returns a client without connections.
+func NewClient() *Client {
+	return &Client{pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+		Expiration:  idleExpiration,
+		Capacity:    maxIdle,
+		KeyCapacity: maxIdlePerPeer,
+	})}
+}
+
+// Agent returns the agent at the given IP number and port. Dialing happens
+// with the first call.
+func (c *Client) Agent(address string) peerpb.DRPCAgentClient {
+	return peerpb.NewDRPCAgentClient(c.pool.Get(context.Background(), address, dial))
+}
+
+// Process returns the process at the given IP number and port.
+func (c *Client) Process(address string) peerpb.DRPCPeerClient {
+	return peerpb.NewDRPCPeerClient(c.pool.Get(context.Background(), address, dial))
+}
+
+// Discard closes the idle connections to an address, so that the next call
+// dials. It is called after a connection to that address went silent, since
+// the idle ones may be silent too.
+func (c *Client) Discard(address string) {
+	for {
+		conn, ok := c.pool.Take(address)
+		if !ok {
+			return
+		}
+		_ = conn.Close()
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() error {
+	return c.pool.Close()
+}
+
+func dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, &DialError{Address: address, Cause: err}
+	}
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+	}
+}
+
+// DialError says that a peer could not be reached, so that it received
+// nothing of the call.
+type DialError struct {
+	Address string
+	Cause   error
+}
+
+// Error returns the address and the cause.
+func (e *DialError) Error() string {
+	return "dial " + e.Address + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error {
+	return e.Cause
+}
--- /dev/null
+++ b/internal/peer/mapping.go
@@ -0,0 +1,262 @@
+// Package peer speaks the protocol between the system's own processes. It
+// maps the generated messages to domain values by hand, dials peers through a
+// pool and serves incoming calls.
+package peer
+
+import (
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
+)
+
+// RunCall asks an agent to run an attempt.
+type RunCall struct {
+	Revision    oleanderspool.Revision
+	Incarnation oleanderspool.Incarnation
+	Attempt     oleanderspool.AttemptID
+	Request     oleanderspool.Request
+	Trial       bool // run alone on the engine
+	Group       string
+	Members     []oleanderspool.InstanceID
+}
+
+// EncodeRun maps a call to its message. now turns the deadline into the
+// remaining span.
+func EncodeRun(c RunCall, now oleanderspool.Millis) *peerpb.RunRequest {
+	r := c.Request
+	return &peerpb.RunRequest{
+		Revision:     int64(c.Revision),
+		Incarnation:  string(c.Incarnation),
+		Request:      string(r.ID),
+		Attempt:      string(c.Attempt),
+		Account:      string(r.Account),
+		Kind:         int32(r.Kind),
+		Model:        string(r.Model),
+		Adapter:      string(r.Adapter),
+		Route:        string(r.Route),
+		Method:       r.Method,
+		Path:         r.Path,
+		Idempotent:   r.Idempotent,
+		Key:          string(r.Key),
+		Priority:     int32(r.Priority),
+		Prompt:       r.Prompt,
+		Continued:    r.Continued,
+		MaxTokens:    int64(r.MaxTokens),
+		PromptTokens: int64(r.PromptCount),
+		Body:         r.Body,
+		RemainingMs:  int64(r.Remaining(now)),
+		Fingerprint:  uint64(r.Fingerprint),
+		Trial:        c.Trial,
+		Group:        c.Group,
+		Members:      stringsOf(c.Members),
+	}
+}
+
+// DecodeRun maps a message to a call whose deadline is on the local clock.
+func DecodeRun(m *peerpb.RunRequest, now oleanderspool.Millis) RunCall {
+	return RunCall{
+		Revision:    oleanderspool.Revision(m.GetRevision()),
+		Incarnation: oleanderspool.Incarnation(m.GetIncarnation()),
+		Attempt:     oleanderspool.AttemptID(m.GetAttempt()),
+		Trial:       m.GetTrial(),
+		Group:       m.GetGroup(),
+		Members:     idsOf[oleanderspool.InstanceID](m.GetMembers()),
+		Request: oleanderspool.Request{
+			ID:          oleanderspool.RequestID(m.GetRequest()),
+			Account:     oleanderspool.ClientAccountID(m.GetAccount()),
+			Kind:        oleanderspool.Kind(m.GetKind()),
+			Model:       oleanderspool.ModelID(m.GetModel()),
+			Adapter:     oleanderspool.AdapterID(m.GetAdapter()),
+			Route:       oleanderspool.RouteID(m.GetRoute()),
+			Method:      m.GetMethod(),
+			Path:        m.GetPath(),
+			Idempotent:  m.GetIdempotent(),
+			Key:         oleanderspool.IdempotencyKey(m.GetKey()),
+			Priority:    int(m.GetPriority()),
+			Prompt:      m.GetPrompt(),
+			Continued:   m.GetContinued(),
+			PromptCount: int(m.GetPromptTokens()),
+			MaxTokens:   int(m.GetMaxTokens()),
+			Body:        m.GetBody(),
+			Deadline:    now + oleanderspool.Millis(m.GetRemainingMs()),
+			Fingerprint: oleanderspool.Fingerprint(m.GetFingerprint()),
+		},
+	}
+}
+
+// Failure ends the stream of an attempt without a complete answer. It is an
+// error.
+type Failure struct {
+	Attempt oleanderspool.AttemptID
+	Refusal oleanderspool.Refusal
+	Retry   oleanderspool.RetryReason // empty when another attempt makes no sense
+}
+
+// Error returns the refusal's text.
+func (f *Failure) Error() string {
+	return f.Refusal.Error()
+}
+
+// Event is one message of an attempt's stream. A heartbeat has neither a
+// piece nor a failure.
+type Event struct {
+	Piece   *oleanderspool.Piece
+	Failure *Failure
+}
+
+// EncodeEvent maps an event to its message.
+func EncodeEvent(e Event, revision oleanderspool.Revision) *peerpb.Event {
+	m := &peerpb.Event{Revision: int64(revision)}
+	switch {
+	case e.Piece != nil:
+		m.Kind = &peerpb.Event_Piece{Piece: encodePiece(e.Piece)}
+	case e.Failure != nil:
+		m.Kind = &peerpb.Event_Failure{Failure: encodeFailure(e.Failure)}
+	default:
+		m.Kind = &peerpb.Event_Heartbeat{Heartbeat: &peerpb.Heartbeat{}}
+	}
+	return m
+}
+
+// DecodeEvent maps a message to an event.
+func DecodeEvent(m *peerpb.Event) Event {
+	switch k := m.GetKind().(type) {
+	case *peerpb.Event_Piece:
+		return Event{Piece: decodePiece(k.Piece)}
+	case *peerpb.Event_Failure:
+		return Event{Failure: decodeFailure(k.Failure)}
+	default:
+		return Event{}
+	}
+}
+
+func encodePiece(p *oleanderspool.Piece) *peerpb.Piece {
+	return &peerpb.Piece{
+		Request:  string(p.Request),
+		Attempt:  string(p.Attempt),
+		Sequence: p.Sequence,
+		Text:     p.Text,
+		Tokens:   int64(p.Tokens),
+		Status:   int32(p.Status),
+		Type:     p.Type,
+		Finish:   p.Finish,
+		Final:    p.Final,
+	}
+}
+
+func decodePiece(m *peerpb.Piece) *oleanderspool.Piece {
+	return &oleanderspool.Piece{
+		Request:  oleanderspool.RequestID(m.GetRequest()),
+		Attempt:  oleanderspool.AttemptID(m.GetAttempt()),
+		Sequence: m.GetSequence(),
+		Text:     m.GetText(),
+		Tokens:   int(m.GetTokens()),
+		Status:   int(m.GetStatus()),
+		Type:     m.GetType(),
+		Finish:   m.GetFinish(),
+		Final:    m.GetFinal(),
+	}
+}
+
+func encodeFailure(f *Failure) *peerpb.Failure {
+	return &peerpb.Failure{
+		Attempt:      string(f.Attempt),
+		Reason:       string(f.Refusal.Reason),
+		Execution:    f.Refusal.Execution.String(),
+		RetryAfterMs: int64(f.Refusal.RetryAfter),
+		Message:      f.Refusal.Message,
+		RetryReason:  string(f.Retry),
+	}
+}
+
+func decodeFailure(m *peerpb.Failure) *Failure {
+	return &Failure{
+		Attempt: oleanderspool.AttemptID(m.GetAttempt()),
+		Retry:   oleanderspool.RetryReason(m.GetRetryReason()),
+		Refusal: oleanderspool.Refusal{
+			Reason:     oleanderspool.RefusalReason(m.GetReason()),
+			Execution:  oleanderspool.ParseExecution(m.GetExecution()),
+			RetryAfter: oleanderspool.Millis(m.GetRetryAfterMs()),
+			Message:    m.GetMessage(),
+		},
+	}
+}
+
+// Names of the backend server roles on the wire and in settings.
+const (
+	RoleNameModel   = "model"
+	RoleNameService = "service"
+)
+
+// EncodeState maps what an agent says of its backend server to its message.
+func EncodeState(b oleanderspool.BackendServer) *peerpb.AgentState {
+	return &peerpb.AgentState{
+		Revision:      int64(b.Revision),
+		Instance:      string(b.Instance),
+		DataCentre:    string(b.DataCentre),
+		Incarnation:   string(b.Incarnation),
+		Role:          roleName(b.Role),
+		Leaving:       b.Leaving,
+		Models:        stringsOf(b.Models),
+		Routes:        stringsOf(b.Routes),
+		QueuedTokens:  b.Load.QueuedTokens,
+		RunningTokens: b.Load.RunningTokens,
+		Queued:        int32(b.Load.Queued),
+		Running:       int32(b.Load.Running),
+		FreeTokens:    b.Load.FreeTokens,
+		SizeTokens:    b.Load.SizeTokens,
+		PrefillRate:   b.Load.PrefillRate,
+	}
+}
+
+// DecodeState maps a message to what an agent says of its backend server.
+// address is where the agent was reached.
+func DecodeState(m *peerpb.AgentState, address string, now oleanderspool.Millis) oleanderspool.BackendServer {
+	role := oleanderspool.RoleModel
+	if m.GetRole() == RoleNameService {
+		role = oleanderspool.RoleService
+	}
+	return oleanderspool.BackendServer{
+		Instance:    oleanderspool.InstanceID(m.GetInstance()),
+		DataCentre:  oleanderspool.DataCentreID(m.GetDataCentre()),
+		Address:     address,
+		Incarnation: oleanderspool.Incarnation(m.GetIncarnation()),
+		Role:        role,
+		Models:      idsOf[oleanderspool.ModelID](m.GetModels()),
+		Routes:      idsOf[oleanderspool.RouteID](m.GetRoutes()),
+		Leaving:     m.GetLeaving(),
+		Revision:    oleanderspool.Revision(m.GetRevision()),
+		ReportedAt:  now,
+		Load: oleanderspool.Load{
+			QueuedTokens:  m.GetQueuedTokens(),
+			RunningTokens: m.GetRunningTokens(),
+			Queued:        int(m.GetQueued()),
+			Running:       int(m.GetRunning()),
+			FreeTokens:    m.GetFreeTokens(),
+			SizeTokens:    m.GetSizeTokens(),
+			PrefillRate:   m.GetPrefillRate(),
+		},
+	}
+}
+
+func roleName(r oleanderspool.ServerRole) string {
+	if r == oleanderspool.RoleService {
+		return RoleNameService
+	}
+	return RoleNameModel
+}
+
+func stringsOf[T ~string](ids []T) []string {
+	list := make([]string, len(ids))
+	for i, id := range ids {
+		list[i] = string(id)
+	}
+	return list
+}
+
+func idsOf[T ~string](list []string) []T {
+	ids := make([]T, len(list))
+	for i, s := range list {
+		ids[i] = T(s)
+	}
+	return ids
+}
