Add client of plain services that writes a call once

net/http repeats a request on a broken kept connection when it has a repeatable method, an Idempotency-Key header or GetBody; a GET route that is not idempotent would be repeated too. Each call therefore opens its own connection, which the transport never repeats, and ErrNotSent is returned only when no connection was made.

Ruled out: counting bytes written on kept connections, which needs a wrapper around every connection and still depends on the transport's own retry rules.

--- /dev/null
+++ b/internal/service/client.go
@@ -0,0 +1,114 @@
+// Package service implements the client of plain services over HTTP.
+package service
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/service/once"
+)
+
+// DefaultMaxResponse bounds the body of a response, in bytes.
+const DefaultMaxResponse = 4 << 20
+
+// DefaultTimeout bounds a call that states no remaining time, in milliseconds.
+const DefaultTimeout = 30 * oleanderspool.Second
+
+// Client calls the plain service of one backend server. It implements
+// [oleanderspool.Service] and is safe for concurrent use.
+type Client struct {
+	address     string
+	sender      *once.Sender
+	dialTimeout oleanderspool.Millis
+	timeout     oleanderspool.Millis
+	maxResponse int64
+}
+
+var _ oleanderspool.Service = (*Client)(nil)
+
+// Option configures a [Client].
+type Option func(*Client)
+
+// WithMaxResponse bounds the body of a response, in bytes.
+func WithMaxResponse(limit int64) Option {
+	return func(c *Client) { c.maxResponse = limit }
+}
+
+// WithTimeout sets the time limit of calls that state no remaining time.
+func WithTimeout(timeout oleanderspool.Millis) Option {
+	return func(c *Client) { c.timeout = timeout }
+}
+
+// WithDialTimeout bounds the time to connect.
+func WithDialTimeout(timeout oleanderspool.Millis) Option {
+	return func(c *Client) { c.dialTimeout = timeout }
+}
+
+// NewClient returns a client of the service at an IP number and port.
+func NewClient(address string, options ...Option) *Client {
+	c := &Client{
+		address:     address,
+		dialTimeout: once.DefaultDialTimeout,
+		timeout:     DefaultTimeout,
+		maxResponse: DefaultMaxResponse,
+	}
+	for _, o := range options {
+		o(c)
+	}
+	c.sender = once.NewSender(c.dialTimeout)
+	return c
+}
+
+// Call makes one call, on its own connection, and never repeats it. The answer
+// has any HTTP status that the service gave. An error is of type ErrInvalid if
+// the method or path is malformed, of type ErrNotSent if no connection was made,
+// and of type ErrUncertain if the call may have run; a response that is too long
+// or ends early is also uncertain.
+func (c *Client) Call(ctx context.Context, request oleanderspool.ServiceRequest) (oleanderspool.ServiceAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeoutOf(request).Duration())
+	defer cancel()
+	outgoing, err := c.encode(ctx, request)
+	if err != nil {
+		return oleanderspool.ServiceAnswer{}, err
+	}
+	response, err := c.sender.Send(outgoing)
+	if err != nil {
+		return oleanderspool.ServiceAnswer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := once.ReadBody(response.Body, c.maxResponse)
+	if err != nil {
+		return oleanderspool.ServiceAnswer{}, err
+	}
+	return oleanderspool.ServiceAnswer{
+		Status: response.StatusCode,
+		Type:   response.Header.Get("Content-Type"),
+		Body:   body,
+	}, nil
+}
+
+func (c *Client) timeoutOf(request oleanderspool.ServiceRequest) oleanderspool.Millis {
+	if request.Remaining > 0 {
+		return request.Remaining
+	}
+	return c.timeout
+}
+
+func (c *Client) encode(ctx context.Context, request oleanderspool.ServiceRequest) (*http.Request, error) {
+	path := "/" + strings.TrimPrefix(request.Path, "/")
+	outgoing, err := http.NewRequestWithContext(ctx, request.Method, "http://"+c.address+path, bytes.NewReader(request.Body))
+	if err != nil {
+		return nil, oleanderspool.ErrInvalid.Wrap(err, "service call cannot be encoded")
+	}
+	if outgoing.URL.Host != c.address {
+		return nil, oleanderspool.ErrInvalid.New("path %q leaves the service", request.Path)
+	}
+	if len(request.Body) > 0 {
+		outgoing.Header.Set("Content-Type", "application/json")
+	}
+	outgoing.Header.Set("X-Attempt", string(request.Attempt))
+	return outgoing, nil
+}
--- /dev/null
+++ b/internal/service/once/once.go
@@ -0,0 +1,84 @@
+// Package once sends HTTP requests that are written to the peer at most once.
+//
+// [http.Transport] repeats a request on a new connection when a kept one
+// breaks and the request looks repeatable: GET and similar methods, an
+// Idempotency-Key header, or a body with GetBody. A [Sender] therefore opens a
+// connection for each request, which net/http never repeats, and removes what
+// marks a request as repeatable. The clients of plain services, of engines and
+// of the platform's log share it.
+package once
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"time"
+
+	"github.com/oleanderspool/oleanderspool"
+)
+
+// DefaultDialTimeout bounds the time to connect. Peers are in the same region,
+// a few milliseconds away; one lost SYN packet is repeated after 1 s.
+const DefaultDialTimeout = oleanderspool.Millis(1500)
+
+// maxHeaderBytes bounds the header of a response.
+const maxHeaderBytes = 64 << 10
+
+// Sender sends requests, each on its own connection. It is safe for concurrent
+// use.
+type Sender struct {
+	transport *http.Transport
+}
+
+// NewSender returns a sender that gives up connecting after dialTimeout
+// milliseconds.
+func NewSender(dialTimeout oleanderspool.Millis) *Sender {
+	transport := NewTransport(dialTimeout)
+	transport.DisableKeepAlives = true
+	return &Sender{transport: transport}
+}
+
+// Send writes the request once and returns the response, whose body the caller
+// must close. Redirects are not followed. An error is of type ErrNotSent if no
+// connection was made, so that the peer certainly received nothing, and of type
+// ErrUncertain otherwise.
+func (s *Sender) Send(request *http.Request) (*http.Response, error) {
+	if err := request.Context().Err(); err != nil {
+		return nil, oleanderspool.ErrNotSent.Wrap(err, "request ended before it was sent")
+	}
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+	request.GetBody = nil
+	request.Header.Del("Idempotency-Key")
+	request.Header.Del("X-Idempotency-Key")
+	response, err := s.transport.RoundTrip(request)
+	if err == nil {
+		return response, nil
+	}
+	if connected {
+		return nil, oleanderspool.ErrUncertain.Wrap(err, "connection to %s failed", request.URL.Host)
+	}
+	return nil, oleanderspool.ErrNotSent.Wrap(err, "cannot connect to %s", request.URL.Host)
+}
+
+// NewTransport returns a transport with kept connections for requests that may
+// be repeated. It connects to IP addresses only, uses no proxy and does not
+// decompress responses, so that their size stays bounded.
+func NewTransport(dialTimeout oleanderspool.Millis) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout.Duration()}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if _, err := netip.ParseAddrPort(address); err != nil {
+				return nil, oleanderspool.ErrInvalid.Wrap(err, "address is not an IP number and port")
+			}
+			return dialer.DialContext(ctx, network, address)
+		},
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    8,
+		IdleConnTimeout:        30 * time.Second,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+}
