--- /dev/null
+++ b/internal/openai/refusal.go
@@ -0,0 +1,132 @@
+package openai
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/oleanderspool/oleanderspool"
+)
+
+// Types of error, as client libraries know them.
+const (
+	typeInvalid    = "invalid_request_error"
+	typeAuthority  = "authentication_error"
+	typeNotFound   = "not_found_error"
+	typeRateLimit  = "rate_limit_error"
+	typeConflict   = "conflict_error"
+	typeOverloaded = "overloaded_error"
+	typeServer     = "server_error"
+	typeTimeout    = "timeout_error"
+)
+
+// statusCancelled is the status of a request that its caller cancelled. It is
+// not registered; the caller does not read it, logs and counters do.
+const statusCancelled = 499
+
+// refusalForm is how a refusal reason is written.
+type refusalForm struct {
+	reason oleanderspool.RefusalReason
+	status int
+	kind   string
+}
+
+// refusalForms lists the form of every refusal reason. Client libraries repeat
+// 408, 409, 429 and all 5xx by themselves, so reasons that a repetition does not
+// cure have other statuses.
+var refusalForms = []refusalForm{
+	{oleanderspool.RefusalBadRequest, http.StatusBadRequest, typeInvalid},
+	{oleanderspool.RefusalUnknownAccount, http.StatusUnauthorized, typeAuthority},
+	{oleanderspool.RefusalUnknownModel, http.StatusNotFound, typeNotFound},
+	{oleanderspool.RefusalUnknownRoute, http.StatusNotFound, typeNotFound},
+	{oleanderspool.RefusalPromptTooLong, http.StatusBadRequest, typeInvalid},
+	{oleanderspool.RefusalBodyTooLarge, http.StatusRequestEntityTooLarge, typeInvalid},
+	{oleanderspool.RefusalSlowSender, http.StatusRequestTimeout, typeTimeout},
+	{oleanderspool.RefusalAccountRateLimit, http.StatusTooManyRequests, typeRateLimit},
+	{oleanderspool.RefusalAccountShare, http.StatusTooManyRequests, typeRateLimit},
+	{oleanderspool.RefusalNoBackendServer, http.StatusServiceUnavailable, typeOverloaded},
+	{oleanderspool.RefusalDeadlineTooShort, http.StatusServiceUnavailable, typeOverloaded},
+	{oleanderspool.RefusalOverloaded, http.StatusServiceUnavailable, typeOverloaded},
+	{oleanderspool.RefusalLogUnavailable, http.StatusServiceUnavailable, typeOverloaded},
+	{oleanderspool.RefusalClaimedElsewhere, http.StatusConflict, typeConflict},
+	{oleanderspool.RefusalKeyReused, http.StatusUnprocessableEntity, typeInvalid},
+	{oleanderspool.RefusalCrashesServer, http.StatusUnprocessableEntity, typeInvalid},
+	{oleanderspool.RefusalRetryBudget, http.StatusServiceUnavailable, typeOverloaded},
+	{oleanderspool.RefusalBackendServerFailed, http.StatusBadGateway, typeServer},
+	{oleanderspool.RefusalTimeLimit, http.StatusGatewayTimeout, typeTimeout},
+	{oleanderspool.RefusalStopping, http.StatusServiceUnavailable, typeOverloaded},
+	{oleanderspool.RefusalCancelled, statusCancelled, typeInvalid},
+}
+
+// formOf returns the form of a reason; a reason that is not listed is a server
+// error.
+func formOf(reason oleanderspool.RefusalReason) refusalForm {
+	for _, f := range refusalForms {
+		if f.reason == reason {
+			return f
+		}
+	}
+	return refusalForm{reason: reason, status: http.StatusInternalServerError, kind: typeServer}
+}
+
+// StatusOf returns the HTTP status of a refusal reason.
+func StatusOf(reason oleanderspool.RefusalReason) int {
+	return formOf(reason).status
+}
+
+// RetryAfterSeconds returns a span in whole seconds, rounded up, as the
+// Retry-After header states it.
+func RetryAfterSeconds(span oleanderspool.Millis) int64 {
+	return int64((span + oleanderspool.Second - 1) / oleanderspool.Second)
+}
+
+type refusalBody struct {
+	Error refusalFields `json:"error"`
+}
+
+type refusalFields struct {
+	Message      string `json:"message"`
+	Type         string `json:"type"`
+	Code         string `json:"code"`
+	Reason       string `json:"reason"`
+	Execution    string `json:"execution"`
+	RetryAfterMS int64  `json:"retry_after_ms"`
+}
+
+func encodeRefusal(refusal *oleanderspool.Refusal) refusalBody {
+	return refusalBody{Error: refusalFields{
+		Message:      refusal.Message,
+		Type:         formOf(refusal.Reason).kind,
+		Code:         string(refusal.Reason),
+		Reason:       string(refusal.Reason),
+		Execution:    refusal.Execution.String(),
+		RetryAfterMS: int64(refusal.RetryAfter),
+	}}
+}
+
+// WriteRefusal writes a refusal as a whole response, with its status and, when
+// a resend makes sense, the Retry-After header.
+func WriteRefusal(w http.ResponseWriter, refusal *oleanderspool.Refusal) error {
+	if refusal.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt(RetryAfterSeconds(refusal.RetryAfter), 10))
+	}
+	return writeJSON(w, StatusOf(refusal.Reason), encodeRefusal(refusal))
+}
+
+// ParseRefusal returns the refusal in the body of a response, or in the data of
+// an event. It returns false when there is none. An unknown execution is read as
+// MayHaveRun.
+func ParseRefusal(body []byte) (*oleanderspool.Refusal, bool) {
+	var b refusalBody
+	err := json.Unmarshal(body, &b)
+	found := err == nil && b.Error.Reason != ""
+	if !found {
+		return nil, false
+	}
+	return &oleanderspool.Refusal{
+		Reason:     oleanderspool.RefusalReason(b.Error.Reason),
+		Execution:  oleanderspool.ParseExecution(b.Error.Execution),
+		RetryAfter: oleanderspool.Millis(b.Error.RetryAfterMS),
+		Message:    b.Error.Message,
+	}, true
+}
