--- a/internal/platform/codec.go
+++ b/internal/platform/codec.go
@@ -54,8 +54,10 @@
 }
 
 type errorResponse struct {
-	Error  string `json:"error"`
-	Effect string `json:"effect"`
+	Error struct {
+		Message string `json:"message"`
+		Effect  string `json:"effect"`
+	} `json:"error"`
 }
 
 func encodeAppend(data [][]byte) ([]byte, error) {
@@ -152,5 +154,5 @@
 	if err := json.Unmarshal(body, &r); err != nil {
 		return "", false
 	}
-	return r.Error, r.Effect == effectNone
+	return r.Error.Message, r.Error.Effect == effectNone
 }
