Add client and stand-in of a model engine

Silence is bounded from the first part on: an engine that sends no comments is silent while it prefills, and a bound there would end long prompts.

The stand-in batches in real time and generates text that depends only on the prompt and the position, so that a continued answer can be checked.

--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,239 @@
+// Package engine implements the client of a model engine over an
+// OpenAI-compatible HTTP interface with extensions for memory, orders and cache
+// events.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/service/once"
+)
+
+// Defaults of the client, in milliseconds unless stated otherwise.
+const (
+	// DefaultTimeout bounds calls other than Generate, Apply, Export and Import.
+	DefaultTimeout = 3 * oleanderspool.Second
+	// DefaultLongTimeout bounds Apply, Export and Import, which move weights or
+	// KV cache.
+	DefaultLongTimeout = 10 * oleanderspool.Minute
+	// DefaultSilence bounds the time between two parts of an answer.
+	DefaultSilence = 5 * oleanderspool.Second
+	// DefaultMaxResponse bounds the body of a response, in bytes.
+	DefaultMaxResponse = 16 << 20
+	// DefaultMaxExport bounds an exported KV cache, in bytes.
+	DefaultMaxExport = 1 << 30
+)
+
+// Group is a reservation of memory on several engines for one prompt. The zero
+// value is none.
+type Group struct {
+	Owner   string // owner of the reservation on each engine
+	Engines int    // number of engines that share the prompt
+}
+
+// Client calls the engine of one backend server. It implements
+// [oleanderspool.Engine] and is safe for concurrent use. Each call has its own
+// connection, so that nothing is repeated and no silent kept connection is used.
+type Client struct {
+	address     string
+	codec       Codec
+	sender      *once.Sender
+	dialTimeout oleanderspool.Millis
+	timeout     oleanderspool.Millis
+	longTimeout oleanderspool.Millis
+	silence     oleanderspool.Millis
+	firstPart   oleanderspool.Millis
+	maxResponse int64
+	maxExport   int64
+}
+
+var _ oleanderspool.Engine = (*Client)(nil)
+
+// Option configures a [Client].
+type Option func(*Client)
+
+// WithCodec sets the codec, for an engine with other paths or field names.
+func WithCodec(codec Codec) Option {
+	return func(c *Client) { c.codec = codec }
+}
+
+// WithTimeout bounds calls other than Generate, Apply, Export and Import.
+func WithTimeout(timeout oleanderspool.Millis) Option {
+	return func(c *Client) { c.timeout = timeout }
+}
+
+// WithLongTimeout bounds Apply, Export and Import.
+func WithLongTimeout(timeout oleanderspool.Millis) Option {
+	return func(c *Client) { c.longTimeout = timeout }
+}
+
+// WithDialTimeout bounds the time to connect.
+func WithDialTimeout(timeout oleanderspool.Millis) Option {
+	return func(c *Client) { c.dialTimeout = timeout }
+}
+
+// WithSilence bounds the time between two parts of an answer. Comments that keep
+// the connection alive count as parts.
+func WithSilence(silence oleanderspool.Millis) Option {
+	return func(c *Client) { c.silence = silence }
+}
+
+// WithFirstPart bounds the time to the first part of an answer. Without it only
+// the request's remaining time bounds it, because an engine that sends no
+// comments is silent while it prefills a long prompt.
+func WithFirstPart(span oleanderspool.Millis) Option {
+	return func(c *Client) { c.firstPart = span }
+}
+
+// WithMaxResponse bounds the body of a response, in bytes.
+func WithMaxResponse(limit int64) Option {
+	return func(c *Client) { c.maxResponse = limit }
+}
+
+// WithMaxExport bounds an exported KV cache, in bytes.
+func WithMaxExport(limit int64) Option {
+	return func(c *Client) { c.maxExport = limit }
+}
+
+// NewClient returns a client of the engine at an IP number and port.
+func NewClient(address string, options ...Option) *Client {
+	c := &Client{
+		address:     address,
+		codec:       codec{},
+		dialTimeout: once.DefaultDialTimeout,
+		timeout:     DefaultTimeout,
+		longTimeout: DefaultLongTimeout,
+		silence:     DefaultSilence,
+		maxResponse: DefaultMaxResponse,
+		maxExport:   DefaultMaxExport,
+	}
+	for _, o := range options {
+		o(c)
+	}
+	c.sender = once.NewSender(c.dialTimeout)
+	return c
+}
+
+// Cancel ends an attempt, or a reservation, and frees its memory. Cancelling an
+// unknown owner is no error.
+func (c *Client) Cancel(ctx context.Context, owner string) error {
+	m, err := c.codec.Cancel(owner)
+	if err != nil {
+		return err
+	}
+	_, err = c.call(ctx, m, c.timeout, c.maxResponse)
+	return err
+}
+
+// Report returns the engine's account of itself.
+func (c *Client) Report(ctx context.Context) (oleanderspool.EngineReport, error) {
+	return fetch(ctx, c, c.codec.Report(), c.codec.DecodeReport)
+}
+
+// Entries lists the memory that the engine holds.
+func (c *Client) Entries(ctx context.Context) ([]oleanderspool.EngineEntry, error) {
+	return fetch(ctx, c, c.codec.Entries(), c.codec.DecodeEntries)
+}
+
+// CacheEvents returns cache events after the given sequence number.
+func (c *Client) CacheEvents(ctx context.Context, after int64) ([]oleanderspool.CacheEvent, error) {
+	return fetch(ctx, c, c.codec.CacheEvents(after), c.codec.DecodeCacheEvents)
+}
+
+// Apply carries out an order and returns once it is in force. The error is of
+// type ErrFenced if the engine refuses the fencing number.
+func (c *Client) Apply(ctx context.Context, order oleanderspool.Order) error {
+	m, err := c.codec.Apply(order)
+	if err != nil {
+		return err
+	}
+	_, err = c.call(ctx, m, c.longTimeout, c.maxResponse)
+	return err
+}
+
+// Reserve holds memory for an owner before work starts. The error is of type
+// ErrUnavailable if there is not enough.
+func (c *Client) Reserve(ctx context.Context, owner string, tokens int64) error {
+	m, err := c.codec.Reserve(owner, tokens)
+	if err != nil {
+		return err
+	}
+	_, err = c.call(ctx, m, c.timeout, c.maxResponse)
+	return err
+}
+
+// Export returns the KV cache of an attempt.
+func (c *Client) Export(ctx context.Context, owner string) ([]byte, error) {
+	m, err := c.codec.Export(owner)
+	if err != nil {
+		return nil, err
+	}
+	return c.call(ctx, m, c.longTimeout, c.maxExport)
+}
+
+// Import takes a KV cache for an attempt. The error is of type ErrUnavailable if
+// there is not enough memory.
+func (c *Client) Import(ctx context.Context, owner string, data []byte) error {
+	m, err := c.codec.Import(owner, data)
+	if err != nil {
+		return err
+	}
+	_, err = c.call(ctx, m, c.longTimeout, c.maxResponse)
+	return err
+}
+
+// fetch makes a call and decodes its response.
+func fetch[T any](ctx context.Context, c *Client, m Message, decode func([]byte) (T, error)) (T, error) {
+	var zero T
+	body, err := c.call(ctx, m, c.timeout, c.maxResponse)
+	if err != nil {
+		return zero, err
+	}
+	value, err := decode(body)
+	if err != nil {
+		return zero, oleanderspool.ErrUncertain.Wrap(err, "response of %s is malformed", m.Path)
+	}
+	return value, nil
+}
+
+// call makes a call and returns the body of its response. An error is of type
+// ErrNotSent if no connection was made; other types are those of the codec, and
+// ErrUncertain.
+func (c *Client) call(ctx context.Context, m Message, timeout oleanderspool.Millis, limit int64) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	response, err := c.send(ctx, m)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return once.ReadBody(response.Body, limit)
+}
+
+// send sends a message and returns a response with status 200, whose body the
+// caller must close.
+func (c *Client) send(ctx context.Context, m Message) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, m.Method, "http://"+c.address+m.Path, bytes.NewReader(m.Body))
+	if err != nil {
+		return nil, oleanderspool.ErrInvalid.Wrap(err, "call of %s cannot be encoded", m.Path)
+	}
+	if m.Type != "" {
+		request.Header.Set("Content-Type", m.Type)
+	}
+	response, err := c.sender.Send(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode == http.StatusOK {
+		return response, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := once.ReadBody(response.Body, c.maxResponse)
+	if err != nil {
+		return nil, err
+	}
+	return nil, c.codec.DecodeError(response.StatusCode, body)
+}
--- a/internal/standin/codec.go
+++ b/internal/standin/codec.go
@@ -18,14 +18,18 @@
 }
 
 type errorBody struct {
-	Error  string `json:"error"`
-	Code   string `json:"code,omitempty"`
-	Effect string `json:"effect,omitempty"`
+	Error errorFields `json:"error"`
+}
+
+type errorFields struct {
+	Message string `json:"message"`
+	Code    string `json:"code,omitempty"`
+	Effect  string `json:"effect,omitempty"`
 }
 
 // WriteError writes a refusal with an HTTP status.
 func WriteError(w http.ResponseWriter, status int, e Error) {
-	WriteJSON(w, status, errorBody{Error: e.Message, Code: e.Code, Effect: e.Effect})
+	WriteJSON(w, status, errorBody{Error: errorFields(e)})
 }
 
 // WriteJSON writes a response with an HTTP status.
--- /dev/null
+++ b/internal/standin/engine/cache.go
@@ -0,0 +1,83 @@
+package engine
+
+import (
+	"container/list"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// blockTokens is the unit in which prompt prefixes are cached.
+const blockTokens = 256
+
+// cache holds blocks of prompt prefixes and evicts those used least recently.
+// The prefix of a block is the hash of the model's name, a line end and the
+// prompt up to the end of the block.
+type cache struct {
+	limit  int64 // in tokens
+	recent *list.List
+	blocks map[uint64]*list.Element
+	notify func(prefix uint64, tokens int64, evicted bool)
+}
+
+// block is a cached block.
+type block struct {
+	prefix uint64
+	tokens int64 // length of the prefix that ends with the block
+}
+
+func newCache(limit int64, notify func(prefix uint64, tokens int64, evicted bool)) *cache {
+	return &cache{limit: limit, recent: list.New(), blocks: map[uint64]*list.Element{}, notify: notify}
+}
+
+// prefixes returns the prefixes of all whole blocks of a prompt.
+func prefixes(model, prompt string) []uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(model + "\n")
+	const size = blockTokens * TokenBytes
+	sums := make([]uint64, 0, len(prompt)/size)
+	for end := size; end <= len(prompt); end += size {
+		_, _ = digest.WriteString(prompt[end-size : end])
+		sums = append(sums, digest.Sum64())
+	}
+	return sums
+}
+
+// match returns how many tokens of a prompt are cached, and marks them as used.
+func (c *cache) match(prefixes []uint64) int64 {
+	tokens := int64(0)
+	for _, p := range prefixes {
+		e, found := c.blocks[p]
+		if !found {
+			break
+		}
+		c.recent.MoveToFront(e)
+		tokens += blockTokens
+	}
+	return tokens
+}
+
+// insert caches the prefixes of a prompt.
+func (c *cache) insert(prefixes []uint64) {
+	for i, p := range prefixes {
+		if e, found := c.blocks[p]; found {
+			c.recent.MoveToFront(e)
+			continue
+		}
+		b := block{prefix: p, tokens: int64(i+1) * blockTokens}
+		if b.tokens > c.limit {
+			return
+		}
+		c.blocks[p] = c.recent.PushFront(b)
+		c.notify(p, b.tokens, false)
+	}
+	c.evict()
+}
+
+func (c *cache) evict() {
+	for int64(c.recent.Len())*blockTokens > c.limit {
+		e := c.recent.Back()
+		b := c.recent.Remove(e).(block)
+		delete(c.blocks, b.prefix)
+		c.notify(b.prefix, b.tokens, true)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,246 @@
+// Package engine is a stand-in for a model engine with continuous batching in
+// real time. Tokens have a fixed length in bytes and generated text depends only
+// on the prompt and the position.
+//
+// Its HTTP interface:
+//
+//	POST /v1/chat/completions  {"model": "model" or "model:adapter", "messages",
+//	                           "max_tokens", "stream", "continue_final_message",
+//	                           "request_id", "priority", "timeout_ms",
+//	                           "group": {"owner", "engines"}}
+//	POST /v1/completions       the same with "prompt" instead of "messages"
+//	POST /v1/cancel            {"owner"} -> {"freed_tokens"}
+//	GET  /v1/report            -> {"size_tokens", "free_tokens", "running",
+//	                           "waiting", "models", "adapters", "role", "started"}
+//	GET  /v1/entries           -> {"entries": [{"owner", "tokens"}]}
+//	POST /v1/reserve           {"owner", "tokens"} -> {}
+//	POST /v1/orders            {"kind", "model", "version", "adapter", "role",
+//	                           "fencing"} -> {}
+//	POST /v1/export            {"owner"} -> KV cache
+//	POST /v1/import?owner=     KV cache -> {}
+//	GET  /v1/cache_events?after=  -> {"events": [{"sequence", "prefix", "tokens",
+//	                           "evicted"}]}
+//	POST /control/engine       {"action": "crash", "pause", "resume" or "slow",
+//	                           "factor"}
+//	     /control/faults       see package standin
+//
+// A refusal is {"error": {"message", "code", "effect"}}.
+package engine
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/standin"
+)
+
+// Defaults of the stand-in.
+const (
+	// DefaultSizeTokens is the engine's memory.
+	DefaultSizeTokens = 400000
+	// DefaultCacheTokens is the memory of the prefix cache.
+	DefaultCacheTokens = 200000
+	// DefaultPrefillRate is the prefill speed in tokens per millisecond.
+	DefaultPrefillRate = 20.0
+	// DefaultTokenTime is the time per generated token in milliseconds.
+	DefaultTokenTime = 20.0
+	// DefaultChunkTokens is how much of all prompts one step prefills.
+	DefaultChunkTokens = 2048
+	// DefaultReportLag is how old a load report may be.
+	DefaultReportLag = oleanderspool.Millis(500)
+	// DefaultLoadTime is how long an order takes.
+	DefaultLoadTime = oleanderspool.Second
+	// DefaultDownTime is how long the engine is down after a crash.
+	DefaultDownTime = 2 * oleanderspool.Second
+	// DefaultCrashMarker is the text in a prompt that crashes the engine.
+	DefaultCrashMarker = "<<crash the engine>>"
+	// DefaultMaxWaiting bounds the engine's queue.
+	DefaultMaxWaiting = 256
+	// DefaultEventDelay is how late cache events become readable.
+	DefaultEventDelay = oleanderspool.Millis(300)
+)
+
+// Engine is the stand-in. It is an [http.Handler] and safe for concurrent use.
+// Close ends it.
+type Engine struct {
+	standin.Faults
+
+	// Settings, which do not change after New, except slowdown.
+	prefillRate     float64 // tokens per millisecond
+	tokenTime       float64 // milliseconds
+	chunkTokens     int64
+	sizeTokens      int64
+	cacheTokens     int64
+	reportLag       time.Duration
+	loadTime        time.Duration
+	downTime        time.Duration
+	eventDelay      time.Duration
+	gapEvery        int64
+	crashMarker     string
+	maxWaiting      int
+	answerTokens    int
+	fencing         bool
+	leak            bool
+	initialModels   []string
+	initialAdapters []string
+	onCrash         func()
+
+	handler http.Handler
+	closing sync.Once
+	closed  chan struct{}
+	stopped chan struct{}
+
+	mu        sync.Mutex
+	work      chan struct{} // closed when there may be new work
+	paused    bool
+	slowdown  float64
+	downUntil time.Time
+	started   string
+	arrivals  int64
+	memory    *memory
+	cache     *cache
+	events    *eventLog
+	waiting   []*sequence // in order of service
+	running   []*sequence // in order of service
+	sequences map[string]*sequence
+	imported  map[string]int64
+	models    map[string]bool
+	adapters  map[string]bool
+	role      string
+	fence     int64
+	report    report
+	crashes   int
+}
+
+// New returns a stand-in that runs until Close.
+func New(options ...Option) *Engine {
+	e := &Engine{
+		prefillRate: DefaultPrefillRate,
+		tokenTime:   DefaultTokenTime,
+		chunkTokens: DefaultChunkTokens,
+		sizeTokens:  DefaultSizeTokens,
+		cacheTokens: DefaultCacheTokens,
+		reportLag:   DefaultReportLag.Duration(),
+		loadTime:    DefaultLoadTime.Duration(),
+		downTime:    DefaultDownTime.Duration(),
+		eventDelay:  DefaultEventDelay.Duration(),
+		crashMarker: DefaultCrashMarker,
+		maxWaiting:  DefaultMaxWaiting,
+		slowdown:    1,
+		fencing:     true,
+		onCrash:     func() {},
+		closed:      make(chan struct{}),
+		stopped:     make(chan struct{}),
+		work:        make(chan struct{}),
+	}
+	for _, o := range options {
+		o(e)
+	}
+	e.reset()
+	e.handler = e.Wrap(e.routes())
+	go e.run()
+	go e.refreshReports()
+	return e
+}
+
+// ServeHTTP implements [http.Handler].
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.handler.ServeHTTP(w, r)
+}
+
+// Close ends the engine. Requests in it fail.
+func (e *Engine) Close() {
+	e.closing.Do(func() { close(e.closed) })
+	<-e.stopped
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.abandon()
+}
+
+// Crash ends all requests without a word and loses the engine's memory and
+// models. The engine is down for a while and then starts again.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crash()
+}
+
+// Crashes returns how often the engine has crashed.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
+// Pause stops the batch; the engine still answers other calls.
+func (e *Engine) Pause() { e.setPaused(true) }
+
+// Resume continues the batch.
+func (e *Engine) Resume() { e.setPaused(false) }
+
+func (e *Engine) setPaused(paused bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.paused = paused
+	e.wake()
+}
+
+// Slow multiplies the time of each step by factor; 1 is the normal speed.
+func (e *Engine) Slow(factor float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.slowdown = factor
+}
+
+// crash is Crash for a caller that holds the lock.
+func (e *Engine) crash() {
+	e.crashes++
+	e.downUntil = time.Now().Add(e.downTime)
+	e.abandon()
+	e.reset()
+	e.onCrash()
+}
+
+// abandon ends all requests without a word. The caller holds the lock.
+func (e *Engine) abandon() {
+	for _, q := range e.sequences {
+		q.crashed = true
+		q.notify()
+	}
+}
+
+// reset sets the state of an engine that has just started. The caller holds the
+// lock, or is New.
+func (e *Engine) reset() {
+	e.started = fmt.Sprintf("%016x", rand.Uint64())
+	e.memory = newMemory(e.sizeTokens)
+	e.events = &eventLog{delay: e.eventDelay, gapEvery: e.gapEvery}
+	e.cache = newCache(e.cacheTokens, e.events.add)
+	e.waiting, e.running = nil, nil
+	e.sequences = map[string]*sequence{}
+	e.imported = map[string]int64{}
+	e.models = setOf(e.initialModels)
+	e.adapters = setOf(e.initialAdapters)
+	e.fence = 0
+	e.report = e.currentReport()
+}
+
+func setOf(names []string) map[string]bool {
+	set := map[string]bool{}
+	for _, n := range names {
+		set[n] = true
+	}
+	return set
+}
+
+func sortedNames(set map[string]bool) []string {
+	names := slices.AppendSeq(make([]string, 0, len(set)), maps.Keys(set))
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/standin/engine/handler.go
@@ -0,0 +1,282 @@
+package engine
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/standin"
+)
+
+// maxImport bounds an imported KV cache, in bytes.
+const maxImport = 64 << 20
+
+func (e *Engine) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.serveGenerate)
+	mux.HandleFunc("POST /v1/completions", e.serveGenerate)
+	mux.HandleFunc("POST /v1/cancel", e.serveCancel)
+	mux.HandleFunc("GET /v1/report", e.serveReport)
+	mux.HandleFunc("GET /v1/entries", e.serveEntries)
+	mux.HandleFunc("POST /v1/reserve", e.serveReserve)
+	mux.HandleFunc("POST /v1/orders", e.serveOrder)
+	mux.HandleFunc("POST /v1/export", e.serveExport)
+	mux.HandleFunc("POST /v1/import", e.serveImport)
+	mux.HandleFunc("GET /v1/cache_events", e.serveCacheEvents)
+	control := http.NewServeMux()
+	control.HandleFunc("POST /control/engine", e.serveControl)
+	control.Handle("/", e.whileUp(mux))
+	return control
+}
+
+// whileUp closes connections while the engine is down.
+func (e *Engine) whileUp(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		down := time.Now().Before(e.downUntil)
+		e.mu.Unlock()
+		if down {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func refuse(w http.ResponseWriter, status int, code, message string) {
+	standin.WriteError(w, status, standin.Error{Message: message, Code: code, Effect: "none"})
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var b ownerBody
+	if !standin.ReadJSON(w, r, &b) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	freed := e.memory.owned[b.Owner]
+	for _, q := range e.usersOf(b.Owner) {
+		e.fail(q, "cancelled")
+	}
+	delete(e.memory.owned, b.Owner)
+	delete(e.imported, b.Owner)
+	e.wake()
+	standin.WriteJSON(w, http.StatusOK, freedBody{FreedTokens: freed})
+}
+
+// usersOf returns the sequences that are an attempt or use its memory. The
+// caller holds the lock.
+func (e *Engine) usersOf(owner string) []*sequence {
+	var users []*sequence
+	for _, q := range e.sequences {
+		if q.owner == owner || q.memory == owner {
+			users = append(users, q)
+		}
+	}
+	return users
+}
+
+func (e *Engine) serveReport(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	r := e.report
+	e.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, r)
+}
+
+// currentReport returns the present state. The caller holds the lock.
+func (e *Engine) currentReport() report {
+	return report{
+		SizeTokens: e.sizeTokens,
+		FreeTokens: e.memory.free(),
+		Running:    len(e.running),
+		Waiting:    len(e.waiting),
+		Models:     sortedNames(e.models),
+		Adapters:   sortedNames(e.adapters),
+		Role:       e.role,
+		Started:    e.started,
+	}
+}
+
+// refreshReports takes a report each lag, which is shown until the next one.
+func (e *Engine) refreshReports() {
+	ticker := time.NewTicker(max(e.reportLag, time.Millisecond))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			e.mu.Lock()
+			e.report = e.currentReport()
+			e.mu.Unlock()
+		case <-e.closed:
+			return
+		}
+	}
+}
+
+func (e *Engine) serveEntries(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	entries := e.memory.entries()
+	e.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, entryBodies(entries))
+}
+
+func (e *Engine) serveReserve(w http.ResponseWriter, r *http.Request) {
+	var b ownerBody
+	if !standin.ReadJSON(w, r, &b) {
+		return
+	}
+	if b.Owner == "" || b.Tokens < 1 {
+		refuse(w, http.StatusBadRequest, "bad_request", "owner is empty or tokens below 1")
+		return
+	}
+	e.mu.Lock()
+	granted := e.memory.grow(b.Owner, b.Tokens)
+	e.mu.Unlock()
+	if !granted {
+		refuse(w, http.StatusInsufficientStorage, "out_of_memory", "not enough memory")
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, struct{}{})
+}
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	var b ownerBody
+	if !standin.ReadJSON(w, r, &b) {
+		return
+	}
+	e.mu.Lock()
+	q, found := e.sequences[b.Owner]
+	var body exportBody
+	if found {
+		body = exportBody{Owner: b.Owner, Model: q.model, Tokens: countTokens(q.prompt) + int64(q.start+q.generated)}
+	}
+	e.mu.Unlock()
+	if !found {
+		refuse(w, http.StatusNotFound, "unknown_owner", "no such attempt")
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, body)
+}
+
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	owner := r.URL.Query().Get("owner")
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxImport))
+	var b exportBody
+	if err == nil {
+		err = json.Unmarshal(data, &b)
+	}
+	if err != nil || owner == "" || b.Tokens < 1 {
+		refuse(w, http.StatusBadRequest, "bad_request", "owner or KV cache is malformed")
+		return
+	}
+	e.mu.Lock()
+	granted := e.memory.grow(owner, b.Tokens)
+	if granted {
+		e.imported[owner] = b.Tokens
+	}
+	e.mu.Unlock()
+	if !granted {
+		refuse(w, http.StatusInsufficientStorage, "out_of_memory", "not enough memory")
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, struct{}{})
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "bad_request", "after is malformed")
+		return
+	}
+	e.mu.Lock()
+	events := e.events.after(after)
+	e.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, cacheEventBodies(events))
+}
+
+func (e *Engine) serveControl(w http.ResponseWriter, r *http.Request) {
+	var b controlBody
+	if !standin.ReadJSON(w, r, &b) {
+		return
+	}
+	switch b.Action {
+	case "crash":
+		e.Crash()
+	case "pause":
+		e.Pause()
+	case "resume":
+		e.Resume()
+	case "slow":
+		e.Slow(b.Factor)
+	default:
+		refuse(w, http.StatusBadRequest, "bad_request", "unknown action: "+b.Action)
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, struct{}{})
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var b orderBody
+	if !standin.ReadJSON(w, r, &b) {
+		return
+	}
+	if !e.fences(w, b) {
+		return
+	}
+	if !e.pause(e.loadTime) {
+		panic(http.ErrAbortHandler)
+	}
+	e.mu.Lock()
+	known := e.apply(b)
+	e.mu.Unlock()
+	if !known {
+		refuse(w, http.StatusBadRequest, "bad_request", "unknown kind of order: "+b.Kind)
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, struct{}{})
+}
+
+// fences takes the fencing number of an order, or refuses a number below the
+// highest one seen.
+func (e *Engine) fences(w http.ResponseWriter, b orderBody) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.fencing && b.Fencing < e.fence {
+		refuse(w, http.StatusConflict, "fenced", "fencing number is below "+strconv.FormatInt(e.fence, 10))
+		return false
+	}
+	e.fence = max(e.fence, b.Fencing)
+	return true
+}
+
+// apply carries out an order. The caller holds the lock.
+func (e *Engine) apply(b orderBody) bool {
+	set, name := e.models, b.Model
+	if b.Adapter != "" {
+		set, name = e.adapters, b.Model+":"+b.Adapter
+	}
+	switch oleanderspool.OrderKind(b.Kind) {
+	case oleanderspool.OrderLoad:
+		set[name] = true
+	case oleanderspool.OrderUnload:
+		delete(set, name)
+		e.failUnloaded()
+	case oleanderspool.OrderChangeRole:
+		e.role = b.Role
+	default:
+		return false
+	}
+	return true
+}
+
+// failUnloaded gives up the requests whose model or adapter is gone. The caller
+// holds the lock.
+func (e *Engine) failUnloaded() {
+	for _, q := range e.sequences {
+		if !e.serves(q.model) {
+			e.fail(q, "model was unloaded")
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/options.go
@@ -0,0 +1,105 @@
+package engine
+
+import (
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/standin"
+)
+
+// Option configures an [Engine].
+type Option func(*Engine)
+
+// WithModels sets the models that a started engine serves.
+func WithModels(models ...string) Option {
+	return func(e *Engine) { e.initialModels = models }
+}
+
+// WithAdapters sets the adapters that a started engine serves, each as
+// "model:adapter".
+func WithAdapters(adapters ...string) Option {
+	return func(e *Engine) { e.initialAdapters = adapters }
+}
+
+// WithSize sets the memory in tokens.
+func WithSize(tokens int64) Option {
+	return func(e *Engine) { e.sizeTokens = tokens }
+}
+
+// WithCache sets the memory of the prefix cache in tokens.
+func WithCache(tokens int64) Option {
+	return func(e *Engine) { e.cacheTokens = tokens }
+}
+
+// WithPrefillRate sets the prefill speed in tokens per millisecond.
+func WithPrefillRate(rate float64) Option {
+	return func(e *Engine) { e.prefillRate = rate }
+}
+
+// WithTokenTime sets the time per generated token in milliseconds.
+func WithTokenTime(span float64) Option {
+	return func(e *Engine) { e.tokenTime = span }
+}
+
+// WithChunk sets how many tokens one step prefills.
+func WithChunk(tokens int64) Option {
+	return func(e *Engine) { e.chunkTokens = tokens }
+}
+
+// WithReportLag sets how old a load report may be.
+func WithReportLag(span oleanderspool.Millis) Option {
+	return func(e *Engine) { e.reportLag = span.Duration() }
+}
+
+// WithLoadTime sets how long an order takes.
+func WithLoadTime(span oleanderspool.Millis) Option {
+	return func(e *Engine) { e.loadTime = span.Duration() }
+}
+
+// WithDownTime sets how long the engine is down after a crash.
+func WithDownTime(span oleanderspool.Millis) Option {
+	return func(e *Engine) { e.downTime = span.Duration() }
+}
+
+// WithEvents sets how late cache events become readable, and that every event
+// whose sequence number is divisible by gapEvery is lost; 0 loses none.
+func WithEvents(delay oleanderspool.Millis, gapEvery int64) Option {
+	return func(e *Engine) { e.eventDelay, e.gapEvery = delay.Duration(), gapEvery }
+}
+
+// WithCrashMarker sets the text in a prompt that crashes the engine; an empty
+// one crashes it never.
+func WithCrashMarker(marker string) Option {
+	return func(e *Engine) { e.crashMarker = marker }
+}
+
+// WithMaxWaiting bounds the engine's queue.
+func WithMaxWaiting(limit int) Option {
+	return func(e *Engine) { e.maxWaiting = limit }
+}
+
+// WithAnswerTokens ends every answer at this length, unless its own limit is
+// lower; 0 lets each answer reach its limit.
+func WithAnswerTokens(tokens int) Option {
+	return func(e *Engine) { e.answerTokens = tokens }
+}
+
+// WithoutFencing makes the engine ignore the fencing number of orders.
+func WithoutFencing() Option {
+	return func(e *Engine) { e.fencing = false }
+}
+
+// WithLeak makes the engine keep the memory of a request whose connection is
+// lost, until the request is cancelled.
+func WithLeak() Option {
+	return func(e *Engine) { e.leak = true }
+}
+
+// WithOnCrash sets a function that is called on a crash, so that a process can
+// exit. It must not call the engine.
+func WithOnCrash(f func()) Option {
+	return func(e *Engine) { e.onCrash = f }
+}
+
+// WithFault adds a fault from the start.
+func WithFault(fault standin.Fault) Option {
+	return func(e *Engine) { e.Add(fault) }
+}
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -76,7 +76,8 @@
 	defer func() {
 		// A handler ends its connection with this panic; here there is none left.
 		p := recover()
-		if err, ok := p.(error); p != nil && !(ok && errors.Is(err, http.ErrAbortHandler)) {
+		err, _ := p.(error)
+		if p != nil && !errors.Is(err, http.ErrAbortHandler) {
 			panic(p)
 		}
 	}()
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -13,7 +13,7 @@
 //	POST /control/retention {"stream", "keep"}
 //	     /control/faults    see package standin
 //
-// A refusal is {"error", "code", "effect"}; effect "none" states that the
+// A refusal is {"error": {"message", "code", "effect"}}; effect "none" states that the
 // request had no effect and will have none.
 package platform
 
