Add the agent's queue in front of its engine

Ruled out: scores that change with time, because each pop would have to compare all waiting items; every item has a due instant that never changes instead, so a push or pop takes logarithmic time and the due instant is the bound of the ageing. Ruled out: counting an account's long prompts against its short ones, because an account that submits a ledger would wait with its questions too; only work of the same or a smaller class counts.

Conclusion: the class by prefill work gives the priority on the engine, at most two steps of work of a class or below are handed over at a time, and work that overtakes longer work which is due draws on a credit that the rate without the share of long work refills.

--- /dev/null
+++ b/internal/queue/options.go
@@ -0,0 +1,205 @@
+package queue
+
+import "github.com/oleanderspool/oleanderspool"
+
+// Defaults of the options.
+const (
+	// DefaultCapacity bounds the number of waiting items.
+	DefaultCapacity = 20_000
+	// DefaultStepTokens is the token budget of one engine step.
+	DefaultStepTokens = 2048
+	// DefaultWindowSteps is how many steps of work are handed to the engine at
+	// a time. One step runs while the next one waits, so the engine never
+	// idles between the end of a step and the agent's reaction.
+	DefaultWindowSteps = 2
+	// DefaultShortRequestWeight lies between the two users' settings.
+	DefaultShortRequestWeight = 0.5
+	// DefaultFairness is the delay per millisecond of work that the account
+	// already has waiting. It must exceed the inverse of the capacity that is
+	// left to a flooding account, or others wait behind its backlog.
+	DefaultFairness = 4.0
+	// DefaultPriorityStep is the head start of one level of priority.
+	DefaultPriorityStep = 5 * oleanderspool.Second
+	// DefaultSlackMargin is how long before the last possible start an item
+	// becomes due.
+	DefaultSlackMargin = 2 * oleanderspool.Second
+	// DefaultCreditSteps is how many steps of shorter work may run in one
+	// burst at the expense of longer work that is due.
+	DefaultCreditSteps = 4
+	// DefaultBypassBound is how long smaller items may pass one that does not
+	// fit into memory.
+	DefaultBypassBound = 10 * oleanderspool.Second
+	// DefaultPrefillRate is the rate assumed before any was observed, in
+	// tokens per millisecond.
+	DefaultPrefillRate = 10.0
+	// DefaultTokenSpan is the span assumed between two generated tokens.
+	DefaultTokenSpan = 30 * oleanderspool.Millis(1)
+	// DefaultSlowFraction is the part of the reference rate below which an
+	// engine counts as slow.
+	DefaultSlowFraction = 0.5
+	// DefaultStallBound is how long beyond its expected end the first item of
+	// the engine may take before the engine counts as slow.
+	DefaultStallBound = 5 * oleanderspool.Second
+)
+
+// The range of the stretch and of the share of long work between a
+// short_request_weight of 0 and 1. The stretch is the delay per millisecond of
+// own prefill work.
+const (
+	stretchAtZero   = 1.0
+	stretchAtOne    = 16.0
+	longShareAtZero = 0.5
+	longShareAtOne  = 0.2
+)
+
+// settings are the knobs of a queue.
+type settings struct {
+	capacity     int
+	stepTokens   int64
+	windowSteps  int64
+	shortWeight  float64
+	stretch      float64 // 0 means by shortWeight
+	longShare    float64 // 0 means by shortWeight
+	fairness     float64
+	priorityStep oleanderspool.Millis
+	slackMargin  oleanderspool.Millis
+	creditSteps  int64
+	bypassBound  oleanderspool.Millis
+	prefillRate  float64
+	reference    float64
+	tokenSpan    oleanderspool.Millis
+	slowFraction float64
+	stallBound   oleanderspool.Millis
+	memory       int64 // 0 means unbounded
+}
+
+func defaultSettings() settings {
+	return settings{
+		capacity:     DefaultCapacity,
+		stepTokens:   DefaultStepTokens,
+		windowSteps:  DefaultWindowSteps,
+		shortWeight:  DefaultShortRequestWeight,
+		fairness:     DefaultFairness,
+		priorityStep: DefaultPriorityStep,
+		slackMargin:  DefaultSlackMargin,
+		creditSteps:  DefaultCreditSteps,
+		bypassBound:  DefaultBypassBound,
+		prefillRate:  DefaultPrefillRate,
+		tokenSpan:    DefaultTokenSpan,
+		slowFraction: DefaultSlowFraction,
+		stallBound:   DefaultStallBound,
+	}
+}
+
+// finish derives the knobs that follow short_request_weight.
+func (s *settings) finish() {
+	w := min(1, max(0, s.shortWeight))
+	if s.stretch == 0 {
+		s.stretch = stretchAtZero + w*(stretchAtOne-stretchAtZero)
+	}
+	if s.longShare == 0 {
+		s.longShare = longShareAtZero + w*(longShareAtOne-longShareAtZero)
+	}
+}
+
+// Option configures a [Queue].
+type Option func(*settings)
+
+// WithCapacity bounds the number of waiting items.
+func WithCapacity(items int) Option {
+	return func(s *settings) { s.capacity = max(1, items) }
+}
+
+// WithStepTokens sets the token budget of one engine step.
+func WithStepTokens(tokens int64) Option {
+	return func(s *settings) { s.stepTokens = max(1, tokens) }
+}
+
+// WithWindowSteps sets how many steps of work are handed to the engine at a
+// time.
+func WithWindowSteps(steps int) Option {
+	return func(s *settings) { s.windowSteps = int64(max(1, steps)) }
+}
+
+// WithShortRequestWeight trades the slowdown of short requests (1) against the
+// time to first token across all lengths (0). It sets the stretch and the
+// share of long work unless they are set on their own.
+func WithShortRequestWeight(weight float64) Option {
+	return func(s *settings) { s.shortWeight = weight }
+}
+
+// WithStretch sets the delay per millisecond of an item's own prefill work.
+// Higher values prefer short work for longer. It must be positive.
+func WithStretch(stretch float64) Option {
+	return func(s *settings) { s.stretch = stretch }
+}
+
+// WithLongShare sets the part of the prefill capacity, between 0 and 1, that
+// due long work has while shorter work waits.
+func WithLongShare(share float64) Option {
+	return func(s *settings) { s.longShare = min(0.95, share) }
+}
+
+// WithFairness sets the delay per millisecond of work that the account
+// already has waiting.
+func WithFairness(delay float64) Option {
+	return func(s *settings) { s.fairness = max(0, delay) }
+}
+
+// WithPriorityStep sets the head start of one level of priority.
+func WithPriorityStep(span oleanderspool.Millis) Option {
+	return func(s *settings) { s.priorityStep = span }
+}
+
+// WithSlackMargin sets how long before its last possible start an item
+// becomes due.
+func WithSlackMargin(span oleanderspool.Millis) Option {
+	return func(s *settings) { s.slackMargin = span }
+}
+
+// WithCreditSteps sets how many steps of shorter work may run in one burst at
+// the expense of longer work that is due.
+func WithCreditSteps(steps int) Option {
+	return func(s *settings) { s.creditSteps = int64(max(1, steps)) }
+}
+
+// WithBypassBound sets how long smaller items may pass one that does not fit
+// into memory.
+func WithBypassBound(span oleanderspool.Millis) Option {
+	return func(s *settings) { s.bypassBound = span }
+}
+
+// WithPrefillRate sets the rate that is assumed before any was observed, in
+// tokens per millisecond.
+func WithPrefillRate(rate float64) Option {
+	return func(s *settings) { s.prefillRate = rate }
+}
+
+// WithReferenceRate sets the rate of a healthy engine, in tokens per
+// millisecond. Without it the highest observed rate is the reference.
+func WithReferenceRate(rate float64) Option {
+	return func(s *settings) { s.reference = rate }
+}
+
+// WithTokenSpan sets the expected span between two generated tokens.
+func WithTokenSpan(span oleanderspool.Millis) Option {
+	return func(s *settings) { s.tokenSpan = span }
+}
+
+// WithSlowFraction sets the part of the reference rate below which an engine
+// counts as slow.
+func WithSlowFraction(fraction float64) Option {
+	return func(s *settings) { s.slowFraction = fraction }
+}
+
+// WithStallBound sets how long beyond its expected end the first item of the
+// engine may take before the engine counts as slow.
+func WithStallBound(span oleanderspool.Millis) Option {
+	return func(s *settings) { s.stallBound = span }
+}
+
+// WithMemory sets the engine's memory in tokens, so that an item that can
+// never fit is refused instead of blocking the queue.
+func WithMemory(tokens int64) Option {
+	return func(s *settings) { s.memory = tokens }
+}
--- /dev/null
+++ b/internal/queue/queue_test.go
@@ -0,0 +1,282 @@
+package queue_test
+
+import (
+	"errors"
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/queue"
+)
+
+const room = int64(10_000_000)
+
+func item(attempt string, tokens int64) queue.Item {
+	return queue.Item{Attempt: oleanderspool.AttemptID(attempt), Account: "a", PromptTokens: tokens, MemoryTokens: tokens}
+}
+
+func started(d queue.Decision) []string {
+	names := make([]string, 0, len(d.Start))
+	for _, s := range d.Start {
+		names = append(names, string(s.Attempt))
+	}
+	return names
+}
+
+// serveAll hands over everything, one item after the other at 10 tokens/ms,
+// and returns the order.
+func serveAll(q *queue.Queue, now oleanderspool.Millis) []string {
+	var order []string
+	for {
+		d := q.Next(room, now)
+		if len(d.Start) == 0 {
+			return order
+		}
+		for _, s := range d.Start {
+			order = append(order, string(s.Attempt))
+			now += oleanderspool.Millis(s.PromptTokens / 10)
+			q.FirstToken(s.Attempt, now)
+			q.Finished(s.Attempt, now)
+		}
+	}
+}
+
+// Guards against an order that lets long work delay short work, or that lets
+// short work, floods or priorities starve others.
+var _ = Describe("order", func() {
+	at := func(i queue.Item, account string, priority int, deadline oleanderspool.Millis) queue.Item {
+		i.Account = oleanderspool.ClientAccountID(account)
+		i.Priority = priority
+		i.Deadline = deadline
+		return i
+	}
+	type arrival struct {
+		item queue.Item
+		at   oleanderspool.Millis
+	}
+	cases := []struct {
+		name     string
+		arrivals []arrival
+		want     []string
+	}{
+		{"short first", []arrival{{item("long", 90_000), 0}, {item("short", 2000), 1}}, []string{"short", "long"}},
+		{"ageing", []arrival{{item("long", 10_000), 0}, {item("short", 2000), 20_000}}, []string{"long", "short"}},
+		{"equal work in order of arrival", []arrival{{item("1", 2000), 0}, {item("2", 2000), 1}}, []string{"1", "2"}},
+		{"priority", []arrival{{item("low", 2000), 0}, {at(item("high", 2000), "a", 1, 0), 1}}, []string{"high", "low"}},
+		{
+			"little slack",
+			[]arrival{{item("easy", 2000), 0}, {at(item("tight", 9000), "a", 0, 5000), 1}},
+			[]string{"tight", "easy"},
+		},
+		{
+			"a flooding account waits for itself",
+			[]arrival{
+				{at(item("f1", 2000), "f", 0, 0), 0},
+				{at(item("f2", 2000), "f", 0, 0), 0},
+				{at(item("f3", 2000), "f", 0, 0), 0},
+				{at(item("other", 2000), "o", 0, 0), 100},
+			},
+			[]string{"f1", "other", "f2", "f3"},
+		},
+	}
+	for _, c := range cases {
+		It("handles "+c.name, func() {
+			q := queue.New(queue.WithWindowSteps(1))
+			now := oleanderspool.Millis(0)
+			for _, x := range c.arrivals {
+				now = x.at
+				Expect(q.Push(x.item, now)).To(Succeed())
+			}
+			Expect(serveAll(q, now)).To(Equal(c.want))
+		})
+	}
+})
+
+// Guards against an engine that idles, or that is given so much that the order
+// of the queue no longer matters.
+var _ = Describe("window", func() {
+	It("hands over two steps of short work and then waits for a first token", func() {
+		q := queue.New()
+		for i := range 5 {
+			Expect(q.Push(item(fmt.Sprint(i), 2000), 0)).To(Succeed())
+		}
+		Expect(started(q.Next(room, 0))).To(Equal([]string{"0", "1", "2"}))
+		Expect(q.Next(room, 10).Start).To(BeEmpty())
+		q.FirstToken("0", 200)
+		Expect(started(q.Next(room, 200))).To(Equal([]string{"3"}))
+	})
+
+	It("hands a short item over while a long one is in the engine, with a higher priority", func() {
+		q := queue.New()
+		Expect(q.Push(item("long", 900_000), 0)).To(Succeed())
+		long := q.Next(room, 0).Start[0]
+		Expect(q.Push(item("short", 2000), 1000)).To(Succeed())
+		short := q.Next(room, 1000).Start[0]
+		Expect(short.EnginePriority).To(BeNumerically(">", long.EnginePriority))
+		Expect(q.Push(item("long2", 900_000), 1000)).To(Succeed())
+		Expect(q.Next(room, 1000).Start).To(BeEmpty())
+	})
+
+	It("passes an item that does not fit into memory only until the bypass bound", func() {
+		q := queue.New(queue.WithBypassBound(1000))
+		Expect(q.Push(item("large", 20_000), 0)).To(Succeed())
+		Expect(q.Next(10_000, 50_000).Start).To(BeEmpty())
+		Expect(q.Push(item("small", 1000), 50_000)).To(Succeed())
+		Expect(started(q.Next(10_000, 50_500))).To(Equal([]string{"small"}))
+		Expect(q.Push(item("late", 1000), 51_000)).To(Succeed())
+		Expect(q.Next(10_000, 51_000).Start).To(BeEmpty())
+		Expect(started(q.Next(30_000, 51_100))).To(Equal([]string{"large", "late"}))
+	})
+})
+
+// Guards against short work that starves long work which is due.
+var _ = Describe("share of long work", func() {
+	It("stops shorter work once its credit is used, until the long item has progressed", func() {
+		q := queue.New(queue.WithCreditSteps(1), queue.WithLongShare(0.5))
+		Expect(q.Push(item("long", 90_000), 0)).To(Succeed())
+		Expect(q.Next(room, 0).Start).To(HaveLen(1))
+		for i := range 4 {
+			Expect(q.Push(item(fmt.Sprint(i), 1000), 500_000)).To(Succeed())
+		}
+		Expect(started(q.Next(room, 500_000))).To(Equal([]string{"0", "1", "2"}))
+		for i := range 3 {
+			q.FirstToken(oleanderspool.AttemptID(fmt.Sprint(i)), 500_100)
+		}
+		Expect(q.Next(room, 500_100).Start).To(BeEmpty())
+		Expect(started(q.Next(room, 500_400))).To(Equal([]string{"3"}))
+	})
+})
+
+// Guards against waiting in vain and against a RetryAfter that is made up.
+var _ = Describe("refusals", func() {
+	with := func(i queue.Item, deadline oleanderspool.Millis) queue.Item {
+		i.Deadline = deadline
+		return i
+	}
+	refusal := func(err error) *oleanderspool.Refusal {
+		var r *oleanderspool.Refusal
+		Expect(errors.As(err, &r)).To(BeTrue(), "%v", err)
+		Expect(r.Execution).To(Equal(oleanderspool.NotRun))
+		return r
+	}
+
+	It("says that a limit is too short for an idle server", func() {
+		r := refusal(queue.New().Push(with(item("a", 10_000), 999), 0))
+		Expect(r.Reason).To(Equal(oleanderspool.RefusalDeadlineTooShort))
+		Expect(r.RetryAfter).To(BeZero())
+	})
+
+	It("asks to retry once the queue leaves enough time", func() {
+		q := queue.New(queue.WithShortRequestWeight(0))
+		Expect(q.Push(item("ahead", 10_000), 0)).To(Succeed())
+		r := refusal(q.Push(with(item("b", 10_000), 1500), 0))
+		Expect(r.Reason).To(Equal(oleanderspool.RefusalOverloaded))
+		Expect(r.RetryAfter).To(BeNumerically(">=", 500))
+		Expect(r.RetryAfter).To(BeNumerically("<=", 1100))
+	})
+
+	It("refuses a waiting item as soon as its limit cannot be met", func() {
+		q := queue.New()
+		Expect(q.Push(with(item("a", 1000), 500), 0)).To(Succeed())
+		Expect(q.Next(0, 400).Refused).To(BeEmpty())
+		d := q.Next(0, 401)
+		Expect(d.Refused).To(HaveLen(1))
+		Expect(q.Load(401).Queued).To(BeZero())
+	})
+
+	It("bounds the queue and leaves places to other accounts", func() {
+		q := queue.New(queue.WithCapacity(10))
+		var full *queue.FullError
+		accepted := 0
+		for i := range 10 {
+			if err := q.Push(item(fmt.Sprint(i), 1000), 0); err == nil {
+				accepted++
+			} else {
+				Expect(errors.As(err, &full)).To(BeTrue())
+				Expect(full.Reason()).To(Equal(oleanderspool.RetryQueueFull))
+				Expect(full.RetryAfter).To(Equal(oleanderspool.Millis(100)))
+			}
+		}
+		Expect(accepted).To(Equal(6))
+		other := item("other", 1000)
+		other.Account = "b"
+		Expect(q.Push(other, 0)).To(Succeed())
+	})
+
+	It("refuses what never fits, and known attempts", func() {
+		q := queue.New(queue.WithMemory(5000))
+		Expect(refusal(q.Push(item("a", 5001), 0)).Reason).To(Equal(oleanderspool.RefusalPromptTooLong))
+		Expect(q.Push(item("b", 1000), 0)).To(Succeed())
+		Expect(q.Push(item("b", 1000), 0)).To(MatchError(ContainSubstring("known")))
+	})
+
+	It("forgets a cancelled item", func() {
+		q := queue.New()
+		Expect(q.Push(item("a", 1000), 0)).To(Succeed())
+		Expect(q.Cancel("a")).To(BeTrue())
+		Expect(q.Cancel("a")).To(BeFalse())
+		Expect(q.Next(room, 0).Start).To(BeEmpty())
+	})
+})
+
+// Guards against a trial that shares its engine, or that stops the queue for
+// longer than needed.
+var _ = Describe("an attempt that runs alone", func() {
+	It("waits for the engine to drain, lets short work pass meanwhile, and then runs alone", func() {
+		q := queue.New()
+		running := item("running", 1000)
+		running.OutputTokens = 100
+		Expect(q.Push(running, 0)).To(Succeed())
+		Expect(q.Next(room, 0).Start).To(HaveLen(1))
+		q.FirstToken("running", 100)
+		trial := item("trial", 1000)
+		trial.Alone = true
+		Expect(q.Push(trial, 100)).To(Succeed())
+		Expect(q.Push(item("fits", 2000), 100)).To(Succeed())
+		Expect(q.Push(item("late", 90_000), 100)).To(Succeed())
+		Expect(started(q.Next(room, 100))).To(Equal([]string{"fits"}))
+		q.FirstToken("fits", 300)
+		q.Finished("fits", 300)
+		q.Finished("running", 3000)
+		Expect(started(q.Next(room, 3000))).To(Equal([]string{"trial"}))
+		q.FirstToken("trial", 3100)
+		Expect(q.Next(room, 3100).Start).To(BeEmpty())
+		q.Finished("trial", 3200)
+		Expect(started(q.Next(room, 3200))).To(Equal([]string{"late"}))
+	})
+})
+
+var _ = Describe("observed rate", func() {
+	// Guards against predictions from a rate that the engine does not have.
+	It("follows the engine and signals a slow one", func() {
+		q := queue.New(queue.WithPrefillRate(10))
+		now := oleanderspool.Millis(0)
+		serve := func(n int, rate int64) {
+			for range n {
+				Expect(q.Push(item("x", 10_000), now)).To(Succeed())
+				Expect(q.Next(room, now).Start).To(HaveLen(1))
+				now += oleanderspool.Millis(10_000 / rate)
+				q.FirstToken("x", now)
+				q.Finished("x", now)
+			}
+		}
+		serve(100, 20)
+		Expect(q.Rate()).To(BeNumerically("~", 20, 0.2))
+		Expect(q.Slow(now)).To(BeFalse())
+		serve(30, 5)
+		Expect(q.Rate()).To(BeNumerically("~", 5, 1))
+		Expect(q.Slow(now)).To(BeTrue())
+	})
+
+	It("signals an engine that shows no progress", func() {
+		q := queue.New()
+		Expect(q.Push(item("x", 10_000), 0)).To(Succeed())
+		q.Next(room, 0)
+		Expect(q.Slow(6000)).To(BeFalse())
+		Expect(q.Slow(6001)).To(BeTrue())
+		q.EngineLost(6002)
+		Expect(q.Slow(20_000)).To(BeFalse())
+	})
+})
