--- a/backend_server.go
+++ b/backend_server.go
@@ -39,6 +39,7 @@
 	Revision    Revision
 	Load        Load
 	ReportedAt  Millis // local instant of the last report
+	Instant     Millis // the agent's own clock in the last report; part of attempt ids
 }
 
 // Serves reports whether the backend server can run r.
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,293 @@
+// Package agent is the process beside a backend server. It carries the inputs
+// and outputs of the state machines that decide: the table of attempts, the
+// queue, the ledger of engine memory and the replayed configuration.
+package agent
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/attempt"
+	"github.com/oleanderspool/oleanderspool/internal/broadcast"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
+	"github.com/oleanderspool/oleanderspool/internal/memory"
+	"github.com/oleanderspool/oleanderspool/internal/observe"
+	"github.com/oleanderspool/oleanderspool/internal/peer"
+	"github.com/oleanderspool/oleanderspool/internal/queue"
+)
+
+// Defaults of the options, in milliseconds unless stated otherwise.
+const (
+	DefaultHeartbeat      = oleanderspool.Second
+	DefaultReportInterval = oleanderspool.Millis(500)
+	DefaultReportLag      = oleanderspool.Second
+	// DefaultMaxServiceCalls bounds the calls of a plain service at a time.
+	DefaultMaxServiceCalls = 64
+	// pumpInterval is how often the queue is asked for work without an event.
+	pumpInterval = 50 * oleanderspool.Millis(1)
+	// stopGrace is how long a stopped agent still answers readers after the
+	// last attempt has ended, so that none loses the end of its answer.
+	stopGrace = 200 * oleanderspool.Millis(1)
+)
+
+// Agent is one agent process. It is safe for concurrent use.
+type Agent struct {
+	identity    oleanderspool.BackendServer
+	incarnation oleanderspool.Incarnation
+	engine      oleanderspool.Engine
+	service     oleanderspool.Service
+	clock       oleanderspool.Clock
+	logger      *slog.Logger
+	metrics     *observe.Metrics
+	heartbeat   oleanderspool.Millis
+	reportEvery oleanderspool.Millis
+	limits      attempt.Limits
+	queueKnobs  []queue.Option
+	maxCalls    int
+	version     string
+	artefacts   oleanderspool.WeightStore
+	peers       *peer.Client
+
+	mu       sync.Mutex
+	attempts *attempt.Table
+	queue    *queue.Queue
+	ledger   *memory.Ledger
+	calls    map[oleanderspool.AttemptID]peer.RunCall
+	cancels  map[oleanderspool.AttemptID]context.CancelFunc
+	running  int // attempts that have not ended
+	inCall   int // calls of the plain service in progress
+	leaving  bool
+	report   oleanderspool.EngineReport
+	engineUp bool
+	changed  broadcast.Signal // state that Watch reports
+	feeds    map[oleanderspool.AttemptID]*feed
+	follower *follower
+	base     context.Context // ends when the process gives up all work
+	wake     chan struct{}
+}
+
+// Option configures an [Agent].
+type Option func(*Agent)
+
+// WithEngine sets the engine beside the agent, for a model runner.
+func WithEngine(e oleanderspool.Engine) Option {
+	return func(a *Agent) { a.engine = e }
+}
+
+// WithService sets the plain service beside the agent and its routes, for an
+// application runner.
+func WithService(s oleanderspool.Service, routes ...oleanderspool.RouteID) Option {
+	return func(a *Agent) {
+		a.service = s
+		a.identity.Role = oleanderspool.RoleService
+		a.identity.Routes = routes
+	}
+}
+
+// WithClock sets the clock.
+func WithClock(c oleanderspool.Clock) Option {
+	return func(a *Agent) { a.clock = c }
+}
+
+// WithLogger sets the logger.
+func WithLogger(l *slog.Logger) Option {
+	return func(a *Agent) { a.logger = l }
+}
+
+// WithMetrics sets the counters.
+func WithMetrics(m *observe.Metrics) Option {
+	return func(a *Agent) { a.metrics = m }
+}
+
+// WithHeartbeat sets the span between heartbeats on a stream, in milliseconds.
+func WithHeartbeat(span oleanderspool.Millis) Option {
+	return func(a *Agent) { a.heartbeat = span }
+}
+
+// WithLimits sets the limits of the table of attempts.
+func WithLimits(l attempt.Limits) Option {
+	return func(a *Agent) { a.limits = l }
+}
+
+// WithQueue sets options of the queue.
+func WithQueue(options ...queue.Option) Option {
+	return func(a *Agent) { a.queueKnobs = append(a.queueKnobs, options...) }
+}
+
+// WithMaxServiceCalls bounds the calls of the plain service at a time.
+func WithMaxServiceCalls(calls int) Option {
+	return func(a *Agent) { a.maxCalls = calls }
+}
+
+// WithWeightStore sets the store that bounds how fast weights are loaded.
+func WithWeightStore(s oleanderspool.WeightStore) Option {
+	return func(a *Agent) { a.artefacts = s }
+}
+
+// WithVersion sets the program version that the status shows.
+func WithVersion(version string) Option {
+	return func(a *Agent) { a.version = version }
+}
+
+// New returns an agent of an instance in a data centre. It runs with Run.
+func New(instance oleanderspool.InstanceID, dataCentre oleanderspool.DataCentreID, options ...Option) *Agent {
+	a := &Agent{
+		identity:    oleanderspool.BackendServer{Instance: instance, DataCentre: dataCentre},
+		incarnation: newIncarnation(),
+		clock:       clock.NewSystem(),
+		logger:      slog.New(slog.DiscardHandler),
+		metrics:     observe.New(),
+		heartbeat:   DefaultHeartbeat,
+		reportEvery: DefaultReportInterval,
+		limits:      attempt.DefaultLimits,
+		maxCalls:    DefaultMaxServiceCalls,
+		peers:       peer.NewClient(),
+		calls:       make(map[oleanderspool.AttemptID]peer.RunCall),
+		cancels:     make(map[oleanderspool.AttemptID]context.CancelFunc),
+		feeds:       make(map[oleanderspool.AttemptID]*feed),
+		wake:        make(chan struct{}, 1),
+	}
+	for _, o := range options {
+		o(a)
+	}
+	a.identity.Incarnation = a.incarnation
+	a.attempts = attempt.NewTable(a.incarnation, a.limits)
+	a.queue = queue.New(a.queueKnobs...)
+	a.ledger = memory.NewLedger(0, memory.WithListLag(DefaultReportLag))
+	a.follower = newFollower(a)
+	return a
+}
+
+// newIncarnation returns a value that no other run of an agent has.
+func newIncarnation() oleanderspool.Incarnation {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // crypto/rand never fails
+	return oleanderspool.Incarnation(hex.EncodeToString(b[:]))
+}
+
+// Incarnation returns the identity of this run.
+func (a *Agent) Incarnation() oleanderspool.Incarnation {
+	return a.incarnation
+}
+
+// Run serves calls on l until ctx ends, then refuses new work, finishes what
+// runs and returns. The listener holds the instance's slot: a second agent
+// cannot listen on the same address.
+func (a *Agent) Run(ctx context.Context, l net.Listener) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	a.base = serving
+	if a.engine != nil {
+		a.adoptEngine(serving)
+	}
+	group, serving := errgroup.WithContext(serving)
+	group.Go(func() error { return peer.Serve(serving, l, &handler{Agent: a}, &handler{Agent: a}) })
+	group.Go(func() error { a.loop(serving, pumpInterval, a.wake, a.pump); return nil })
+	group.Go(func() error { a.loop(serving, a.reportEvery, nil, a.tick); return nil })
+	group.Go(func() error { a.follower.run(serving); return nil })
+	if a.engine != nil {
+		group.Go(func() error { a.loop(serving, a.reportEvery, nil, func() { a.observeEngine(serving) }); return nil })
+	}
+	a.logger.Info("agent started", "instance", a.identity.Instance, "incarnation", a.incarnation)
+	select {
+	case <-ctx.Done():
+		a.drain(serving)
+	case <-serving.Done():
+	}
+	stop()
+	err := group.Wait()
+	a.logger.Info("agent stopped", "instance", a.identity.Instance)
+	return err
+}
+
+// loop calls f at each interval and whenever wake receives, until ctx ends.
+func (a *Agent) loop(ctx context.Context, interval oleanderspool.Millis, wake <-chan struct{}, f func()) {
+	ticker := time.NewTicker(interval.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-wake:
+		}
+		f()
+	}
+}
+
+// drain announces that the agent leaves and waits until nothing runs.
+func (a *Agent) drain(ctx context.Context) {
+	a.mu.Lock()
+	a.leaving = true
+	a.changed.Notify()
+	a.mu.Unlock()
+	a.metrics.Changed("leaving")
+	a.logger.Info("agent leaving", "instance", a.identity.Instance)
+	for a.busy() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pumpInterval.Duration()):
+		}
+	}
+	time.Sleep(stopGrace.Duration())
+}
+
+func (a *Agent) busy() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.running > 0
+}
+
+// tick forgets old attempts and stops work that nobody reads.
+func (a *Agent) tick() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	for _, id := range a.attempts.Tick(now) {
+		a.stopWork(id)
+		a.ended(id)
+	}
+}
+
+// stopWork ends the work of an attempt that the table no longer runs.
+func (a *Agent) stopWork(id oleanderspool.AttemptID) {
+	a.queue.Cancel(id)
+	if cancel, ok := a.cancels[id]; ok {
+		cancel()
+	}
+}
+
+// ended notes that an attempt has ended and tells its readers.
+func (a *Agent) ended(id oleanderspool.AttemptID) {
+	if _, ok := a.calls[id]; !ok {
+		return
+	}
+	delete(a.calls, id)
+	a.running--
+	a.metrics.Ended()
+	a.notify(id)
+}
+
+// fail ends an attempt with a refusal and tells its readers.
+func (a *Agent) fail(id oleanderspool.AttemptID, refusal *oleanderspool.Refusal) {
+	if a.attempts.Fail(id, refusal, a.clock.Now()) {
+		a.metrics.Refused(refusal)
+	}
+	a.ended(id)
+}
+
+func (a *Agent) wakePump() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/agent/engine.go
@@ -0,0 +1,122 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/memory"
+)
+
+// reportTimeout bounds a call that asks the engine how it is.
+const reportTimeout = time.Second
+
+// adoptEngine takes over an engine that may be running: memory that it holds
+// for attempts of an earlier agent has no owner and is cancelled.
+func (a *Agent) adoptEngine(ctx context.Context) {
+	requested := a.clock.Now()
+	report, entries, err := a.inspect(ctx)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
+		a.logger.Warn("engine not available", "error", err)
+		return
+	}
+	a.setReport(report)
+	a.ledger.Restarted(report.SizeTokens, report.Started, requested)
+	a.ledger.Rebuild(report.SizeTokens, memory.List{Entries: entries, Requested: requested, Started: report.Started}, a.clock.Now())
+}
+
+// inspect asks the engine for its report and its entries.
+func (a *Agent) inspect(ctx context.Context) (oleanderspool.EngineReport, []oleanderspool.EngineEntry, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := a.engine.Report(ctx)
+	if err != nil {
+		return report, nil, err
+	}
+	entries, err := a.engine.Entries(ctx)
+	return report, entries, err
+}
+
+// observeEngine compares the engine's own account with the agent's and cancels
+// memory without an owner.
+func (a *Agent) observeEngine(ctx context.Context) {
+	requested := a.clock.Now()
+	report, entries, err := a.inspect(ctx)
+	a.mu.Lock()
+	if err != nil {
+		a.setEngineUp(false)
+		a.mu.Unlock()
+		return
+	}
+	now := a.clock.Now()
+	a.setReport(report)
+	a.ledger.Restarted(report.SizeTokens, report.Started, now)
+	a.ledger.Expire(now)
+	a.ledger.Reconcile(memory.List{Entries: entries, Requested: requested, Started: report.Started}, now)
+	cancels := a.ledger.Cancels(now)
+	a.metrics.EngineMemory(a.ledger.Free(), a.ledger.Size()-a.ledger.Free())
+	a.mu.Unlock()
+	for _, c := range cancels {
+		a.cancelMemory(ctx, c)
+	}
+	a.wakePump()
+}
+
+// cancelMemory cancels memory on the engine. A cancel that fails is repeated
+// at the next observation.
+func (a *Agent) cancelMemory(ctx context.Context, c memory.Cancel) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if err := a.engine.Cancel(ctx, c.Name); err != nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.Confirm(c, a.clock.Now())
+}
+
+// setReport takes a report and notices a restart of the engine.
+func (a *Agent) setReport(report oleanderspool.EngineReport) {
+	if a.report.Started != "" && a.report.Started != report.Started {
+		a.queue.EngineLost(a.clock.Now())
+		a.metrics.Changed("engine_restarted")
+		a.logger.Warn("engine restarted", "instance", a.identity.Instance)
+	}
+	if len(a.report.Models) != len(report.Models) {
+		a.changed.Notify()
+	}
+	a.report = report
+	a.setEngineUp(true)
+}
+
+func (a *Agent) setEngineUp(up bool) {
+	if a.engineUp == up {
+		return
+	}
+	a.engineUp = up
+	a.changed.Notify()
+	if up {
+		a.metrics.Changed("engine_up")
+		a.logger.Info("engine available", "instance", a.identity.Instance)
+		return
+	}
+	a.metrics.Changed("engine_down")
+	a.logger.Warn("engine not available", "instance", a.identity.Instance)
+}
+
+// engineCrashed asks the engine whether it still is the one that the agent
+// knows.
+func (a *Agent) engineCrashed() bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.base), reportTimeout)
+	defer cancel()
+	report, err := a.engine.Report(ctx)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
+		a.setEngineUp(false)
+		return true
+	}
+	return report.Started != a.report.Started
+}
--- /dev/null
+++ b/internal/agent/serve.go
@@ -0,0 +1,233 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/attempt"
+	"github.com/oleanderspool/oleanderspool/internal/peer"
+	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
+)
+
+// eventStream is what Run and Attach send to.
+type eventStream interface {
+	drpc.Stream
+	Send(*peerpb.Event) error
+}
+
+// handler serves the inner protocol, whose Run would hide the agent's own.
+type handler struct {
+	peerpb.DRPCAgentUnimplementedServer
+	peerpb.DRPCPeerUnimplementedServer
+	*Agent
+}
+
+// Run starts an attempt and streams its pieces.
+func (h *handler) Run(m *peerpb.RunRequest, s peerpb.DRPCAgent_RunStream) error {
+	a := h.Agent
+	call := peer.DecodeRun(m, a.clock.Now())
+	if failure := a.accept(call); failure != nil {
+		return a.send(s, peer.Event{Failure: failure})
+	}
+	// The caller learns at once that the attempt arrived, so that a silent
+	// connection is noticed before the first token is due.
+	if err := a.send(s, peer.Event{}); err != nil {
+		a.detach(call.Attempt)
+		return err
+	}
+	return a.stream(s, call.Attempt, 1)
+}
+
+// Attach streams the pieces of an attempt from a sequence number on.
+func (h *handler) Attach(m *peerpb.AttachRequest, s peerpb.DRPCAgent_AttachStream) error {
+	a := h.Agent
+	id := oleanderspool.AttemptID(m.GetAttempt())
+	a.mu.Lock()
+	reply := a.attempts.Attach(id, oleanderspool.Incarnation(m.GetIncarnation()), m.GetFrom(), a.clock.Now())
+	a.mu.Unlock()
+	if reply.State != attempt.StateRunning && reply.State != attempt.StateFinished {
+		return a.send(s, peer.Event{Failure: failureOf(id, reply)})
+	}
+	if err := a.send(s, peer.Event{}); err != nil {
+		a.detach(id)
+		return err
+	}
+	return a.stream(s, id, m.GetFrom())
+}
+
+// failureOf describes an attempt that cannot be followed.
+func failureOf(id oleanderspool.AttemptID, reply attempt.Reply) *peer.Failure {
+	f := &peer.Failure{Attempt: id, State: reply.State.String()}
+	if reply.Refusal != nil {
+		f.Refusal = *reply.Refusal
+		return f
+	}
+	f.Refusal = oleanderspool.Refusal{
+		Reason:    oleanderspool.RefusalBackendServerFailed,
+		Execution: executionOf(reply.State),
+		Message:   "the attempt is " + reply.State.String(),
+	}
+	return f
+}
+
+func executionOf(s attempt.State) oleanderspool.Execution {
+	switch s {
+	case attempt.StateBarred:
+		return oleanderspool.NotRun
+	case attempt.StateEvicted, attempt.StateFinished:
+		return oleanderspool.Ran
+	default:
+		return oleanderspool.MayHaveRun
+	}
+}
+
+// stream sends pieces from a sequence number on, and heartbeats in between,
+// until the attempt ends or the reader goes away.
+func (a *Agent) stream(s eventStream, id oleanderspool.AttemptID, from int64) error {
+	defer a.detach(id)
+	a.mu.Lock()
+	f := a.subscribe(id)
+	a.mu.Unlock()
+	defer func() {
+		a.mu.Lock()
+		a.unsubscribe(id)
+		a.mu.Unlock()
+	}()
+	heartbeat := time.NewTicker(a.heartbeat.Duration())
+	defer heartbeat.Stop()
+	for {
+		a.mu.Lock()
+		changed := f.Wait()
+		reply := a.attempts.Pieces(id, from)
+		a.mu.Unlock()
+		for i := range reply.Pieces {
+			if err := a.send(s, peer.Event{Piece: &reply.Pieces[i]}); err != nil {
+				return err
+			}
+			from = reply.Pieces[i].Sequence + 1
+		}
+		if reply.State == attempt.StateFinished {
+			return nil
+		}
+		if reply.State != attempt.StateRunning {
+			return a.send(s, peer.Event{Failure: failureOf(id, reply)})
+		}
+		select {
+		case <-changed:
+		case <-heartbeat.C:
+			if err := a.send(s, peer.Event{}); err != nil {
+				return err
+			}
+		case <-s.Context().Done():
+			return s.Context().Err()
+		}
+	}
+}
+
+func (a *Agent) detach(id oleanderspool.AttemptID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.attempts.Detach(id, a.clock.Now())
+}
+
+func (a *Agent) send(s eventStream, e peer.Event) error {
+	return s.Send(peer.EncodeEvent(e, a.follower.revision()))
+}
+
+// Bar forbids an attempt that has not started.
+func (h *handler) Bar(_ context.Context, m *peerpb.BarRequest) (*peerpb.BarReply, error) {
+	a := h.Agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	id := oleanderspool.AttemptID(m.GetAttempt())
+	state := a.attempts.Bar(id, oleanderspool.Incarnation(m.GetIncarnation()), a.clock.Now())
+	return &peerpb.BarReply{
+		Revision:    int64(a.follower.revision()),
+		Incarnation: string(a.incarnation),
+		State:       state.String(),
+	}, nil
+}
+
+// Cancel ends an attempt.
+func (h *handler) Cancel(_ context.Context, m *peerpb.CancelRequest) (*peerpb.CancelReply, error) {
+	a := h.Agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	id := oleanderspool.AttemptID(m.GetAttempt())
+	_, stop := a.attempts.Cancel(id, oleanderspool.Incarnation(m.GetIncarnation()), a.clock.Now())
+	if stop {
+		a.stopWork(id)
+		a.ended(id)
+	}
+	return &peerpb.CancelReply{Revision: int64(a.follower.revision())}, nil
+}
+
+// Watch streams the state of the agent, at once and then at each interval or
+// change.
+func (h *handler) Watch(m *peerpb.WatchRequest, s peerpb.DRPCAgent_WatchStream) error {
+	a := h.Agent
+	interval := max(oleanderspool.Millis(m.GetIntervalMs()), minWatchInterval)
+	ticker := time.NewTicker(interval.Duration())
+	defer ticker.Stop()
+	a.follower.offer(m.GetAddress(), oleanderspool.Revision(m.GetRevision()))
+	for {
+		a.mu.Lock()
+		changed := a.changed.Wait()
+		state := a.state()
+		a.mu.Unlock()
+		if err := s.Send(peer.EncodeState(state)); err != nil {
+			return err
+		}
+		select {
+		case <-changed:
+		case <-ticker.C:
+		case <-s.Context().Done():
+			return s.Context().Err()
+		}
+	}
+}
+
+// minWatchInterval bounds what a watcher can ask for.
+const minWatchInterval = 20 * oleanderspool.Millis(1)
+
+// state returns what the agent says of its backend server.
+func (a *Agent) state() oleanderspool.BackendServer {
+	now := a.clock.Now()
+	b := a.identity
+	b.Leaving = a.leaving
+	b.Revision = a.follower.revision()
+	b.Instant = now
+	if a.engine == nil {
+		b.Load = oleanderspool.Load{Running: a.inCall}
+		return b
+	}
+	if a.engineUp {
+		b.Models = a.report.Models
+	}
+	b.Load = a.queue.Load(now)
+	b.Load.FreeTokens = a.ledger.Available(now)
+	b.Load.SizeTokens = a.ledger.Size()
+	return b
+}
+
+// Status describes the process.
+func (h *handler) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
+	a := h.Agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	role := peer.RoleNameModel
+	if a.identity.Role == oleanderspool.RoleService {
+		role = peer.RoleNameService
+	}
+	return &peerpb.StatusReply{
+		Revision:   int64(a.follower.revision()),
+		Instance:   string(a.identity.Instance),
+		DataCentre: string(a.identity.DataCentre),
+		Role:       role,
+		Leaving:    a.leaving,
+		Version:    a.version,
+	}, nil
+}
--- /dev/null
+++ b/internal/agent/work.go
@@ -0,0 +1,290 @@
+package agent
+
+import (
+	"context"
+	"errors"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/attempt"
+	"github.com/oleanderspool/oleanderspool/internal/memory"
+	"github.com/oleanderspool/oleanderspool/internal/peer"
+	"github.com/oleanderspool/oleanderspool/internal/queue"
+)
+
+// accept takes a call into the table and the queue. It returns the failure of
+// a call that is not taken.
+func (a *Agent) accept(call peer.RunCall) *peer.Failure {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	if a.leaving {
+		return a.decline(call, oleanderspool.Refuse(oleanderspool.RefusalStopping, "the backend server is leaving").
+			WithRetry(oleanderspool.RetryLeaving))
+	}
+	state, ok := a.attempts.Start(attempt.Start{
+		Attempt:     call.Attempt,
+		Request:     call.Request.ID,
+		Incarnation: call.Incarnation,
+		Idempotent:  call.Request.Idempotent,
+	}, now)
+	if !ok {
+		return failureOf(call.Attempt, attempt.Reply{State: state})
+	}
+	a.calls[call.Attempt] = call
+	a.running++
+	a.metrics.Admitted(call.Request.Kind)
+	if refusal := a.begin(call, now); refusal != nil {
+		a.fail(call.Attempt, refusal)
+		a.attempts.Detach(call.Attempt, now)
+		return &peer.Failure{Attempt: call.Attempt, State: attempt.StateBarred.String(), Refusal: *refusal}
+	}
+	return nil
+}
+
+// decline refuses an attempt for good, so that a repeated message does not run
+// it later.
+func (a *Agent) decline(call peer.RunCall, refusal *oleanderspool.Refusal) *peer.Failure {
+	state := a.attempts.Bar(call.Attempt, call.Incarnation, a.clock.Now())
+	if state != attempt.StateBarred {
+		return failureOf(call.Attempt, attempt.Reply{State: state})
+	}
+	a.metrics.Refused(refusal)
+	return &peer.Failure{Attempt: call.Attempt, State: state.String(), Refusal: *refusal}
+}
+
+// begin starts the work of an accepted attempt or says why it cannot.
+func (a *Agent) begin(call peer.RunCall, now oleanderspool.Millis) *oleanderspool.Refusal {
+	if call.Request.Kind == oleanderspool.KindService {
+		return a.beginCall(call)
+	}
+	if a.engine == nil || !a.engineUp {
+		return oleanderspool.Refuse(oleanderspool.RefusalNoBackendServer, "the engine is not available").
+			WithRetry(oleanderspool.RetryConnectFailed)
+	}
+	err := a.queue.Push(itemOf(call), now)
+	var full *queue.FullError
+	var refusal *oleanderspool.Refusal
+	switch {
+	case err == nil:
+		a.wakePump()
+		return nil
+	case errors.As(err, &full):
+		return oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "the queue is full").
+			WithRetryAfter(full.RetryAfter).WithRetry(oleanderspool.RetryQueueFull)
+	case errors.As(err, &refusal):
+		return refusal
+	default:
+		return oleanderspool.Refuse(oleanderspool.RefusalBadRequest, err.Error())
+	}
+}
+
+func itemOf(call peer.RunCall) queue.Item {
+	r := call.Request
+	output := int64(r.MaxTokens)
+	return queue.Item{
+		Attempt:      call.Attempt,
+		Account:      r.Account,
+		Priority:     r.Priority,
+		PromptTokens: int64(promptTokens(r)),
+		OutputTokens: output,
+		MemoryTokens: int64(promptTokens(r)) + output,
+		Deadline:     r.Deadline,
+		Alone:        call.Trial,
+	}
+}
+
+// promptTokens returns the prefill work of a request, with the text that it
+// continues from.
+func promptTokens(r oleanderspool.Request) int {
+	return max(r.PromptCount, oleanderspool.EstimateTokens(r.Prompt)) + oleanderspool.EstimateTokens(r.Continued)
+}
+
+// pump hands work from the queue to the engine.
+func (a *Agent) pump() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.engine == nil || !a.engineUp {
+		return
+	}
+	now := a.clock.Now()
+	decision := a.queue.Next(a.ledger.Available(now), now)
+	for _, r := range decision.Refused {
+		a.fail(r.Attempt, r.Refusal)
+	}
+	for _, d := range decision.Start {
+		a.dispatch(d, now)
+	}
+}
+
+// dispatch hands one attempt to the engine.
+func (a *Agent) dispatch(d queue.Dispatch, now oleanderspool.Millis) {
+	call, ok := a.calls[d.Attempt]
+	if !ok {
+		a.queue.Finished(d.Attempt, now)
+		return
+	}
+	err := a.ledger.Reserve(memory.Reservation{
+		Name:   string(d.Attempt),
+		Owner:  memory.OwnerAttempt,
+		Tokens: d.MemoryTokens,
+		Expiry: call.Request.Deadline,
+	}, now)
+	if err != nil {
+		a.queue.Finished(d.Attempt, now)
+		a.fail(d.Attempt, oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "no engine memory").
+			WithRetry(oleanderspool.RetryQueueFull))
+		return
+	}
+	ctx, cancel := context.WithTimeout(a.base, call.Request.Remaining(now).Duration())
+	a.cancels[d.Attempt] = cancel
+	go a.generate(ctx, cancel, call, d.EnginePriority)
+}
+
+// generate runs one attempt on the engine.
+func (a *Agent) generate(ctx context.Context, cancel context.CancelFunc, call peer.RunCall, priority int) {
+	defer cancel()
+	r := call.Request
+	err := a.engine.Generate(ctx, oleanderspool.GenerateRequest{
+		Attempt:   call.Attempt,
+		Model:     r.Model,
+		Adapter:   r.Adapter,
+		Prompt:    r.Prompt,
+		Continued: r.Continued,
+		MaxTokens: r.MaxTokens,
+		Priority:  priority,
+		Remaining: r.Remaining(a.clock.Now()),
+	}, func(text string, tokens int, finish string) {
+		a.emit(call.Attempt, oleanderspool.Piece{Text: text, Tokens: tokens, Finish: finish, Final: finish != ""})
+	})
+	refusal := a.explain(ctx, err)
+
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	delete(a.cancels, call.Attempt)
+	a.queue.Finished(call.Attempt, now)
+	if err == nil {
+		a.ledger.Finished(string(call.Attempt), now)
+		a.ended(call.Attempt)
+	} else {
+		a.ledger.Release(string(call.Attempt), now)
+		a.fail(call.Attempt, refusal)
+	}
+	a.wakePump()
+}
+
+// emit adds a piece to an attempt and tells its readers.
+func (a *Agent) emit(id oleanderspool.AttemptID, p oleanderspool.Piece) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	p, ok := a.attempts.Append(id, p, now)
+	if !ok {
+		a.metrics.Dropped("attempt_ended")
+		return
+	}
+	if p.Sequence == 1 {
+		a.queue.FirstToken(id, now)
+		a.wakePump()
+	}
+	a.notify(id)
+}
+
+// explain maps an error of the engine to a refusal. It asks the engine for a
+// report when the stream broke, since only a crashed engine makes its requests
+// suspect.
+func (a *Agent) explain(ctx context.Context, err error) *oleanderspool.Refusal {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return oleanderspool.Refuse(oleanderspool.RefusalTimeLimit, "the time limit has passed").
+			WithExecution(oleanderspool.MayHaveRun)
+	case ctx.Err() != nil:
+		return oleanderspool.Refuse(oleanderspool.RefusalCancelled, "the attempt was cancelled").
+			WithExecution(oleanderspool.MayHaveRun)
+	case errorx.IsOfType(err, oleanderspool.ErrInvalid):
+		return oleanderspool.Refuse(oleanderspool.RefusalBadRequest, err.Error())
+	case errorx.IsOfType(err, oleanderspool.ErrUnavailable):
+		return oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "the engine refused the request").
+			WithRetry(oleanderspool.RetryQueueFull)
+	case errorx.IsOfType(err, oleanderspool.ErrNotSent):
+		return oleanderspool.Refuse(oleanderspool.RefusalBackendServerFailed, "the engine could not be reached").
+			WithRetry(oleanderspool.RetryConnectFailed)
+	}
+	refusal := oleanderspool.Refuse(oleanderspool.RefusalBackendServerFailed, "the engine broke the stream").
+		WithExecution(oleanderspool.MayHaveRun)
+	if a.engineCrashed() {
+		return refusal.WithRetry(oleanderspool.RetryEngineDied)
+	}
+	return refusal.WithRetry(oleanderspool.RetryStreamSilent)
+}
+
+// beginCall starts a call of the plain service.
+func (a *Agent) beginCall(call peer.RunCall) *oleanderspool.Refusal {
+	if a.service == nil {
+		return oleanderspool.Refuse(oleanderspool.RefusalUnknownRoute, "no plain service beside this agent")
+	}
+	if a.inCall >= a.maxCalls {
+		return oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "too many calls of the plain service").
+			WithRetryAfter(oleanderspool.Second).WithRetry(oleanderspool.RetryQueueFull)
+	}
+	a.inCall++
+	ctx, cancel := context.WithTimeout(a.base, call.Request.Remaining(a.clock.Now()).Duration())
+	a.cancels[call.Attempt] = cancel
+	go a.call(ctx, cancel, call)
+	return nil
+}
+
+// call makes one call of the plain service.
+func (a *Agent) call(ctx context.Context, cancel context.CancelFunc, call peer.RunCall) {
+	defer cancel()
+	r := call.Request
+	answer, err := a.service.Call(ctx, oleanderspool.ServiceRequest{
+		Attempt:    call.Attempt,
+		Route:      r.Route,
+		Method:     r.Method,
+		Path:       r.Path,
+		Body:       r.Body,
+		Idempotent: r.Idempotent,
+		Remaining:  r.Remaining(a.clock.Now()),
+	})
+	a.mu.Lock()
+	a.inCall--
+	delete(a.cancels, call.Attempt)
+	a.mu.Unlock()
+	if err == nil {
+		a.emit(call.Attempt, oleanderspool.Piece{
+			Text:   string(answer.Body),
+			Status: answer.Status,
+			Type:   answer.Type,
+			Finish: "stop",
+			Final:  true,
+		})
+		a.mu.Lock()
+		a.ended(call.Attempt)
+		a.mu.Unlock()
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fail(call.Attempt, explainCall(ctx, err))
+}
+
+// explainCall maps an error of a plain service to a refusal.
+func explainCall(ctx context.Context, err error) *oleanderspool.Refusal {
+	failed := oleanderspool.Refuse(oleanderspool.RefusalBackendServerFailed, "the plain service failed")
+	switch {
+	case errorx.IsOfType(err, oleanderspool.ErrInvalid):
+		return oleanderspool.Refuse(oleanderspool.RefusalBadRequest, err.Error())
+	case errorx.IsOfType(err, oleanderspool.ErrNotSent):
+		return failed.WithRetry(oleanderspool.RetryConnectFailed)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return oleanderspool.Refuse(oleanderspool.RefusalTimeLimit, "the time limit has passed").
+			WithExecution(oleanderspool.MayHaveRun)
+	default:
+		return failed.WithExecution(oleanderspool.MayHaveRun).WithRetry(oleanderspool.RetryEngineDied)
+	}
+}
--- /dev/null
+++ b/internal/broadcast/signal.go
@@ -0,0 +1,26 @@
+// Package broadcast wakes everyone who waits for a change.
+package broadcast
+
+// Signal wakes all waiters at once. The zero value is ready for use. It is not
+// safe for concurrent use: the lock that guards the changed state guards it.
+type Signal struct {
+	waiting chan struct{}
+}
+
+// Wait returns a channel that is closed at the next change. The caller takes
+// it before it looks at the state, so that no change is missed.
+func (s *Signal) Wait() <-chan struct{} {
+	if s.waiting == nil {
+		s.waiting = make(chan struct{})
+	}
+	return s.waiting
+}
+
+// Notify wakes all waiters.
+func (s *Signal) Notify() {
+	if s.waiting == nil {
+		return
+	}
+	close(s.waiting)
+	s.waiting = nil
+}
--- /dev/null
+++ b/internal/entry/claims.go
@@ -0,0 +1,185 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/broadcast"
+	"github.com/oleanderspool/oleanderspool/internal/claim"
+	"github.com/oleanderspool/oleanderspool/internal/observe"
+)
+
+const (
+	claimReadLimit = 1000
+	claimReadWait  = 5 * oleanderspool.Second
+	claimReadRetry = 200 * oleanderspool.Millis(1)
+)
+
+// claims reads the claim stream and appends batches of claims to it.
+type claims struct {
+	log     oleanderspool.Log
+	clock   oleanderspool.Clock
+	metrics *observe.Metrics
+
+	mu      sync.Mutex
+	state   *claim.State
+	batcher *claim.Batcher
+	outage  bool
+	changed broadcast.Signal // state or outage
+	settled map[oleanderspool.AttemptID]chan claim.Event
+	wake    chan struct{}
+}
+
+func newClaims(log oleanderspool.Log, clock oleanderspool.Clock, metrics *observe.Metrics, limits claim.Limits) *claims {
+	return &claims{
+		log:     log,
+		clock:   clock,
+		metrics: metrics,
+		state:   claim.NewState(limits),
+		batcher: claim.NewBatcher(claim.DefaultBatchLimits),
+		outage:  true, // until the stream was read for the first time
+		settled: make(map[oleanderspool.AttemptID]chan claim.Event),
+		wake:    make(chan struct{}, 1),
+	}
+}
+
+// read applies the claim stream until ctx ends.
+func (c *claims) read(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		from := c.state.Position() + 1
+		c.mu.Unlock()
+		records, head, err := c.log.Read(ctx, oleanderspool.StreamClaim, from, claimReadLimit, claimReadWait)
+		c.mu.Lock()
+		now := c.clock.Now()
+		c.setOutage(err != nil)
+		if err == nil {
+			for _, r := range records {
+				c.state.Apply(r, now)
+			}
+			c.state.CaughtUp(head, now)
+			c.changed.Notify()
+		}
+		c.mu.Unlock()
+		if err != nil {
+			sleep(ctx, claimReadRetry)
+		}
+	}
+}
+
+func (c *claims) setOutage(outage bool) {
+	if c.outage == outage {
+		return
+	}
+	c.outage = outage
+	c.changed.Notify()
+	if outage {
+		c.metrics.Changed("log_unavailable")
+	} else {
+		c.metrics.Changed("log_available")
+	}
+}
+
+// append appends batches as they become due until ctx ends.
+func (c *claims) append(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		now := c.clock.Now()
+		record, ok := c.batcher.Next(c.state.ExpiredBefore(now), now)
+		due, waiting := c.batcher.Due()
+		c.mu.Unlock()
+		if ok {
+			c.appendRecord(ctx, record)
+			continue
+		}
+		c.waitForWork(ctx, due-now, waiting)
+	}
+}
+
+func (c *claims) waitForWork(ctx context.Context, span oleanderspool.Millis, waiting bool) {
+	var due <-chan time.Time
+	if waiting {
+		t := time.NewTimer(max(span, 1).Duration())
+		defer t.Stop()
+		due = t.C
+	}
+	select {
+	case <-ctx.Done():
+	case <-c.wake:
+	case <-due:
+	}
+}
+
+func (c *claims) appendRecord(ctx context.Context, record claim.Record) {
+	result, offset := claim.AppendFailed, oleanderspool.Offset(0)
+	data, err := claim.Encode(record)
+	if err == nil {
+		offset, err = c.log.Append(ctx, oleanderspool.StreamClaim, [][]byte{data})
+		result = resultOf(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	settled := c.batcher.Done(result, offset)
+	for _, s := range settled.Claims {
+		if channel, ok := c.settled[s.Attempt]; ok {
+			channel <- settled.Event()
+			delete(c.settled, s.Attempt)
+		}
+	}
+}
+
+func resultOf(err error) claim.AppendResult {
+	switch {
+	case err == nil:
+		return claim.AppendDone
+	case errorx.IsOfType(err, oleanderspool.ErrUnavailable), errorx.IsOfType(err, oleanderspool.ErrInvalid):
+		return claim.AppendFailed
+	default:
+		return claim.AppendUnknown
+	}
+}
+
+// add queues a claim. The returned channel receives the outcome of its append;
+// it is nil when too many claims wait.
+func (c *claims) add(cl claim.Claim) <-chan claim.Event {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.batcher.Add(cl, c.clock.Now()) {
+		return nil
+	}
+	channel := make(chan claim.Event, 1)
+	c.settled[cl.Attempt] = channel
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return channel
+}
+
+// withdraw forgets a claim whose request was given up.
+func (c *claims) withdraw(id oleanderspool.AttemptID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.batcher.Withdraw(id)
+	delete(c.settled, id)
+}
+
+// handle passes an event to a resolver. The returned channel is closed when
+// the state of the stream changes after the decision.
+func (c *claims) handle(r *claim.Resolver, e claim.Event) (claim.Decision, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changed := c.changed.Wait()
+	return r.Handle(e, c.clock.Now()), changed
+}
+
+// unavailable reports whether the log is known to be unavailable.
+func (c *claims) unavailable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.outage
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,250 @@
+// Package entry is the process that serves callers. It carries the inputs and
+// outputs of the state machines that decide: admission, routing, retries,
+// claims, suspects, membership and the replayed configuration.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/admission"
+	"github.com/oleanderspool/oleanderspool/internal/claim"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
+	"github.com/oleanderspool/oleanderspool/internal/membership"
+	"github.com/oleanderspool/oleanderspool/internal/observe"
+	"github.com/oleanderspool/oleanderspool/internal/peer"
+	"github.com/oleanderspool/oleanderspool/internal/retry"
+	"github.com/oleanderspool/oleanderspool/internal/routing"
+)
+
+// Defaults of the options, in milliseconds unless stated otherwise.
+const (
+	// DefaultWatchLimit bounds the agents that an entry watches. At one report
+	// a second and about 130 bytes each it keeps control traffic below 6 KB/s.
+	DefaultWatchLimit    = 40
+	DefaultWatchInterval = 500 * oleanderspool.Millis(1)
+	DefaultListInterval  = oleanderspool.Second
+	// DefaultKeyLifetime must be at most half of the log's retention.
+	DefaultKeyLifetime = 24 * oleanderspool.Hour
+	// DefaultDrainDelay is how long a stopping entry goes on accepting, so that
+	// the platform's balancer sees that it is not ready.
+	DefaultDrainDelay = 2 * oleanderspool.Second
+	// maxClaims bounds the claims in memory.
+	maxClaims = 1_000_000
+	// membershipTick is well below the bound after which an agent is suspected.
+	membershipTick = 200 * oleanderspool.Millis(1)
+)
+
+// Entry is one entry process. It is safe for concurrent use.
+type Entry struct {
+	instance   oleanderspool.InstanceID
+	dataCentre oleanderspool.DataCentreID
+	address    string
+	clock      oleanderspool.Clock
+	logger     *slog.Logger
+	metrics    *observe.Metrics
+	log        oleanderspool.Log
+	list       oleanderspool.InstanceList
+	watchLimit int
+	watchEvery oleanderspool.Millis
+	listEvery  oleanderspool.Millis
+	lifetime   oleanderspool.Millis
+	drainDelay oleanderspool.Millis
+	version    string
+	distances  map[oleanderspool.DataCentreID]float64
+	budget     *retry.Budget
+
+	peers         *peer.Client
+	router        *routing.Router
+	claims        *claims
+	configuration *follower
+	stopping      atomic.Bool
+
+	mu        sync.Mutex // guards the state machines below
+	admission *admission.Controller
+	retries   *retry.Policy
+
+	members members
+}
+
+// Option configures an [Entry].
+type Option func(*Entry)
+
+// WithClock sets the clock.
+func WithClock(c oleanderspool.Clock) Option {
+	return func(e *Entry) { e.clock = c }
+}
+
+// WithLogger sets the logger.
+func WithLogger(l *slog.Logger) Option {
+	return func(e *Entry) { e.logger = l }
+}
+
+// WithMetrics sets the counters.
+func WithMetrics(m *observe.Metrics) Option {
+	return func(e *Entry) { e.metrics = m }
+}
+
+// WithWatchLimit bounds the agents that the entry watches.
+func WithWatchLimit(agents int) Option {
+	return func(e *Entry) { e.watchLimit = agents }
+}
+
+// WithWatchInterval sets how often a watched agent reports, in milliseconds.
+func WithWatchInterval(span oleanderspool.Millis) Option {
+	return func(e *Entry) { e.watchEvery = span }
+}
+
+// WithKeyLifetime sets how long an idempotency key is valid, in milliseconds.
+// It must be at most half of the log's retention.
+func WithKeyLifetime(span oleanderspool.Millis) Option {
+	return func(e *Entry) { e.lifetime = span }
+}
+
+// WithDrainDelay sets how long a stopping entry goes on accepting, in
+// milliseconds.
+func WithDrainDelay(span oleanderspool.Millis) Option {
+	return func(e *Entry) { e.drainDelay = span }
+}
+
+// WithDistances sets the one-way distances to data centres in milliseconds.
+func WithDistances(oneWay map[oleanderspool.DataCentreID]float64) Option {
+	return func(e *Entry) { e.distances = oneWay }
+}
+
+// WithRetryBudget sets the budget of retries.
+func WithRetryBudget(b *retry.Budget) Option {
+	return func(e *Entry) { e.budget = b }
+}
+
+// WithVersion sets the program version that the status shows.
+func WithVersion(version string) Option {
+	return func(e *Entry) { e.version = version }
+}
+
+// New returns an entry of an instance in a data centre that uses the
+// platform's log and instance list. It runs with Run.
+func New(instance oleanderspool.InstanceID, dataCentre oleanderspool.DataCentreID, log oleanderspool.Log, list oleanderspool.InstanceList, options ...Option) *Entry {
+	e := &Entry{
+		instance:   instance,
+		dataCentre: dataCentre,
+		log:        log,
+		list:       list,
+		clock:      clock.NewSystem(),
+		logger:     slog.New(slog.DiscardHandler),
+		metrics:    observe.New(),
+		watchLimit: DefaultWatchLimit,
+		watchEvery: DefaultWatchInterval,
+		listEvery:  DefaultListInterval,
+		lifetime:   DefaultKeyLifetime,
+		drainDelay: DefaultDrainDelay,
+		budget:     retry.NewBudget(retry.DefaultFraction, retry.DefaultConstant),
+		peers:      peer.NewClient(),
+		admission:  admission.New(),
+	}
+	for _, o := range options {
+		o(e)
+	}
+	e.retries = retry.New(retry.WithBudget(e.budget), retry.WithSeed(randomSeed()))
+	e.configuration = newFollower(e)
+	e.claims = newClaims(e.log, e.clock, e.metrics, claim.Limits{KeyLifetime: e.lifetime, MaxClaims: maxClaims})
+	e.members = newMembers(e, membership.New())
+	e.router = routing.NewRouter(routing.WithSets(e.setOf), routing.WithDistances(e.distances), routing.WithSeed(randomSeed()))
+	return e
+}
+
+// Run follows the platform and the agents, and serves peers on l, until ctx
+// ends and the running requests have ended.
+func (e *Entry) Run(ctx context.Context, l net.Listener) error {
+	e.address = l.Addr().String()
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, serving := errgroup.WithContext(serving)
+	group.Go(func() error { return peer.Serve(serving, l, &handler{entry: e}, nil) })
+	group.Go(func() error { e.configuration.run(serving); return nil })
+	group.Go(func() error { e.claims.read(serving); return nil })
+	group.Go(func() error { e.claims.append(serving); return nil })
+	group.Go(func() error { e.members.run(serving); return nil })
+	e.logger.Info("entry started", "instance", e.instance)
+	select {
+	case <-ctx.Done():
+		e.drain(serving)
+	case <-serving.Done():
+	}
+	stop()
+	err := group.Wait()
+	e.logger.Info("entry stopped", "instance", e.instance)
+	return err
+}
+
+// drain waits until the balancer has seen that the entry is not ready and the
+// running requests have ended.
+func (e *Entry) drain(ctx context.Context) {
+	e.stopping.Store(true)
+	e.metrics.Changed("leaving")
+	e.logger.Info("entry leaving", "instance", e.instance)
+	sleep(ctx, e.drainDelay)
+	for e.inProgress() > 0 && ctx.Err() == nil {
+		sleep(ctx, membershipTick)
+	}
+}
+
+func (e *Entry) inProgress() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	requests, _ := e.admission.InProgress()
+	return requests
+}
+
+// Ready reports whether the entry can serve: it has a configuration and does
+// not stop.
+func (e *Entry) Ready() bool {
+	return !e.stopping.Load() && e.configuration.revision() > 0
+}
+
+// setOf names the set of backend servers that serves a request.
+func (e *Entry) setOf(r oleanderspool.Request) (oleanderspool.ServerSetID, bool) {
+	c := e.Configuration()
+	if r.Kind == oleanderspool.KindService {
+		route, ok := c.ServiceRoute(r.Route)
+		return route.Set, ok
+	}
+	model, ok := c.Model(r.Model)
+	return model.Set, ok
+}
+
+// sleep waits for a span or the end of ctx.
+func sleep(ctx context.Context, span oleanderspool.Millis) {
+	t := time.NewTimer(span.Duration())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// unique returns a value that no other process makes.
+func unique() string {
+	var b [9]byte
+	_, _ = rand.Read(b[:]) // crypto/rand never fails
+	return hex.EncodeToString(b[:])
+}
+
+func randomSeed() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	seed := uint64(0)
+	for _, v := range b {
+		seed = seed<<8 | uint64(v)
+	}
+	return seed
+}
--- /dev/null
+++ b/internal/entry/exchange.go
@@ -0,0 +1,267 @@
+package entry
+
+import (
+	"context"
+	"errors"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/admission"
+	"github.com/oleanderspool/oleanderspool/internal/attempt"
+	"github.com/oleanderspool/oleanderspool/internal/peer"
+	"github.com/oleanderspool/oleanderspool/internal/retry"
+	"github.com/oleanderspool/oleanderspool/pkg/configuration"
+)
+
+// Configuration returns the configuration in force.
+func (e *Entry) Configuration() configuration.Configuration {
+	return e.configuration.current()
+}
+
+// NewRequestID returns the id of a new request.
+func (e *Entry) NewRequestID() oleanderspool.RequestID {
+	return oleanderspool.RequestID("r-" + unique())
+}
+
+// Now returns the current instant on the entry's clock, for deadlines.
+func (e *Entry) Now() oleanderspool.Millis {
+	return e.clock.Now()
+}
+
+// Serve runs a request and passes the pieces of its answer to emit, in order.
+// It returns nil after the final piece, else the refusal. It stops when ctx
+// ends, which means that the caller has gone.
+func (e *Entry) Serve(ctx context.Context, r oleanderspool.Request, emit func(oleanderspool.Piece) error) *oleanderspool.Refusal {
+	now := e.clock.Now()
+	e.mu.Lock()
+	ticket, refusal := e.admission.Admit(r, now)
+	if refusal == nil {
+		e.retries.Admitted(now)
+	}
+	e.mu.Unlock()
+	if refusal != nil {
+		e.metrics.Refused(refusal)
+		return refusal
+	}
+	e.metrics.Admitted(r.Kind)
+	defer e.finish(ticket)
+	x := &exchange{entry: e, request: r, emit: emit, ticket: ticket, arrived: now}
+	ctx, cancel := context.WithTimeout(ctx, r.Remaining(now).Duration())
+	defer cancel()
+	if r.NeedsClaim() {
+		refusal = x.runClaimed(ctx)
+	} else {
+		refusal = x.run(ctx)
+	}
+	if refusal != nil {
+		e.metrics.Refused(refusal)
+		return refusal
+	}
+	e.metrics.Finished(r.Kind)
+	return nil
+}
+
+func (e *Entry) finish(t *admission.Ticket) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.admission.Finish(t)
+	e.metrics.Ended()
+}
+
+// exchange is one request on its way through an entry.
+type exchange struct {
+	entry     *Entry
+	request   oleanderspool.Request
+	emit      func(oleanderspool.Piece) error
+	ticket    *admission.Ticket
+	arrived   oleanderspool.Millis
+	assembler *attempt.Assembler
+	history   retry.History
+	started   bool // a piece was passed on
+}
+
+// run runs a request that needs no claim.
+func (x *exchange) run(ctx context.Context) *oleanderspool.Refusal {
+	for {
+		server, refusal := x.choose()
+		if refusal != nil {
+			return refusal
+		}
+		id := attempt.NewID(attempt.ClassUnkeyed, server.Instant, unique())
+		if err := x.begin(id); err != nil {
+			return x.refuse(oleanderspool.RefusalBackendServerFailed, err.Error())
+		}
+		done, refusal := x.runOn(ctx, server, id)
+		if done {
+			return refusal
+		}
+	}
+}
+
+// begin prepares the assembler for a new attempt, which continues from the
+// text so far.
+func (x *exchange) begin(id oleanderspool.AttemptID) error {
+	if x.assembler == nil {
+		x.assembler = attempt.NewAssembler(x.request.ID, id, x.request.Idempotent)
+		return nil
+	}
+	if !x.request.Idempotent {
+		x.assembler = attempt.NewAssembler(x.request.ID, id, false)
+		return nil
+	}
+	text, err := x.assembler.Continue(id)
+	if err != nil {
+		return err
+	}
+	x.request = x.request.WithContinued(text)
+	return nil
+}
+
+// runOn runs one attempt on a server until it is complete, the request is
+// refused, or another attempt is to be made.
+func (x *exchange) runOn(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID) (done bool, refusal *oleanderspool.Refusal) {
+	assignments := x.entry.router.Assignments()
+	assignments.Start(id, x.request, server.Instance, x.entry.clock.Now())
+	defer assignments.End(id)
+	call := x.call(server, id)
+	end := x.open(ctx, server, call)
+	for {
+		if end.complete {
+			return true, nil
+		}
+		if ctx.Err() != nil {
+			return true, x.abandon(ctx, server, id)
+		}
+		if end.refusal != nil && end.failure.Reason == "" {
+			return true, x.worsen(end.refusal)
+		}
+		if end.state == attempt.StateUnknown {
+			end = x.bar(ctx, server, id)
+			continue
+		}
+		decision := x.decide(server, end)
+		switch decision.Action {
+		case retry.Refuse:
+			return true, decision.Refusal
+		case retry.Attach:
+			x.entry.metrics.Retried(decision.Reason)
+			end = x.attach(ctx, server, id)
+		default:
+			x.entry.metrics.Retried(decision.Reason)
+			sleep(ctx, decision.Delay)
+			return false, nil
+		}
+	}
+}
+
+// call returns the message that starts an attempt.
+func (x *exchange) call(server oleanderspool.BackendServer, id oleanderspool.AttemptID) peer.RunCall {
+	r := x.request
+	if x.assembler != nil {
+		r.MaxTokens = max(1, r.MaxTokens-x.assembler.Tokens())
+	}
+	return peer.RunCall{
+		Revision:    x.entry.configuration.revision(),
+		Incarnation: server.Incarnation,
+		Attempt:     id,
+		Request:     r,
+	}
+}
+
+// decide asks the policy what to do after a failed attempt.
+func (x *exchange) decide(server oleanderspool.BackendServer, end ending) retry.Decision {
+	e := x.entry
+	now := e.clock.Now()
+	untried := x.untried(server.Instance)
+	if end.progress {
+		x.history.Attaches = 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if crashed(end.failure.Reason) {
+		e.retries.ServerCrashed(server.Instance, now)
+	}
+	d := e.retries.Decide(retry.Situation{Request: x.request, History: x.history, Untried: untried}, end.failure, now)
+	x.history = d.History
+	return d
+}
+
+func crashed(r oleanderspool.RetryReason) bool {
+	return r == oleanderspool.RetryEngineDied || r == oleanderspool.RetryAgentDied
+}
+
+// choose returns the backend server for the next attempt.
+func (x *exchange) choose() (oleanderspool.BackendServer, *oleanderspool.Refusal) {
+	e := x.entry
+	server, ok := e.router.RouteExcept(x.request, e.members.table.Snapshot(), x.history.Tried, e.clock.Now())
+	if ok {
+		return server, nil
+	}
+	return server, x.refuse(oleanderspool.RefusalNoBackendServer, "no backend server can run the request").
+		WithRetryAfter(noServerRetryAfter)
+}
+
+// noServerRetryAfter is the span in which an agent restarts and reports.
+const noServerRetryAfter = 3 * oleanderspool.Second
+
+// untried counts the servers that may run the request and were not tried.
+func (x *exchange) untried(failed oleanderspool.InstanceID) int {
+	n := 0
+	now := x.entry.clock.Now()
+	tried := append([]oleanderspool.InstanceID{failed}, x.history.Tried...)
+	for _, b := range x.entry.members.table.Snapshot() {
+		if _, ok := x.entry.router.RouteExcept(x.request, []oleanderspool.BackendServer{b}, tried, now); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// refuse returns a refusal that says what the attempts so far may have done.
+func (x *exchange) refuse(reason oleanderspool.RefusalReason, message string) *oleanderspool.Refusal {
+	return oleanderspool.Refuse(reason, message).WithExecution(x.history.Execution)
+}
+
+// worsen raises the execution of an agent's refusal to what earlier attempts
+// may have done.
+func (x *exchange) worsen(r *oleanderspool.Refusal) *oleanderspool.Refusal {
+	if x.history.Execution == oleanderspool.NotRun {
+		return r
+	}
+	return r.WithExecution(max(r.Execution, x.history.Execution))
+}
+
+// abandon ends an attempt whose caller has gone or whose time has passed.
+func (x *exchange) abandon(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID) *oleanderspool.Refusal {
+	if x.request.Idempotent {
+		x.cancel(server, id)
+	}
+	reason, message := oleanderspool.RefusalCancelled, "the caller has gone"
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason, message = oleanderspool.RefusalTimeLimit, "the time limit has passed"
+	}
+	return oleanderspool.Refuse(reason, message).WithExecution(oleanderspool.MayHaveRun)
+}
+
+// pass hands accepted pieces to the caller.
+func (x *exchange) pass(pieces []oleanderspool.Piece) error {
+	for _, p := range pieces {
+		if !x.started {
+			x.firstPiece()
+		}
+		if err := x.emit(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (x *exchange) firstPiece() {
+	x.started = true
+	e := x.entry
+	if x.request.Kind == oleanderspool.KindModel {
+		e.metrics.FirstToken(x.request.PromptCount, e.clock.Now()-x.arrived)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.admission.Prefilled(x.ticket)
+}
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/admission"
+	"github.com/oleanderspool/oleanderspool/internal/membership"
+	"github.com/oleanderspool/oleanderspool/internal/peer"
+	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
+)
+
+// members follows the platform's instance list and the agents' own reports.
+type members struct {
+	entry *Entry
+
+	mu        sync.Mutex
+	table     *membership.Table
+	addresses map[oleanderspool.InstanceID]string
+	watches   map[oleanderspool.InstanceID]context.CancelFunc
+	listed    bool // a list was received
+}
+
+// rewatchDelay is the span between two connections to an agent that does not
+// answer.
+const rewatchDelay = 200 * oleanderspool.Millis(1)
+
+func newMembers(e *Entry, table *membership.Table) members {
+	return members{
+		entry:     e,
+		table:     table,
+		addresses: make(map[oleanderspool.InstanceID]string),
+		watches:   make(map[oleanderspool.InstanceID]context.CancelFunc),
+	}
+}
+
+// run polls the list and ticks the table until ctx ends.
+func (m *members) run(ctx context.Context) {
+	go m.poll(ctx)
+	ticker := time.NewTicker(membershipTick.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		m.mu.Lock()
+		m.handle(m.table.Tick(m.entry.clock.Now()))
+		m.mu.Unlock()
+		m.forecast()
+	}
+}
+
+// poll asks for the list at each interval. A failed poll leaves the last list
+// in use.
+func (m *members) poll(ctx context.Context) {
+	for number := int64(1); ctx.Err() == nil; number++ {
+		list, err := m.entry.list.Instances(ctx)
+		if err == nil {
+			m.apply(ctx, number, list)
+		}
+		sleep(ctx, m.entry.listEvery)
+	}
+}
+
+// apply merges a list and adjusts the watches to it.
+func (m *members) apply(ctx context.Context, number int64, list []oleanderspool.InstanceState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.entry.clock.Now()
+	m.listed = true
+	entries := 0
+	clear(m.addresses)
+	for _, i := range list {
+		m.addresses[i.Instance] = i.Address
+		if i.Role == "entry" {
+			entries++
+		}
+	}
+	m.handle(m.table.ApplyList(number, list, now))
+	m.adjust(ctx, now)
+	m.entry.mu.Lock()
+	m.entry.admission.SetEntries(max(1, entries))
+	m.entry.retries.SetKnownServers(m.table.Known())
+	m.entry.mu.Unlock()
+}
+
+// adjust opens and closes watches so that they match the choice.
+func (m *members) adjust(ctx context.Context, now oleanderspool.Millis) {
+	chosen := m.table.ChooseWatches(m.entry.instance, m.entry.dataCentre, m.entry.watchLimit)
+	wanted := make(map[oleanderspool.InstanceID]bool, len(chosen.Instances))
+	for _, id := range chosen.Instances {
+		wanted[id] = true
+		if _, ok := m.watches[id]; ok {
+			continue
+		}
+		watch, cancel := context.WithCancel(ctx)
+		m.watches[id] = cancel
+		go m.watch(watch, id)
+	}
+	for id, cancel := range m.watches {
+		if wanted[id] {
+			continue
+		}
+		cancel()
+		delete(m.watches, id)
+		m.table.StopWatching(id, now)
+	}
+}
+
+// watch follows one agent until ctx ends.
+func (m *members) watch(ctx context.Context, id oleanderspool.InstanceID) {
+	for ctx.Err() == nil {
+		m.mu.Lock()
+		address := m.addresses[id]
+		stream, ok := m.table.OpenStream(id)
+		m.mu.Unlock()
+		if ok {
+			m.follow(ctx, id, address, stream)
+		}
+		sleep(ctx, rewatchDelay)
+	}
+}
+
+// follow applies the reports of one watch stream until it breaks or goes
+// silent.
+func (m *members) follow(ctx context.Context, id oleanderspool.InstanceID, address string, stream membership.Stream) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(membership.DefaultSuspectAfter.Duration(), cancel)
+	defer silence.Stop()
+	client, err := m.entry.peers.Agent(address).Watch(ctx, &peerpb.WatchRequest{
+		Revision:   int64(m.entry.configuration.revision()),
+		IntervalMs: int64(m.entry.watchEvery),
+		Address:    m.entry.address,
+	})
+	if err != nil {
+		m.entry.peers.Discard(address)
+		return
+	}
+	defer func() { _ = client.Close() }()
+	for position := int64(1); ; position++ {
+		state, err := client.Recv()
+		if err != nil {
+			m.entry.peers.Discard(address)
+			return
+		}
+		silence.Reset(membership.DefaultSuspectAfter.Duration())
+		m.report(stream, position, peer.DecodeState(state, address, m.entry.clock.Now()))
+	}
+}
+
+func (m *members) report(stream membership.Stream, position int64, b oleanderspool.BackendServer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.handle(m.table.ApplyReport(membership.Report{
+		Stream:      stream,
+		Position:    position,
+		Instance:    b.Instance,
+		Incarnation: b.Incarnation,
+		Role:        b.Role,
+		Leaving:     b.Leaving,
+		Revision:    b.Revision,
+		Models:      b.Models,
+		Routes:      b.Routes,
+		Load:        b.Load,
+		Instant:     b.Instant,
+	}, m.entry.clock.Now()))
+}
+
+// handle counts and logs changes.
+func (m *members) handle(changes []membership.Change) {
+	for _, c := range changes {
+		m.entry.metrics.Changed("backend_server_" + c.Kind.String())
+		m.entry.logger.Info("backend server changed", "instance", c.Instance, "change", c.Kind.String(), "incarnation", c.Incarnation)
+	}
+}
+
+// forecast tells admission how long prompts wait.
+func (m *members) forecast() {
+	f := admission.NewForecast(m.table.Snapshot())
+	m.entry.mu.Lock()
+	defer m.entry.mu.Unlock()
+	m.entry.admission.SetForecast(f)
+}
+
+// find returns what is known of an instance and whether it is still listed.
+func (m *members) find(id oleanderspool.InstanceID) (b oleanderspool.BackendServer, listed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b, _ = m.table.Find(id)
+	address, listed := m.addresses[id]
+	if b.Address == "" {
+		b.Instance, b.Address = id, address
+	}
+	return b, listed || !m.listed
+}
--- /dev/null
+++ b/internal/entry/stream.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/attempt"
+	"github.com/oleanderspool/oleanderspool/internal/peer"
+	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
+	"github.com/oleanderspool/oleanderspool/internal/retry"
+)
+
+const (
+	// firstEventBound bounds the wait for an agent's first event, which it
+	// sends as soon as a call arrives.
+	firstEventBound = oleanderspool.Second
+	// silenceBound is three heartbeats.
+	silenceBound = 3 * oleanderspool.Second
+	// shortCallBound bounds calls that only ask or tell.
+	shortCallBound = 2 * oleanderspool.Second
+)
+
+// ending tells how following an attempt ended.
+type ending struct {
+	complete bool
+	progress bool // a piece was accepted
+	failure  retry.Failure
+	state    attempt.State          // what the agent knows; StateForgotten when it did not say
+	refusal  *oleanderspool.Refusal // the agent's refusal
+	notSent  bool                   // the agent certainly received nothing
+}
+
+// eventReceiver is the stream that Run and Attach return.
+type eventReceiver interface {
+	Recv() (*peerpb.Event, error)
+	Close() error
+}
+
+// open starts an attempt and follows it.
+func (x *exchange) open(ctx context.Context, server oleanderspool.BackendServer, call peer.RunCall) ending {
+	return x.follow(ctx, server, func(ctx context.Context) (eventReceiver, error) {
+		return x.entry.peers.Agent(server.Address).Run(ctx, peer.EncodeRun(call, x.entry.clock.Now()))
+	})
+}
+
+// attach follows an attempt from the first missing piece on, over a new
+// connection.
+func (x *exchange) attach(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID) ending {
+	from, _ := x.assembler.Missing()
+	x.entry.peers.Discard(server.Address)
+	return x.follow(ctx, server, func(ctx context.Context) (eventReceiver, error) {
+		return x.entry.peers.Agent(server.Address).Attach(ctx, &peerpb.AttachRequest{
+			Revision:    int64(x.entry.configuration.revision()),
+			Incarnation: string(server.Incarnation),
+			Attempt:     string(id),
+			From:        from,
+		})
+	})
+}
+
+// follow passes the pieces of a stream on until it ends, breaks or goes
+// silent.
+func (x *exchange) follow(ctx context.Context, server oleanderspool.BackendServer, dial func(context.Context) (eventReceiver, error)) ending {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// Cancelling the context closes the connection, which ends Recv.
+	silence := time.AfterFunc(firstEventBound.Duration(), cancel)
+	defer silence.Stop()
+	stream, err := dial(ctx)
+	if err != nil {
+		return broken(server, err)
+	}
+	defer func() { _ = stream.Close() }()
+	progress := false
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			end := broken(server, err)
+			end.progress = progress
+			return end
+		}
+		silence.Reset(silenceBound.Duration())
+		event := peer.DecodeEvent(m)
+		switch {
+		case event.Failure != nil:
+			return failed(server, event.Failure)
+		case event.Piece != nil:
+			pieces, verdict := x.assembler.Accept(*event.Piece)
+			if verdict != attempt.Accepted {
+				x.entry.metrics.Dropped(verdict.String())
+				continue
+			}
+			progress = true
+			if err := x.pass(pieces); err != nil {
+				return ending{failure: retry.Failure{Reason: oleanderspool.RetryStreamSilent, Instance: server.Instance}}
+			}
+			if x.assembler.Complete() {
+				return ending{complete: true}
+			}
+		}
+	}
+}
+
+// broken describes a stream that ended without a word of the agent.
+func broken(server oleanderspool.BackendServer, err error) ending {
+	var dial *peer.DialError
+	if errors.As(err, &dial) {
+		return ending{notSent: true, failure: retry.Failure{
+			Reason:   oleanderspool.RetryConnectFailed,
+			Instance: server.Instance,
+		}}
+	}
+	return ending{failure: retry.Failure{
+		Reason:    oleanderspool.RetryStreamSilent,
+		Instance:  server.Instance,
+		Execution: oleanderspool.MayHaveRun,
+	}}
+}
+
+// failed describes a stream that the agent ended with a failure.
+func failed(server oleanderspool.BackendServer, f *peer.Failure) ending {
+	end := ending{state: attempt.ParseState(f.State), refusal: &f.Refusal}
+	end.failure = retry.Failure{
+		Reason:     f.Refusal.Retry,
+		Instance:   server.Instance,
+		Execution:  f.Refusal.Execution,
+		Answered:   true,
+		RetryAfter: f.Refusal.RetryAfter,
+	}
+	if end.state == attempt.StateOtherIncarnation || end.state == attempt.StateForgotten {
+		end.failure.Reason = oleanderspool.RetryAgentDied
+	}
+	return end
+}
+
+// bar forbids an attempt that the agent says it has not started.
+func (x *exchange) bar(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID) ending {
+	ctx, cancel := context.WithTimeout(ctx, shortCallBound.Duration())
+	defer cancel()
+	reply, err := x.entry.peers.Agent(server.Address).Bar(ctx, &peerpb.BarRequest{
+		Revision:    int64(x.entry.configuration.revision()),
+		Incarnation: string(server.Incarnation),
+		Attempt:     string(id),
+	})
+	if err != nil {
+		return broken(server, err)
+	}
+	state := attempt.ParseState(reply.GetState())
+	end := ending{state: state, failure: retry.Failure{
+		Reason:    oleanderspool.RetryBarred,
+		Instance:  server.Instance,
+		Execution: oleanderspool.MayHaveRun,
+		Answered:  true,
+	}}
+	if state == attempt.StateBarred {
+		end.failure.Execution = oleanderspool.NotRun
+	}
+	if state == attempt.StateRunning || state == attempt.StateFinished {
+		end.failure.Reason = oleanderspool.RetryStreamSilent
+	}
+	return end
+}
+
+// cancel asks an agent to end an attempt. A lost cancel does no harm, since
+// the agent ends work that nobody reads.
+func (x *exchange) cancel(server oleanderspool.BackendServer, id oleanderspool.AttemptID) {
+	ctx, stop := context.WithTimeout(context.Background(), shortCallBound.Duration())
+	defer stop()
+	_, _ = x.entry.peers.Agent(server.Address).Cancel(ctx, &peerpb.CancelRequest{
+		Revision:    int64(x.entry.configuration.revision()),
+		Incarnation: string(server.Incarnation),
+		Attempt:     string(id),
+	})
+}
--- a/internal/peer/mapping.go
+++ b/internal/peer/mapping.go
@@ -87,8 +87,8 @@
 // error.
 type Failure struct {
 	Attempt oleanderspool.AttemptID
+	State   string // what the agent knows of the attempt, as its state's name
 	Refusal oleanderspool.Refusal
-	Retry   oleanderspool.RetryReason // empty when another attempt makes no sense
 }
 
 // Error returns the refusal's text.
@@ -164,15 +164,17 @@
 		Execution:    f.Refusal.Execution.String(),
 		RetryAfterMs: int64(f.Refusal.RetryAfter),
 		Message:      f.Refusal.Message,
-		RetryReason:  string(f.Retry),
+		RetryReason:  string(f.Refusal.Retry),
+		State:        f.State,
 	}
 }
 
 func decodeFailure(m *peerpb.Failure) *Failure {
 	return &Failure{
 		Attempt: oleanderspool.AttemptID(m.GetAttempt()),
-		Retry:   oleanderspool.RetryReason(m.GetRetryReason()),
+		State:   m.GetState(),
 		Refusal: oleanderspool.Refusal{
+			Retry:      oleanderspool.RetryReason(m.GetRetryReason()),
 			Reason:     oleanderspool.RefusalReason(m.GetReason()),
 			Execution:  oleanderspool.ParseExecution(m.GetExecution()),
 			RetryAfter: oleanderspool.Millis(m.GetRetryAfterMs()),
@@ -205,6 +207,7 @@
 		FreeTokens:    b.Load.FreeTokens,
 		SizeTokens:    b.Load.SizeTokens,
 		PrefillRate:   b.Load.PrefillRate,
+		InstantMs:     int64(b.Instant),
 	}
 }
 
@@ -226,6 +229,7 @@
 		Leaving:     m.GetLeaving(),
 		Revision:    oleanderspool.Revision(m.GetRevision()),
 		ReportedAt:  now,
+		Instant:     oleanderspool.Millis(m.GetInstantMs()),
 		Load: oleanderspool.Load{
 			QueuedTokens:  m.GetQueuedTokens(),
 			RunningTokens: m.GetRunningTokens(),
--- a/refusal.go
+++ b/refusal.go
@@ -80,6 +80,8 @@
 	Execution  Execution
 	RetryAfter Millis // span after which a resend makes sense; 0 when none does
 	Message    string
+	// Retry is set when another attempt inside the fleet makes sense.
+	Retry RetryReason
 }
 
 // Refuse returns a refusal of a request that was not run.
@@ -106,6 +108,13 @@
 	return &c
 }
 
+// WithRetry returns a copy that says why another attempt makes sense.
+func (r *Refusal) WithRetry(reason RetryReason) *Refusal {
+	c := *r
+	c.Retry = reason
+	return &c
+}
+
 // RetryReason is a machine-readable reason of a retry inside the fleet, from
 // a closed list.
 type RetryReason string
