Add the agent's attempt table and the entry's assembler

Sequence numbers for each sender were ruled out because every restarted entry is a new sender that must be remembered. Instead the ID holds the latest instant that the agent has reported on its own clock, and the agent refuses a start more than a window after it. Whatever it has forgotten is older than the window, so a late duplicate is refused. Under the bound on remembered attempts the window shortens; nothing that was forgotten starts.

A refusal that says "not run" bars the attempt, because a repeated start message could otherwise run it after the refusal was delivered.

--- /dev/null
+++ b/internal/attempt/fuzz_test.go
@@ -0,0 +1,212 @@
+package attempt_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/attempt"
+)
+
+// tableModel checks a table against the sets of attempts that have started and
+// that were called barred. It guards against a second start after an attempt
+// was forgotten, and against a "barred" that does not hold.
+type tableModel struct {
+	table     *attempt.Table
+	now       oleanderspool.Millis
+	ids       []oleanderspool.AttemptID
+	started   map[oleanderspool.AttemptID]bool
+	withdrawn map[oleanderspool.AttemptID]bool
+	barred    map[oleanderspool.AttemptID]bool
+	finished  map[oleanderspool.AttemptID]string
+	readers   map[oleanderspool.AttemptID]int
+}
+
+func newTableModel() *tableModel {
+	return &tableModel{
+		table:     attempt.NewTable(run1, smallLimits),
+		started:   map[oleanderspool.AttemptID]bool{},
+		withdrawn: map[oleanderspool.AttemptID]bool{},
+		barred:    map[oleanderspool.AttemptID]bool{},
+		finished:  map[oleanderspool.AttemptID]string{},
+		readers:   map[oleanderspool.AttemptID]int{},
+	}
+}
+
+// id draws a known attempt, however old, or a new one.
+func (m *tableModel) id(t *rapid.T) oleanderspool.AttemptID {
+	if len(m.ids) > 0 && rapid.IntRange(0, 2).Draw(t, "known") > 0 {
+		return rapid.SampledFrom(m.ids).Draw(t, "id")
+	}
+	age := oleanderspool.Millis(rapid.IntRange(0, 1200).Draw(t, "age"))
+	class := attempt.Class(rapid.IntRange(0, 1).Draw(t, "class"))
+	id := attempt.NewID(class, max(0, m.now-age), fmt.Sprint(len(m.ids)))
+	m.ids = append(m.ids, id)
+	return id
+}
+
+func (m *tableModel) saw(t *rapid.T, id oleanderspool.AttemptID, s attempt.State) {
+	ran := m.started[id] && !m.withdrawn[id]
+	switch s {
+	case attempt.StateBarred:
+		if ran {
+			t.Fatalf("%s ran and is called barred", id)
+		}
+		m.barred[id] = true
+	case attempt.StateUnknown:
+		if m.started[id] || m.barred[id] {
+			t.Fatalf("%s is called unknown", id)
+		}
+	case attempt.StateRunning, attempt.StateFinished, attempt.StateFailed, attempt.StateEvicted:
+		if !ran {
+			t.Fatalf("%s did not run and is called %s", id, s)
+		}
+	}
+}
+
+func (m *tableModel) start(t *rapid.T) {
+	id := m.id(t)
+	state, ok := m.table.Start(attempt.Start{Attempt: id, Request: "r", Incarnation: run1, Idempotent: rapid.Bool().Draw(t, "idempotent")}, m.now)
+	if !ok {
+		m.saw(t, id, state)
+		return
+	}
+	if m.started[id] || m.barred[id] {
+		t.Fatalf("%s starts, started before: %t, barred: %t", id, m.started[id], m.barred[id])
+	}
+	m.started[id] = true
+	m.readers[id]++
+}
+
+func (m *tableModel) bar(t *rapid.T) {
+	id := m.id(t)
+	m.saw(t, id, m.table.Bar(id, run1, m.now))
+}
+
+func (m *tableModel) cancel(t *rapid.T) {
+	id := m.id(t)
+	state, _ := m.table.Cancel(id, run1, m.now)
+	m.saw(t, id, state)
+}
+
+func (m *tableModel) attach(t *rapid.T) {
+	id := m.id(t)
+	reply := m.table.Attach(id, run1, 1, m.now)
+	m.saw(t, id, reply.State)
+	if reply.State == attempt.StateRunning || reply.State == attempt.StateFinished {
+		m.readers[id]++
+	}
+	if reply.State != attempt.StateFinished {
+		return
+	}
+	var text strings.Builder
+	for _, p := range reply.Pieces {
+		text.WriteString(p.Text)
+	}
+	if text.String() != m.finished[id] {
+		t.Fatalf("%s answers %d bytes, want %d", id, text.Len(), len(m.finished[id]))
+	}
+}
+
+func (m *tableModel) detach(t *rapid.T) {
+	id := m.id(t)
+	m.table.Detach(id, m.now)
+	m.readers[id] = max(0, m.readers[id]-1)
+}
+
+func (m *tableModel) piece(t *rapid.T) {
+	id := m.id(t)
+	text := strings.Repeat("x", rapid.IntRange(0, 300).Draw(t, "size"))
+	if _, ok := m.table.Append(id, oleanderspool.Piece{Text: text, Final: rapid.Bool().Draw(t, "final")}, m.now); ok {
+		m.finished[id] += text
+	}
+}
+
+func (m *tableModel) fail(t *rapid.T) {
+	id := m.id(t)
+	execution := oleanderspool.Execution(rapid.IntRange(0, 2).Draw(t, "execution"))
+	if !m.table.Fail(id, oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "").WithExecution(execution), m.now) {
+		return
+	}
+	m.withdrawn[id] = m.table.Bar(id, run1, m.now) == attempt.StateBarred && execution == oleanderspool.NotRun
+}
+
+func (m *tableModel) advance(t *rapid.T) {
+	m.now += oleanderspool.Millis(rapid.SampledFrom([]int{1, 100, 900, 9000}).Draw(t, "span"))
+	m.table.Tick(m.now)
+}
+
+func (m *tableModel) check(t *rapid.T) {
+	unread := 0
+	for id := range m.started {
+		if m.readers[id] == 0 {
+			unread++
+		}
+	}
+	if held := len(m.started) - unread; m.table.Len() > smallLimits.MaxEnded+held+m.running() {
+		t.Fatalf("%d attempts are remembered, %d of them with readers", m.table.Len(), held)
+	}
+}
+
+func (m *tableModel) running() int {
+	n := 0
+	for id := range m.started {
+		if m.table.Pieces(id, 1).State == attempt.StateRunning {
+			n++
+		}
+	}
+	return n
+}
+
+func TestTableAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newTableModel()
+		t.Repeat(map[string]func(*rapid.T){
+			"start": m.start, "bar": m.bar, "cancel": m.cancel, "attach": m.attach, "detach": m.detach,
+			"piece": m.piece, "fail": m.fail, "advance": m.advance, "": m.check,
+		})
+	})
+}
+
+// Guards against an answer that differs from what was sent, whatever order,
+// repetition and resumption the pieces go through.
+func TestAssemblerAgainstStream(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 30).Draw(t, "count")
+		var pieces []oleanderspool.Piece
+		var want strings.Builder
+		for i := range count {
+			p := oleanderspool.Piece{Request: "r", Attempt: "a", Sequence: int64(i + 1), Text: fmt.Sprint(i, " "), Final: i+1 == count}
+			pieces = append(pieces, p)
+			want.WriteString(p.Text)
+		}
+		a := attempt.NewAssembler("r", "a", true)
+		var got strings.Builder
+		accepted := map[int64]bool{}
+		accept := func(p oleanderspool.Piece) {
+			ready, verdict := a.Accept(p)
+			if verdict == attempt.Accepted && accepted[p.Sequence] {
+				t.Fatalf("piece %d is accepted again", p.Sequence)
+			}
+			accepted[p.Sequence] = accepted[p.Sequence] || verdict == attempt.Accepted
+			for _, r := range ready {
+				got.WriteString(r.Text)
+			}
+		}
+		for _, i := range rapid.SliceOfN(rapid.IntRange(0, count-1), 0, 60).Draw(t, "order") {
+			accept(pieces[i])
+		}
+		for missing, _ := a.Missing(); missing != 0; missing, _ = a.Missing() {
+			if a.Complete() {
+				t.Fatalf("complete without piece %d", missing)
+			}
+			accept(pieces[missing-1])
+		}
+		if got.String() != want.String() || a.Text() != want.String() {
+			t.Fatalf("got %q, want %q", got.String(), want.String())
+		}
+	})
+}
--- /dev/null
+++ b/internal/attempt/record.go
@@ -0,0 +1,70 @@
+package attempt
+
+import (
+	"container/list"
+	"math"
+
+	"github.com/oleanderspool/oleanderspool"
+)
+
+// never is an instant that is not reached.
+const never = oleanderspool.Millis(math.MaxInt64)
+
+// record is what a table holds of one attempt.
+type record struct {
+	id          oleanderspool.AttemptID
+	request     oleanderspool.RequestID
+	class       Class
+	issued      oleanderspool.Millis // instant in the ID
+	idempotent  bool
+	state       State
+	pieces      []oleanderspool.Piece
+	bytes       int64 // size of the pieces
+	refusal     *oleanderspool.Refusal
+	readers     int
+	unreadSince oleanderspool.Millis
+	endedAt     oleanderspool.Millis
+	scheduled   oleanderspool.Millis // earliest timer that is set for the record
+	ended       *list.Element        // place among the ended attempts
+	answer      *list.Element        // place among the kept answers
+}
+
+// ran reports whether the attempt was accepted and not withdrawn.
+func (r *record) ran() bool {
+	return r.state != StateBarred
+}
+
+// due returns the instant at which the table must look at the record.
+func (r *record) due(limits Limits) oleanderspool.Millis {
+	if r.readers > 0 {
+		return never
+	}
+	switch {
+	case r.state == StateRunning && r.idempotent:
+		return r.unreadSince + limits.ReaderTimeout
+	case r.state == StateRunning:
+		return never
+	case r.state == StateBarred:
+		return r.issued + limits.StartWindow + 1
+	case r.class == ClassKeyed:
+		return r.endedAt + limits.KeyLifetime
+	default:
+		return max(r.endedAt+limits.KeepUnkeyed, r.issued+limits.StartWindow+1)
+	}
+}
+
+// from returns the pieces from a sequence number on.
+func (r *record) from(sequence int64) []oleanderspool.Piece {
+	first := max(sequence, 1) - 1
+	if first >= int64(len(r.pieces)) {
+		return nil
+	}
+	return r.pieces[first:len(r.pieces):len(r.pieces)]
+}
+
+// pieceOverhead is the size of a piece in memory without its text, in bytes.
+const pieceOverhead = 136
+
+func pieceBytes(p oleanderspool.Piece) int64 {
+	return int64(pieceOverhead + len(p.Text))
+}
