Add the settings of each role

Every process needs TOML settings in which all faults are reported together. The decoder of go-toml stops at the first value of a wrong type and reports unknown keys only after that, and it does not keep the lines of valid keys, which checks across keys need. The settings are therefore read from the library's syntax tree, through typed readers that also describe each key. The decoder still runs as a last check, for faults such as a value that is used as a table.

Ruled out: one decode per key, which loses the lines; and a hand-written list of keys in the documentation only, because it drifts.

--- /dev/null
+++ b/internal/settings/agent.go
@@ -0,0 +1,106 @@
+package settings
+
+import (
+	"net/netip"
+
+	"github.com/oleanderspool/oleanderspool"
+)
+
+// Agent holds the settings of an agent.
+type Agent struct {
+	Identity
+	Role        oleanderspool.ServerRole
+	PeerListen  netip.AddrPort          // drpc for entries
+	AdminListen netip.AddrPort          // HTTP for operators
+	Platform    netip.AddrPort          // HTTP of the platform
+	Entries     []netip.AddrPort        // drpc of entries, asked before the platform's list is known
+	Engine      netip.AddrPort          // HTTP of the engine; invalid for role service
+	Service     netip.AddrPort          // HTTP of the plain service; invalid for role model
+	Routes      []oleanderspool.RouteID // routes that the plain service serves; empty for role model
+	Log         Log
+	Queue       Queue
+	Heartbeat   oleanderspool.Millis // span between heartbeats on a stream
+	Reattach    oleanderspool.Millis // span that an attempt is kept without a reader
+}
+
+// Queue bounds the agent's queue.
+type Queue struct {
+	Requests  int     // requests waiting
+	Tokens    int64   // prompt work waiting, in tokens
+	LongShare float64 // largest share of a step for long prompts while short ones wait
+}
+
+// ParseAgent reads the settings of an agent. It returns an error of type
+// [oleanderspool.ErrInvalid] with all findings.
+func ParseAgent(file string, data []byte) (Agent, error) {
+	return parseAs[Agent](RoleAgent, file, data)
+}
+
+// The values of the key "role" of an agent.
+const (
+	agentRoleModel   = "model"
+	agentRoleService = "service"
+)
+
+func readAgent(r *reader) Agent {
+	a := Agent{Identity: readIdentity(r)}
+	role := r.choice("role", "", agentRoleModel, agentRoleService)
+	a.PeerListen = r.listen("peer_listen")
+	a.AdminListen = r.listen("admin_listen")
+	a.Platform = r.address("platform")
+	a.Entries = r.addresses("entries")
+	readAgentTarget(r, role, &a)
+	a.Heartbeat = r.millis("heartbeat_ms", oleanderspool.Second, 100, 10*oleanderspool.Second)
+	a.Reattach = r.millis("reattach_ms", 10*oleanderspool.Second, oleanderspool.Second, 5*oleanderspool.Minute)
+	a.Log = readLog(r)
+	a.Queue = Queue{
+		Requests:  int(r.integer("queue.requests", "requests", 1000, 1, 1_000_000)),
+		Tokens:    r.integer("queue.work_tokens", "tokens", 4_000_000, 1000, 1_000_000_000),
+		LongShare: r.number("queue.long_share", "", 0.5, 0.01, 1),
+	}
+	distinctListeners(r, "peer_listen", "admin_listen")
+	return a
+}
+
+// readAgentTarget reads the keys that depend on the role.
+func readAgentTarget(r *reader, role string, a *Agent) {
+	needed := map[string]bool{
+		"engine":  role == agentRoleModel,
+		"service": role == agentRoleService,
+		"routes":  role == agentRoleService,
+	}
+	a.Engine = r.addressIf("engine", agentRoleModel, needed["engine"])
+	a.Service = r.addressIf("service", agentRoleService, needed["service"])
+	if role == agentRoleService {
+		a.Role = oleanderspool.RoleService
+	}
+	for _, id := range r.idsIf("routes", agentRoleService, needed["routes"]) {
+		a.Routes = append(a.Routes, oleanderspool.RouteID(id))
+	}
+	if role == "" {
+		return
+	}
+	for _, name := range []string{"engine", "service", "routes"} {
+		if v, given := r.values[name]; given && !needed[name] {
+			r.add(v.line, name, "is not used by role "+role)
+		}
+	}
+}
+
+// addressIf reads an address that one role of an agent needs.
+func (r *reader) addressIf(name, role string, needed bool) netip.AddrPort {
+	key := Key{Name: name, Type: "string", Default: "only for role " + role, Range: addressRange}
+	if needed {
+		key.Default = ""
+	}
+	return r.oneAddress(key)
+}
+
+// idsIf reads a list of ids that one role of an agent needs.
+func (r *reader) idsIf(name, role string, needed bool) []string {
+	ids := r.ids(name, needed)
+	if !needed {
+		r.keys[len(r.keys)-1].Default = "only for role " + role
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/settings/suite_test.go
@@ -0,0 +1,22 @@
+package settings_test
+
+import (
+	"flag"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+func init() {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+}
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
