routing: choose backend servers by filters and costs

Entries need one constructor that assembles the root package's router with the standard filters and scorers, and that decides quickly for thousands of candidates.

Copies of a request in progress go to its server whatever the load, so that a request that crashes its server takes one at a time.

--- /dev/null
+++ b/internal/routing/assignments.go
@@ -0,0 +1,167 @@
+package routing
+
+import (
+	"sync"
+
+	"github.com/oleanderspool/oleanderspool"
+)
+
+// reportLag is the time in milliseconds that an assignment needs to reach the
+// agent and to appear in a report. Assignments that are this much older than
+// the last report may be missing in it.
+const reportLag oleanderspool.Millis = 50
+
+// Assignments holds the requests that this entry has in progress. It adds
+// those that a server's last report cannot contain to the server's load, so
+// that the requests between two reports do not all go to the server that
+// looked best in the first one, and it keeps requests with equal fingerprints
+// on one server. It is safe for concurrent use.
+type Assignments struct {
+	mutex        sync.RWMutex
+	requests     map[oleanderspool.AttemptID]assignment
+	servers      map[oleanderspool.InstanceID][]assignment // in order of time
+	fingerprints map[oleanderspool.Fingerprint]holder
+	fallback     float64
+	callTime     oleanderspool.Millis
+}
+
+type assignment struct {
+	attempt     oleanderspool.AttemptID
+	instance    oleanderspool.InstanceID
+	fingerprint oleanderspool.Fingerprint
+	tokens      int64 // prefill work; 0 for a service
+	service     bool
+	at          oleanderspool.Millis
+}
+
+// holder is the server that runs the requests with one fingerprint.
+type holder struct {
+	instance oleanderspool.InstanceID
+	count    int
+}
+
+// NewAssignments returns an empty table. fallback is the prefill rate of a
+// server that reported none, in tokens per millisecond; callTime is the cost
+// of a service call in milliseconds.
+func NewAssignments(fallback float64, callTime oleanderspool.Millis) *Assignments {
+	return &Assignments{
+		requests:     make(map[oleanderspool.AttemptID]assignment),
+		servers:      make(map[oleanderspool.InstanceID][]assignment),
+		fingerprints: make(map[oleanderspool.Fingerprint]holder),
+		fallback:     fallback,
+		callTime:     callTime,
+	}
+}
+
+// Start notes that an attempt of r was sent to an instance.
+func (a *Assignments) Start(attempt oleanderspool.AttemptID, r oleanderspool.Request, instance oleanderspool.InstanceID, now oleanderspool.Millis) {
+	n := assignment{attempt: attempt, instance: instance, fingerprint: r.Fingerprint, at: now}
+	if r.Kind == oleanderspool.KindService {
+		n.service = true
+	} else {
+		n.tokens = int64(r.PromptCount)
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if _, known := a.requests[attempt]; known {
+		return
+	}
+	a.requests[attempt] = n
+	a.servers[instance] = append(a.servers[instance], n)
+	a.hold(n)
+}
+
+// hold counts an assignment for the server that runs its fingerprint. A
+// request without a fingerprint, which is 0, is not tied to a server.
+func (a *Assignments) hold(n assignment) {
+	if n.fingerprint == 0 {
+		return
+	}
+	h := a.fingerprints[n.fingerprint]
+	if h.count == 0 {
+		h.instance = n.instance
+	}
+	if h.instance == n.instance {
+		h.count++
+		a.fingerprints[n.fingerprint] = h
+	}
+}
+
+// release undoes hold.
+func (a *Assignments) release(n assignment) {
+	h, held := a.fingerprints[n.fingerprint]
+	if !held || h.instance != n.instance {
+		return
+	}
+	h.count--
+	if h.count == 0 {
+		delete(a.fingerprints, n.fingerprint)
+		return
+	}
+	a.fingerprints[n.fingerprint] = h
+}
+
+// End notes that an attempt ended. Ending an unknown attempt has no effect.
+func (a *Assignments) End(attempt oleanderspool.AttemptID) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	n, known := a.requests[attempt]
+	if !known {
+		return
+	}
+	delete(a.requests, attempt)
+	a.removeFromServer(n)
+	a.release(n)
+}
+
+func (a *Assignments) removeFromServer(n assignment) {
+	list := a.servers[n.instance]
+	for i := range list {
+		if list[i].attempt == n.attempt {
+			list = append(list[:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(list) == 0 {
+		delete(a.servers, n.instance)
+		return
+	}
+	a.servers[n.instance] = list
+}
+
+// Holder returns the instance that runs requests with the given fingerprint
+// for this entry.
+func (a *Assignments) Holder(fingerprint oleanderspool.Fingerprint) (oleanderspool.InstanceID, bool) {
+	a.mutex.RLock()
+	defer a.mutex.RUnlock()
+	h, found := a.fingerprints[fingerprint]
+	return h.instance, found
+}
+
+// InProgress returns the attempts that are in progress on an instance.
+func (a *Assignments) InProgress(instance oleanderspool.InstanceID) []oleanderspool.AttemptID {
+	a.mutex.RLock()
+	defer a.mutex.RUnlock()
+	attempts := make([]oleanderspool.AttemptID, 0, len(a.servers[instance]))
+	for _, n := range a.servers[instance] {
+		attempts = append(attempts, n.attempt)
+	}
+	return attempts
+}
+
+// Cost returns the time that the assignments since the server's last report
+// take, in milliseconds.
+func (a *Assignments) Cost(_ oleanderspool.Request, b oleanderspool.BackendServer, _ oleanderspool.Millis) float64 {
+	a.mutex.RLock()
+	defer a.mutex.RUnlock()
+	var tokens int64
+	calls := 0
+	list := a.servers[b.Instance]
+	for i := len(list) - 1; i >= 0 && list[i].at > b.ReportedAt-reportLag; i-- {
+		tokens += list[i].tokens
+		if list[i].service {
+			calls++
+		}
+	}
+	return float64(tokens)/prefillRate(b, a.fallback) + float64(calls)*float64(a.callTime)
+}
--- /dev/null
+++ b/internal/routing/router_test.go
@@ -0,0 +1,283 @@
+package routing_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/routing"
+)
+
+// runner returns a model runner that serves model "m" of set "set" at 10
+// tokens per millisecond and reported at 1000 ms.
+func runner(id string, change func(b *oleanderspool.BackendServer)) oleanderspool.BackendServer {
+	b := oleanderspool.BackendServer{
+		Instance: oleanderspool.InstanceID(id), DataCentre: "near", Revision: 7, ReportedAt: 1000,
+		Sets: []oleanderspool.ServerSetID{"set"}, Models: []oleanderspool.ModelID{"m"},
+		Load: oleanderspool.Load{SizeTokens: 100_000, FreeTokens: 100_000, PrefillRate: 10},
+	}
+	if change != nil {
+		change(&b)
+	}
+	return b
+}
+
+func queued(tokens int64) func(*oleanderspool.BackendServer) {
+	return func(b *oleanderspool.BackendServer) { b.Load.QueuedTokens = tokens }
+}
+
+func runners(n int) []oleanderspool.BackendServer {
+	list := make([]oleanderspool.BackendServer, n)
+	for i := range list {
+		list[i] = runner(fmt.Sprintf("runner-%05d", i), queued(int64(i%7)*100))
+	}
+	return list
+}
+
+func prompt(text string) oleanderspool.Request {
+	return oleanderspool.Request{
+		Account: "account", Model: "m", Prompt: text, PromptCount: 2000, MaxTokens: 100,
+		Fingerprint: oleanderspool.Fingerprint(routing.Hash(text)),
+	}
+}
+
+func newRouter(options ...routing.Option) *routing.Router {
+	return routing.NewRouter(append([]routing.Option{
+		routing.WithSets(func(oleanderspool.Request) (oleanderspool.ServerSetID, bool) { return "set", true }),
+		routing.WithNeededRevision(func(oleanderspool.Request) oleanderspool.Revision { return 7 }),
+		routing.WithDistances(map[oleanderspool.DataCentreID]float64{"near": 0, "far": 2}),
+	}, options...)...)
+}
+
+const now oleanderspool.Millis = 1100
+
+var _ = Describe("Router", func() {
+	filtered := []struct {
+		name   string // what the filter must keep out
+		change func(b *oleanderspool.BackendServer)
+	}{
+		{"a server without the model", func(b *oleanderspool.BackendServer) { b.Models = nil }},
+		{"a server outside the set", func(b *oleanderspool.BackendServer) { b.Sets = nil }},
+		{"a leaving server", func(b *oleanderspool.BackendServer) { b.Leaving = true }},
+		{"a silent server", func(b *oleanderspool.BackendServer) { b.ReportedAt = now - 2501 }},
+		{"a server with an old configuration", func(b *oleanderspool.BackendServer) { b.Revision = 6 }},
+		{"an engine that is too small", func(b *oleanderspool.BackendServer) { b.Load.SizeTokens = 2099 }},
+		{"a server of another role", func(b *oleanderspool.BackendServer) { b.Role = oleanderspool.RoleService }},
+	}
+	for _, c := range filtered {
+		It("does not choose "+c.name, func() {
+			_, found := newRouter().Route(prompt("p"), []oleanderspool.BackendServer{runner("s", c.change)}, now)
+			Expect(found).To(BeFalse())
+		})
+	}
+
+	// Guards against a retry on a server that failed.
+	It("does not choose a tried server", func() {
+		list := []oleanderspool.BackendServer{runner("s", nil), runner("t", queued(90_000))}
+		b, found := newRouter().RouteExcept(prompt("p"), list, []oleanderspool.InstanceID{"s"}, now)
+		Expect(found).To(BeTrue())
+		Expect(b.Instance).To(Equal(oleanderspool.InstanceID("t")))
+	})
+
+	scored := []struct {
+		name  string // what must decide
+		other func(b *oleanderspool.BackendServer)
+		event func(r *routing.Router)
+	}{
+		{"queued tokens", queued(60_000), nil},
+		{"the prefill rate", func(b *oleanderspool.BackendServer) { b.Load.PrefillRate = 1 }, nil},
+		{"free memory", func(b *oleanderspool.BackendServer) { b.Load.FreeTokens = 0 }, nil},
+		{"the distance", func(b *oleanderspool.BackendServer) { b.DataCentre = "elsewhere" }, nil},
+		{"slowness", nil, func(r *routing.Router) {
+			for range 8 {
+				r.Slowness().Observe("other", 200, 2000, now)
+			}
+		}},
+		{"assignments since the report", nil, func(r *routing.Router) {
+			for i := range 10 {
+				r.Assignments().Start(oleanderspool.AttemptID(fmt.Sprint(i)), prompt("else"), "other", now)
+			}
+		}},
+	}
+	for _, c := range scored {
+		It("lets "+c.name+" decide", func() {
+			router := newRouter(routing.WithAffinity(0, 0))
+			if c.event != nil {
+				c.event(router)
+			}
+			list := []oleanderspool.BackendServer{runner("other", c.other), runner("s", nil)}
+			b, _ := router.Route(prompt("p"), list, now)
+			Expect(b.Instance).To(Equal(oleanderspool.InstanceID("s")))
+		})
+	}
+
+	// Guards against assignments that are counted twice once they are reported.
+	It("forgets assignments that a report contains", func() {
+		a := routing.NewAssignments(8, 5)
+		a.Start("1", prompt("p"), "s", 100)
+		b := runner("s", nil)
+		Expect(a.Cost(prompt("p"), b.WithLoad(b.Load, 120), 130)).To(BeNumerically(">", 0))
+		Expect(a.Cost(prompt("p"), b.WithLoad(b.Load, 200), 210)).To(BeZero())
+		a.End("1")
+		a.End("1")
+		Expect(a.InProgress("s")).To(BeEmpty())
+	})
+
+	// Guards against a slow server that is never tried again.
+	It("forgets slowness", func() {
+		s := routing.NewSlowness(8)
+		s.Observe("s", 100, 2000, 0)
+		Expect(s.Ratio("s", 0)).To(BeNumerically("~", 6.7, 0.01))
+		Expect(s.Ratio("s", 30_000)).To(BeNumerically("~", 3.85, 0.01))
+		s.Forget("s")
+		Expect(s.Ratio("s", 0)).To(Equal(1.0))
+	})
+
+	for _, n := range []int{20, 200, 2000} {
+		// Guards against copies of a request that crash several servers at once.
+		It(fmt.Sprintf("sends equal requests to one of %d servers, through any entry", n), func() {
+			list := runners(n)
+			for i := range list {
+				list[i].Load.QueuedTokens = 0
+			}
+			for i := range 50 {
+				q := prompt(fmt.Sprintf("prompt %d", i))
+				first, _ := newRouter(routing.WithSeed(1)).Route(q, list, now)
+				second, _ := newRouter(routing.WithSeed(2)).Route(q, list, now)
+				Expect(second.Instance).To(Equal(first.Instance))
+			}
+		})
+	}
+
+	// Guards against copies that are spread because their server got busy.
+	It("sends a copy to the server that runs the fingerprint, whatever the load", func() {
+		router := newRouter()
+		list := runners(20)
+		first, _ := router.Route(prompt("p"), list, now)
+		router.Assignments().Start("1", prompt("p"), first.Instance, now)
+		for i := range list {
+			if list[i].Instance == first.Instance {
+				list[i].Load.QueuedTokens = 90_000
+			}
+		}
+		copied, _ := router.Route(prompt("p"), list, now)
+		Expect(copied.Instance).To(Equal(first.Instance))
+		router.Assignments().End("1")
+		moved, _ := router.Route(prompt("p"), list, now)
+		Expect(moved.Instance).NotTo(Equal(first.Instance))
+	})
+
+	// Guards against affinity that outweighs any queue, and one without effect.
+	It("weighs a cached prefix against the queue up to its bound", func() {
+		list := runners(20)
+		for i := range list {
+			list[i].Load.QueuedTokens = 0
+		}
+		home, _ := newRouter().Route(prompt("p"), list, now)
+		counts := []struct {
+			queue int64
+			stays bool
+		}{{400, true}, {2000, false}}
+		for _, c := range counts {
+			for i := range list {
+				if list[i].Instance == home.Instance {
+					list[i].Load.QueuedTokens = c.queue
+				}
+			}
+			b, _ := newRouter().Route(prompt("p"), list, now)
+			Expect(b.Instance == home.Instance).To(Equal(c.stays), "queue %d", c.queue)
+		}
+	})
+
+	// Guards against a sample of servers that may not be chosen.
+	It("finds the only allowed one of many candidates", func() {
+		list := runners(2000)
+		for i := range list {
+			list[i].Leaving = i != 1234
+		}
+		b, found := newRouter().Route(prompt("p"), list, now)
+		Expect(found).To(BeTrue())
+		Expect(b.Instance).To(Equal(list[1234].Instance))
+	})
+
+	// Guards against all requests between two reports going to one server.
+	It("spreads different prompts under a stale report", func() {
+		router := newRouter()
+		list := runners(20)
+		counts := make(map[oleanderspool.InstanceID]int)
+		for i := range 200 {
+			q := prompt(fmt.Sprintf("prompt %d", i))
+			b, _ := router.Route(q, list, now)
+			router.Assignments().Start(oleanderspool.AttemptID(fmt.Sprint(i)), q, b.Instance, now)
+			counts[b.Instance]++
+		}
+		for id, n := range counts {
+			Expect(n).To(BeNumerically("<=", 20), string(id))
+		}
+		Expect(counts).To(HaveLen(20))
+	})
+})
+
+var _ = Describe("Plan", func() {
+	sized := func(id, dc string, size, free int64) oleanderspool.BackendServer {
+		return runner(id, func(b *oleanderspool.BackendServer) {
+			b.DataCentre = oleanderspool.DataCentreID(dc)
+			b.Load.SizeTokens, b.Load.FreeTokens = size, free
+		})
+	}
+	cases := []struct {
+		name    string
+		servers []oleanderspool.BackendServer
+		want    []oleanderspool.InstanceID
+	}{
+		{"one engine that holds the prompt", []oleanderspool.BackendServer{sized("a", "near", 300, 0)}, []oleanderspool.InstanceID{"a"}},
+		{"the fewest engines", []oleanderspool.BackendServer{
+			sized("a", "near", 100, 100), sized("b", "near", 100, 100), sized("c", "near", 250, 0), sized("d", "near", 60, 60),
+		}, []oleanderspool.InstanceID{"a", "c"}},
+		{"no group across data centres", []oleanderspool.BackendServer{sized("a", "near", 200, 200), sized("b", "far", 200, 200)}, nil},
+		{"the nearer group", []oleanderspool.BackendServer{
+			sized("a", "far", 200, 200), sized("b", "far", 200, 200), sized("c", "near", 200, 0), sized("d", "near", 200, 0),
+		}, []oleanderspool.InstanceID{"c", "d"}},
+		{"the members with free memory", []oleanderspool.BackendServer{
+			sized("a", "near", 200, 0), sized("b", "near", 160, 160), sized("c", "near", 160, 150),
+		}, []oleanderspool.InstanceID{"b", "c"}},
+	}
+	for _, c := range cases {
+		It("takes "+c.name, func() {
+			q := prompt("p")
+			q.PromptCount, q.MaxTokens = 290, 10
+			members, found := newRouter().Plan(q, c.servers, nil, now)
+			Expect(found).To(Equal(c.want != nil))
+			var got []oleanderspool.InstanceID
+			for _, b := range members {
+				got = append(got, b.Instance)
+			}
+			Expect(got).To(Equal(c.want))
+		})
+	}
+})
+
+var sizes = []int{20, 200, 2000, 12000}
+
+func BenchmarkRoute(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("candidates=%d", n), func(b *testing.B) {
+			router, list := newRouter(), runners(n)
+			prompts := make([]oleanderspool.Request, 64)
+			for i := range prompts {
+				prompts[i] = prompt(fmt.Sprintf("prompt %d", i))
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				if _, found := router.Route(prompts[i%len(prompts)], list, now); !found {
+					b.Fatal("no server")
+				}
+				i++
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/routing/slowness.go
@@ -0,0 +1,94 @@
+package routing
+
+import (
+	"math"
+	"sync"
+
+	"github.com/oleanderspool/oleanderspool"
+)
+
+const (
+	// slownessWeight is the weight of a new observation in the moving average.
+	// With it, about four observations decide.
+	slownessWeight = 0.3
+	// slownessHalfLife is the span after which half of the measured slowness is
+	// forgotten, so that a server that recovered is tried again.
+	slownessHalfLife = 30 * oleanderspool.Second
+	// slownessTolerance is the ratio of actual to expected time that costs
+	// nothing, because forecasts are that inaccurate on healthy servers too.
+	slownessTolerance = 1.5
+	// maxSlowness bounds a single observation, so that one stalled request does
+	// not exclude a server for many half-lives.
+	maxSlowness = 20
+	// leastExpected is the shortest expected time that is compared, in
+	// milliseconds. Below it the network decides.
+	leastExpected oleanderspool.Millis = 20
+)
+
+// Slowness measures which living servers make less progress than expected.
+// It is safe for concurrent use.
+type Slowness struct {
+	mutex    sync.RWMutex
+	observed map[oleanderspool.InstanceID]slowness
+	fallback float64 // prefill rate without a report, in tokens per millisecond
+}
+
+type slowness struct {
+	ratio float64 // moving average of actual over expected time
+	at    oleanderspool.Millis
+}
+
+// NewSlowness returns a scorer without observations. fallback is the prefill
+// rate of a server that reported none, in tokens per millisecond.
+func NewSlowness(fallback float64) *Slowness {
+	return &Slowness{observed: make(map[oleanderspool.InstanceID]slowness), fallback: fallback}
+}
+
+// Observe compares the time that an attempt took to make progress, for
+// example to its first token, with the expected time. It may also be called
+// for an attempt that still waits, with the time that it has waited so far,
+// once that exceeds the expected time.
+func (s *Slowness) Observe(instance oleanderspool.InstanceID, expected, actual, now oleanderspool.Millis) {
+	sample := float64(actual) / float64(max(expected, leastExpected))
+	sample = min(max(sample, 1), maxSlowness)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	ratio := s.observed[instance].decayed(now)
+	s.observed[instance] = slowness{ratio: ratio + slownessWeight*(sample-ratio), at: now}
+}
+
+// Forget drops what is known of an instance, because it ended or is gone.
+func (s *Slowness) Forget(instance oleanderspool.InstanceID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.observed, instance)
+}
+
+// Ratio returns how many times longer than expected the instance takes, at
+// least 1.
+func (s *Slowness) Ratio(instance oleanderspool.InstanceID, now oleanderspool.Millis) float64 {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.observed[instance].decayed(now)
+}
+
+// decayed returns the ratio after the forgetting since the last observation.
+func (s slowness) decayed(now oleanderspool.Millis) float64 {
+	if s.ratio <= 1 {
+		return 1
+	}
+	halfLives := float64(now-s.at) / float64(slownessHalfLife)
+	return 1 + (s.ratio-1)*math.Exp2(-halfLives)
+}
+
+// Cost returns the time by which the slowness prolongs the work in front of
+// the request and its own prefill, in milliseconds.
+func (s *Slowness) Cost(r oleanderspool.Request, b oleanderspool.BackendServer, now oleanderspool.Millis) float64 {
+	excess := s.Ratio(b.Instance, now) - slownessTolerance
+	if excess <= 0 {
+		return 0
+	}
+	work := b.Load.QueuedTokens + b.Load.RunningTokens + int64(r.PromptCount)
+	expected := float64(work) / prefillRate(b, s.fallback)
+	return excess * max(expected, float64(leastExpected))
+}
