admission: rate limits, shares, early refusal and bounds

Accounts are limited by a token bucket with the entry's part of the rate, and under contention by shares counted in prefill tokens in progress. A configured share of 1 would let one account keep all others out, so a share is at most the account's part of the active shares. Overload refuses only accounts beyond their share; a bound for all was ruled out because the account that filled it would have had the others refused.

Agents serve short prompts first and report only the sum of their work, so the forecast for short prompts counts a tenth of it. The factor is an assumption; refusing too little is corrected by the agent, refusing too much is not.

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,214 @@
+package admission_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/admission"
+	"github.com/oleanderspool/oleanderspool/pkg/configuration"
+)
+
+// fleetOf returns the forecast for servers of 10 tokens per millisecond with
+// the given queues in tokens.
+func fleetOf(queues ...int64) admission.Forecast {
+	servers := make([]oleanderspool.BackendServer, len(queues))
+	for i, q := range queues {
+		servers[i].Models = []oleanderspool.ModelID{"m"}
+		servers[i].Load = oleanderspool.Load{QueuedTokens: q, PrefillRate: 10}
+	}
+	return admission.NewForecast(servers)
+}
+
+func request(account string, tokens int) oleanderspool.Request {
+	return oleanderspool.Request{
+		Account: oleanderspool.ClientAccountID(account), Model: "m", PromptCount: tokens, Deadline: 600_000,
+	}
+}
+
+func accounts(n int) []configuration.ClientAccount {
+	list := make([]configuration.ClientAccount, n)
+	for i := range list {
+		list[i] = configuration.ClientAccount{ID: oleanderspool.ClientAccountID(fmt.Sprintf("account-%05d", i)), RequestsPerSec: 1e6, BurstRequests: 1e6, ShareOfCapacity: 0.5}
+	}
+	return list
+}
+
+var _ = Describe("Controller", func() {
+	// Guards against a limit that ignores the number of entries, and against
+	// retry times that are too early.
+	It("gives each entry its part of an account's rate", func() {
+		c := admission.New()
+		c.SetEntries(4)
+		c.ApplyAccounts(1, []configuration.ClientAccount{{ID: "a", RequestsPerSec: 8, BurstRequests: 8}}, 0)
+		for range 2 {
+			_, refusal := c.Admit(request("a", 10), 0)
+			Expect(refusal).To(BeNil())
+		}
+		_, refusal := c.Admit(request("a", 10), 0)
+		Expect(refusal.Reason).To(Equal(oleanderspool.RefusalAccountRateLimit))
+		Expect(refusal.Execution).To(Equal(oleanderspool.NotRun))
+		Expect(refusal.RetryAfter).To(Equal(oleanderspool.Millis(500)))
+		_, refusal = c.Admit(request("a", 10), 499)
+		Expect(refusal).NotTo(BeNil())
+		_, refusal = c.Admit(request("a", 10), 500)
+		Expect(refusal).To(BeNil())
+	})
+
+	// Guards against a change of configuration that refills a bucket, and an
+	// old configuration that replaces a newer one.
+	It("keeps the state of an account over changes of configuration", func() {
+		c := admission.New()
+		list := []configuration.ClientAccount{{ID: "a", RequestsPerSec: 1, BurstRequests: 1}}
+		c.ApplyAccounts(2, list, 0)
+		_, _ = c.Admit(request("a", 10), 0)
+		c.ApplyAccounts(3, list, 1)
+		_, refusal := c.Admit(request("a", 10), 1)
+		Expect(refusal.Reason).To(Equal(oleanderspool.RefusalAccountRateLimit))
+		c.ApplyAccounts(1, nil, 2)
+		_, refusal = c.Admit(request("b", 10), 2)
+		Expect(refusal.Reason).To(Equal(oleanderspool.RefusalUnknownAccount))
+		_, refusal = c.Admit(request("a", 10), 1000)
+		Expect(refusal).To(BeNil())
+	})
+
+	deadlines := []struct {
+		name       string
+		tokens     int
+		limit      oleanderspool.Millis
+		refused    bool
+		retryAfter oleanderspool.Millis
+	}{
+		{"a long prompt that fits", 100_000, 20_000, false, 0},
+		{"a long prompt that must wait too long", 100_000, 15_000, true, 5000},
+		{"a long prompt whose prefill is too long", 100_000, 9_000, true, 0},
+		{"a short prompt that passes long ones", 1000, 1100, false, 0},
+		{"a request without time", 1000, 0, true, 0},
+	}
+	for _, d := range deadlines {
+		// Guards against work that cannot finish, and wrong retry times.
+		It("judges the time limit of "+d.name, func() {
+			c := admission.New()
+			c.ApplyAccounts(1, []configuration.ClientAccount{{ID: "a"}}, 0)
+			c.SetForecast(fleetOf(100_000, 400_000))
+			_, refusal := c.Admit(request("a", d.tokens).WithDeadline(d.limit), 0)
+			Expect(refusal != nil).To(Equal(d.refused))
+			if d.refused {
+				Expect(refusal.Reason).To(Equal(oleanderspool.RefusalDeadlineTooShort))
+				Expect(refusal.RetryAfter).To(Equal(d.retryAfter))
+			}
+		})
+	}
+
+	for _, share := range []float64{0, 0.3, 1} {
+		// Guards against an account that floods and takes the capacity of others.
+		It(fmt.Sprintf("refuses only the account that floods, at share %v", share), func() {
+			c := admission.New()
+			c.ApplyAccounts(1, []configuration.ClientAccount{
+				{ID: "flood", ShareOfCapacity: share}, {ID: "calm", ShareOfCapacity: share},
+			}, 0)
+			c.SetForecast(fleetOf(0, 0)) // 40,000 tokens per horizon
+			refused := 0
+			for i := range 1000 {
+				if _, refusal := c.Admit(request("flood", 1000), 0); refusal != nil {
+					refused++
+					Expect(refusal.RetryAfter).To(BeNumerically(">", 0))
+					Expect(refusal.Reason).To(BeElementOf(oleanderspool.RefusalAccountShare, oleanderspool.RefusalOverloaded))
+				}
+				if i%50 == 0 {
+					t, refusal := c.Admit(request("calm", 3000), 0)
+					Expect(refusal).To(BeNil())
+					defer c.Finish(t)
+					_, refusal = c.Admit(request("calm", 100), 0)
+					Expect(refusal).To(BeNil())
+					c.Finish(t)
+				}
+			}
+			Expect(refused).To(BeNumerically(">=", 840))
+		})
+	}
+
+	// Guards against many small requests that fill the bound for everybody.
+	It("leaves requests in progress for other accounts", func() {
+		c := admission.New(admission.WithMaxRequests(100))
+		c.ApplyAccounts(1, []configuration.ClientAccount{{ID: "flood"}, {ID: "calm"}}, 0)
+		var last *oleanderspool.Refusal
+		for range 200 {
+			_, last = c.Admit(request("flood", 1), 0)
+		}
+		Expect(last.Reason).To(Equal(oleanderspool.RefusalAccountShare))
+		_, refusal := c.Admit(request("calm", 1), 0)
+		Expect(refusal).To(BeNil())
+	})
+
+	// Guards against counts that drift when an account is removed or changed
+	// while its requests are in progress.
+	It("counts down to zero", func() {
+		c := admission.New()
+		c.ApplyAccounts(1, accounts(10), 0)
+		var tickets []*admission.Ticket
+		for i := range 100 {
+			t, refusal := c.Admit(request(fmt.Sprintf("account-%05d", i%10), 100), 0)
+			Expect(refusal).To(BeNil())
+			tickets = append(tickets, t)
+		}
+		c.ApplyAccounts(2, accounts(5), 0)
+		for _, t := range tickets {
+			c.Prefilled(t)
+			c.Finish(t)
+			c.Finish(t)
+		}
+		requests, tokens := c.InProgress()
+		Expect(requests).To(BeZero())
+		Expect(tokens).To(BeZero())
+	})
+})
+
+var accountCounts = []int{10, 200, 2000, 20000}
+
+func BenchmarkAdmit(b *testing.B) {
+	for _, n := range accountCounts {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			c := admission.New()
+			c.ApplyAccounts(1, accounts(n), 0)
+			c.SetForecast(fleetOf(make([]int64, 200)...))
+			requests := make([]oleanderspool.Request, n)
+			for i := range requests {
+				requests[i] = request(fmt.Sprintf("account-%05d", i), 1000)
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				t, refusal := c.Admit(requests[i*7919%n], 0)
+				if refusal != nil {
+					b.Fatal(refusal)
+				}
+				c.Finish(t)
+				i++
+			}
+		})
+	}
+}
+
+func BenchmarkAccountMemory(b *testing.B) {
+	for _, n := range accountCounts {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			list := accounts(n)
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				c := admission.New()
+				c.ApplyAccounts(1, list, 0)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/account")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
