membership: merge the platform's list with the agents' reports

Entries need to know which agents may be chosen. Incarnations have no order and the inner protocol has no sequence number, so a report is ordered by the watch stream it came on: the entry numbers streams before it connects, and only one agent at a time holds the address of an instance. No change of the protocol is needed.

The bound of silence is 2.5 s, not 3 s: the last report may have been up to 500 ms on its way when its sender announced that it leaves. With 3.5 s the fuzz test fails.

Planted faults, each seen to fail and removed again: accepting another incarnation from an older stream, dropping an announcement of leaving, accepting reports of an earlier life of the instance, a freshness of 3.5 s.

--- /dev/null
+++ b/internal/membership/fuzz_test.go
@@ -0,0 +1,239 @@
+package membership_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/membership"
+	"github.com/oleanderspool/oleanderspool/internal/routing"
+)
+
+func init() {
+	// The same runs every time; flags on the command line override these. Runs
+	// of 30 steps, the default, are too short for a restart, a reconnection and
+	// a late report in one run.
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "1000", "rapid.steps": "150"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+const (
+	// p6Bound is the span of P6 after which a leaving server gets no work.
+	p6Bound = 3 * oleanderspool.Second
+	// transit bounds how late a report arrives; later ones are lost with their
+	// connection.
+	transit oleanderspool.Millis = 500
+)
+
+// process is one run of an agent.
+type process struct {
+	incarnation oleanderspool.Incarnation
+	number      int
+	leavingAt   oleanderspool.Millis // -1 while it stays
+	ended       bool
+}
+
+// flight is a report on its way to the entry.
+type flight struct {
+	report membership.Report
+	sentAt oleanderspool.Millis
+	number int // number of the sending process
+}
+
+// world is the truth that the table lags behind.
+type world struct {
+	now       oleanderspool.Millis
+	processes map[oleanderspool.InstanceID][]*process
+	streams   map[oleanderspool.InstanceID]connection
+	flights   []flight
+	seen      map[oleanderspool.InstanceID]int // newest process that reached the table
+	platform  []oleanderspool.InstanceState
+	lists     []pendingList
+	poll      int64
+	position  int64
+	table     *membership.Table
+	router    *routing.Router
+}
+
+type connection struct {
+	stream membership.Stream
+	to     *process
+}
+
+type pendingList struct {
+	poll int64
+	list []oleanderspool.InstanceState
+}
+
+func newWorld() *world {
+	w := &world{
+		processes: make(map[oleanderspool.InstanceID][]*process),
+		streams:   make(map[oleanderspool.InstanceID]connection),
+		seen:      make(map[oleanderspool.InstanceID]int),
+		table:     membership.New(),
+		router:    routing.NewRouter(),
+	}
+	for i := range 3 {
+		s := listed(fmt.Sprintf("s%d", i))
+		w.platform = append(w.platform, s)
+		w.restart(s.Instance)
+	}
+	return w
+}
+
+func (w *world) restart(id oleanderspool.InstanceID) {
+	list := w.processes[id]
+	if len(list) > 0 {
+		list[len(list)-1].ended = true
+	}
+	n := len(list) + 1
+	p := &process{incarnation: oleanderspool.Incarnation(fmt.Sprintf("%s-%d", id, n)), number: n, leavingAt: -1}
+	w.processes[id] = append(list, p)
+}
+
+func (w *world) current(id oleanderspool.InstanceID) *process {
+	list := w.processes[id]
+	return list[len(list)-1]
+}
+
+func (w *world) send(id oleanderspool.InstanceID) {
+	c, connected := w.streams[id]
+	if !connected || c.to.ended {
+		return
+	}
+	w.position++
+	w.flights = append(w.flights, flight{
+		report: membership.Report{
+			Stream: c.stream, Position: w.position, Instance: id, Incarnation: c.to.incarnation,
+			Leaving: c.to.leavingAt >= 0, Models: []oleanderspool.ModelID{"m"},
+		},
+		sentAt: w.now, number: c.to.number,
+	})
+}
+
+// deliver applies one report and keeps it for a duplicate delivery.
+func (w *world) deliver(f flight) {
+	w.table.ApplyReport(f.report, w.now)
+	w.seen[f.report.Instance] = max(w.seen[f.report.Instance], f.number)
+}
+
+// advance moves the clock. A paused entry does not tick its table.
+func (w *world) advance(span oleanderspool.Millis, paused bool) {
+	w.now += span
+	kept := w.flights[:0]
+	for _, f := range w.flights {
+		if w.now-f.sentAt <= transit {
+			kept = append(kept, f)
+		}
+	}
+	w.flights = kept
+	if !paused {
+		w.table.Tick(w.now)
+	}
+}
+
+// check is the oracle: nothing is routed to a server more than 3 s after it
+// said that it leaves, nor to an incarnation after a newer one was seen.
+func (w *world) check(t *rapid.T) {
+	request := oleanderspool.Request{Model: "m"}
+	for _, candidate := range w.table.Snapshot() {
+		b, chosen := w.router.Route(request, []oleanderspool.BackendServer{candidate}, w.now)
+		if !chosen {
+			continue
+		}
+		for _, p := range w.processes[b.Instance] {
+			if p.incarnation != b.Incarnation {
+				continue
+			}
+			if p.leavingAt >= 0 && w.now-p.leavingAt > p6Bound {
+				t.Fatalf("%s is chosen %d ms after it said that it leaves", b.Incarnation, w.now-p.leavingAt)
+			}
+			if p.number < w.seen[b.Instance] {
+				t.Fatalf("%s is chosen after process %d was seen", b.Incarnation, w.seen[b.Instance])
+			}
+		}
+	}
+}
+
+func (w *world) actions() map[string]func(*rapid.T) {
+	instance := rapid.SampledFrom(w.platform)
+	draw := func(t *rapid.T) oleanderspool.InstanceID { return instance.Draw(t, "instance").Instance }
+	return map[string]func(*rapid.T){
+		"advance":   func(t *rapid.T) { w.advance(oleanderspool.Millis(rapid.IntRange(1, 400).Draw(t, "ms")), false) },
+		"pause":     func(t *rapid.T) { w.advance(oleanderspool.Millis(rapid.IntRange(1, 6000).Draw(t, "ms")), true) },
+		"restart":   func(t *rapid.T) { w.restart(draw(t)) },
+		"reconnect": func(t *rapid.T) { w.reconnect(draw(t)) },
+		"leave": func(t *rapid.T) {
+			if p := w.current(draw(t)); p.leavingAt < 0 {
+				p.leavingAt = w.now
+			}
+		},
+		"replace": func(t *rapid.T) {
+			id := draw(t)
+			w.restart(id)
+			w.reconnect(id)
+			w.send(id)
+		},
+		"report": func(t *rapid.T) { w.send(draw(t)) },
+		"exchange": func(_ *rapid.T) {
+			for _, s := range w.platform {
+				w.send(s.Instance)
+			}
+			for _, f := range w.flights {
+				w.deliver(f)
+			}
+		},
+		"deliver": func(t *rapid.T) {
+			if len(w.flights) > 0 {
+				w.deliver(rapid.SampledFrom(w.flights).Draw(t, "flight"))
+			}
+		},
+		"poll": func(t *rapid.T) {
+			w.poll++
+			list := rapid.SliceOfDistinct(instance, func(s oleanderspool.InstanceState) oleanderspool.InstanceID { return s.Instance }).Draw(t, "list")
+			w.lists = append(w.lists, pendingList{w.poll, list})
+		},
+		"list": func(t *rapid.T) {
+			if len(w.lists) > 0 {
+				l := rapid.SampledFrom(w.lists).Draw(t, "poll")
+				w.table.ApplyList(l.poll, l.list, w.now)
+			}
+		},
+		"": w.check,
+	}
+}
+
+func (w *world) reconnect(id oleanderspool.InstanceID) {
+	if stream, found := w.table.OpenStream(id); found {
+		w.streams[id] = connection{stream, w.current(id)}
+	}
+}
+
+// TestNothingIsRoutedToALeavingServer guards P6 with reordered and duplicate
+// reports, restarts, a lagging list and pauses of the entry.
+func TestNothingIsRoutedToALeavingServer(t *testing.T) {
+	routed := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		w.poll++
+		w.table.ApplyList(w.poll, w.platform, 0)
+		for _, s := range w.platform {
+			w.reconnect(s.Instance)
+			w.send(s.Instance)
+		}
+		for _, f := range w.flights {
+			w.deliver(f)
+		}
+		routed += len(w.table.Snapshot())
+		t.Repeat(w.actions())
+	})
+	if routed == 0 {
+		t.Fatal("no run had a server to choose")
+	}
+}
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,182 @@
+// Package membership keeps track of the agents that exist, live or leave. It
+// merges the platform's lagging instance list with what the agents report
+// themselves. It is the place that implements P6 on the side of the entry.
+package membership
+
+import (
+	"slices"
+	"strings"
+	"sync/atomic"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/routing"
+)
+
+// Defaults of [New].
+const (
+	// DefaultSuspectAfter is below the 3 s of P6: a report may have been half a
+	// second old when it arrived, and its sender may have announced that it
+	// leaves right after sending it. Agents report every second, so it takes two
+	// missed reports.
+	DefaultSuspectAfter oleanderspool.Millis = 2500
+	// DefaultPublishInterval bounds how often a change of load alone copies the
+	// snapshot.
+	DefaultPublishInterval oleanderspool.Millis = 20
+)
+
+// keptIncarnations is the number of ended incarnations kept per instance, to
+// recognise their late reports. Reports of older ones are still refused by
+// the order of their streams.
+const keptIncarnations = 4
+
+// Option configures the table that [New] returns.
+type Option func(*Table)
+
+// WithSuspectAfter sets the silence in milliseconds after which an agent is
+// suspected.
+func WithSuspectAfter(span oleanderspool.Millis) Option {
+	return func(t *Table) { t.suspectAfter = span }
+}
+
+// WithPublishInterval sets the interval in milliseconds at which changes of
+// load alone appear in the snapshot. Every other change appears at once.
+func WithPublishInterval(span oleanderspool.Millis) Option {
+	return func(t *Table) { t.publishInterval = span }
+}
+
+// Table holds the agents that an entry knows. Its methods must not be called
+// concurrently, except for [Table.Snapshot].
+type Table struct {
+	suspectAfter    oleanderspool.Millis
+	publishInterval oleanderspool.Millis
+
+	agents  map[oleanderspool.InstanceID]*agent
+	ordered []*agent // by instance
+	sets    map[oleanderspool.InstanceID][]oleanderspool.ServerSetID
+
+	poll        int64                  // number of the last applied list
+	setRevision oleanderspool.Revision // revision of the sets
+	lastStream  Stream
+
+	snapshot    atomic.Pointer[[]oleanderspool.BackendServer]
+	publishedAt oleanderspool.Millis
+	loadChanged bool // a change of load is not in the snapshot yet
+	changed     bool // another change is not in the snapshot yet
+}
+
+// agent is what the table knows of one instance.
+type agent struct {
+	listed    oleanderspool.InstanceState
+	hash      uint64
+	server    oleanderspool.BackendServer // last report, merged with the list
+	reported  bool                        // server holds a live incarnation
+	suspected bool
+	leaving   bool // the current incarnation announced that it leaves
+
+	after    Stream // streams up to this one belong to an earlier life of the instance
+	stream   Stream // stream of the last applied report
+	position int64  // position of the last applied report in its stream
+	ended    []oleanderspool.Incarnation
+}
+
+// New returns an empty table.
+func New(options ...Option) *Table {
+	t := &Table{
+		suspectAfter:    DefaultSuspectAfter,
+		publishInterval: DefaultPublishInterval,
+		agents:          make(map[oleanderspool.InstanceID]*agent),
+	}
+	for _, o := range options {
+		o(t)
+	}
+	t.snapshot.Store(&[]oleanderspool.BackendServer{})
+	return t
+}
+
+// Snapshot returns the backend servers that may be chosen, ordered by
+// instance: those that reported within their bound and do not leave. The
+// slice is shared and must not be modified. It is safe for concurrent use.
+func (t *Table) Snapshot() []oleanderspool.BackendServer {
+	return *t.snapshot.Load()
+}
+
+// Find returns the last report of an instance, whether or not it may be
+// chosen. It returns false when no incarnation is known.
+func (t *Table) Find(instance oleanderspool.InstanceID) (oleanderspool.BackendServer, bool) {
+	a := t.agents[instance]
+	if a == nil || !a.reported {
+		return oleanderspool.BackendServer{}, false
+	}
+	return a.server, true
+}
+
+// Known returns the number of listed agents.
+func (t *Table) Known() int {
+	return len(t.ordered)
+}
+
+// Tick suspects agents that are silent for longer than their bound and
+// publishes changes of load that are due. It should be called several times
+// per bound. An entry that was paused itself suspects every agent until the
+// reports that wait in its connections are applied, because one of them may
+// say that its sender leaves.
+func (t *Table) Tick(now oleanderspool.Millis) []Change {
+	var changes []Change
+	for _, a := range t.ordered {
+		if !a.reported || a.suspected || now-a.server.ReportedAt <= t.suspectAfter {
+			continue
+		}
+		a.suspected = true
+		t.changed = true
+		changes = append(changes, a.change(Suspected))
+	}
+	t.publish(now)
+	return changes
+}
+
+// publish replaces the snapshot when a change is due.
+func (t *Table) publish(now oleanderspool.Millis) {
+	due := t.loadChanged && now-t.publishedAt >= t.publishInterval
+	if !t.changed && !due {
+		return
+	}
+	snapshot := make([]oleanderspool.BackendServer, 0, len(t.ordered))
+	for _, a := range t.ordered {
+		if a.eligible() {
+			snapshot = append(snapshot, a.server)
+		}
+	}
+	t.snapshot.Store(&snapshot)
+	t.publishedAt = now
+	t.changed, t.loadChanged = false, false
+}
+
+func (a *agent) eligible() bool {
+	return a.reported && !a.suspected && !a.server.Leaving
+}
+
+func (a *agent) change(kind ChangeKind) Change {
+	return Change{Kind: kind, Instance: a.listed.Instance, Incarnation: a.server.Incarnation}
+}
+
+// endIncarnation notes that an incarnation ended, so that its late reports are
+// recognised, and forgets the current one if it is the one that ended.
+func (a *agent) endIncarnation(incarnation oleanderspool.Incarnation) {
+	if len(a.ended) == keptIncarnations {
+		a.ended = slices.Delete(a.ended, 0, 1)
+	}
+	a.ended = append(a.ended, incarnation)
+	if a.server.Incarnation != incarnation {
+		return
+	}
+	a.reported, a.suspected, a.leaving = false, false, false
+	a.server = oleanderspool.BackendServer{}
+}
+
+func newAgent(listed oleanderspool.InstanceState, after Stream) *agent {
+	return &agent{listed: listed, hash: routing.Hash(listed.Instance), after: after}
+}
+
+func compareAgents(a, b *agent) int {
+	return strings.Compare(string(a.listed.Instance), string(b.listed.Instance))
+}
--- /dev/null
+++ b/internal/membership/watch.go
@@ -0,0 +1,146 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/routing"
+)
+
+// minimumWatches is the number of agents watched per backend server set and
+// role, so that the loss of one leaves another.
+const minimumWatches = 2
+
+// WatchGroup is a backend server set and a role.
+type WatchGroup struct {
+	Set  oleanderspool.ServerSetID // empty for agents outside every set
+	Role string                    // role in the platform's list
+}
+
+// Watches is the choice of agents that an entry watches.
+type Watches struct {
+	Instances []oleanderspool.InstanceID // ordered by name
+	// Short lists groups of which fewer agents are watched than should be,
+	// because the limit is too low. They are ordered by set and role.
+	Short []WatchGroup
+}
+
+// ChooseWatches returns at most limit agents for an entry to watch. Agents of
+// the entry's own data centre come first, then the order is given by
+// rendezvous hashing over entry and agent. Two agents of each backend server
+// set and role are taken before the others. Replacing an agent changes the
+// choice only where the agent, or its successor, is chosen.
+func (t *Table) ChooseWatches(entry oleanderspool.InstanceID, dataCentre oleanderspool.DataCentreID, limit int) Watches {
+	c := watchChoice{
+		limit:  limit,
+		chosen: make(map[*agent]bool, min(limit, len(t.ordered))),
+		counts: make(map[WatchGroup]int),
+		sizes:  make(map[WatchGroup]int),
+		sets:   t.sets,
+	}
+	ranked := t.rankWatches(routing.Hash(entry), dataCentre)
+	for _, a := range ranked {
+		for _, g := range c.groups(a) {
+			c.sizes[g]++
+		}
+	}
+	for floor := 1; floor <= minimumWatches; floor++ {
+		c.takeBelow(ranked, floor)
+	}
+	c.fill(ranked)
+	return c.result()
+}
+
+type rankedAgent struct {
+	agent  *agent
+	far    bool
+	weight uint64
+}
+
+func (t *Table) rankWatches(entry uint64, dataCentre oleanderspool.DataCentreID) []*agent {
+	ranked := make([]rankedAgent, len(t.ordered))
+	for i, a := range t.ordered {
+		ranked[i] = rankedAgent{a, a.listed.DataCentre != dataCentre, routing.Weight(entry, a.hash)}
+	}
+	slices.SortFunc(ranked, func(a, b rankedAgent) int {
+		if a.far != b.far {
+			if b.far {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.weight, a.weight), compareAgents(a.agent, b.agent))
+	})
+	agents := make([]*agent, len(ranked))
+	for i, r := range ranked {
+		agents[i] = r.agent
+	}
+	return agents
+}
+
+type watchChoice struct {
+	limit  int
+	chosen map[*agent]bool
+	counts map[WatchGroup]int // chosen agents
+	sizes  map[WatchGroup]int // known agents
+	sets   map[oleanderspool.InstanceID][]oleanderspool.ServerSetID
+}
+
+func (c *watchChoice) groups(a *agent) []WatchGroup {
+	sets := c.sets[a.listed.Instance]
+	if len(sets) == 0 {
+		return []WatchGroup{{Role: a.listed.Role}}
+	}
+	groups := make([]WatchGroup, len(sets))
+	for i, s := range sets {
+		groups[i] = WatchGroup{Set: s, Role: a.listed.Role}
+	}
+	return groups
+}
+
+// takeBelow takes agents of groups that have fewer than floor chosen ones.
+func (c *watchChoice) takeBelow(ranked []*agent, floor int) {
+	for _, a := range ranked {
+		below := slices.ContainsFunc(c.groups(a), func(g WatchGroup) bool { return c.counts[g] < floor })
+		if below {
+			c.take(a)
+		}
+	}
+}
+
+func (c *watchChoice) fill(ranked []*agent) {
+	for _, a := range ranked {
+		if len(c.chosen) >= c.limit {
+			return
+		}
+		c.take(a)
+	}
+}
+
+func (c *watchChoice) take(a *agent) {
+	if len(c.chosen) >= c.limit || c.chosen[a] {
+		return
+	}
+	c.chosen[a] = true
+	for _, g := range c.groups(a) {
+		c.counts[g]++
+	}
+}
+
+func (c *watchChoice) result() Watches {
+	w := Watches{Instances: make([]oleanderspool.InstanceID, 0, len(c.chosen))}
+	for a := range c.chosen {
+		w.Instances = append(w.Instances, a.listed.Instance)
+	}
+	slices.Sort(w.Instances)
+	for g, size := range c.sizes {
+		if c.counts[g] < min(minimumWatches, size) {
+			w.Short = append(w.Short, g)
+		}
+	}
+	slices.SortFunc(w.Short, func(a, b WatchGroup) int {
+		return cmp.Or(cmp.Compare(a.Set, b.Set), cmp.Compare(a.Role, b.Role))
+	})
+	return w
+}
