Parse caller bodies in one pass

It bounds depth and values, and a field that appears twice is a finding, since readers disagree on which one counts.

Ruled out: a tree of Go values, whose memory is a large multiple of a body of many small values.

--- a/internal/openai/object.go
+++ b/internal/openai/object.go
@@ -2,22 +2,14 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
-	"math"
+	"fmt"
+	"strconv"
 	"unicode/utf8"
 
 	"github.com/oleanderspool/oleanderspool"
 )
 
-// object is a JSON object whose fields are read one by one. Faults are collected
-// in findings; null counts as absent, as client libraries send it.
-type object struct {
-	path     string // prefix of the keys in findings
-	fields   map[string]json.RawMessage
-	findings *collector
-}
-
 // collector collects findings up to [MaxFindings] and counts the rest.
 type collector struct {
 	oleanderspool.Findings
@@ -39,162 +31,177 @@
 	return c.Err()
 }
 
-// parseObject parses a body. It returns false when the body is no object.
-func parseObject(body []byte, findings *collector) (object, bool) {
+// document is a parsed body. Faults of its values are collected in findings.
+type document struct {
+	data     []byte
+	nodes    []node
+	findings collector
+}
+
+// value is a value of a document with its key for findings.
+type value struct {
+	*document
+	index int
+	key   string
+}
+
+// parseObject parses a body that must be an object.
+func parseObject(body []byte) (value, error) {
+	d := &document{data: body}
+	root := value{document: d}
 	if !utf8.Valid(body) {
-		findings.addf("", "body is not UTF-8")
+		d.findings.addf("", "body is not UTF-8")
 	}
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil {
-		findings.Add(oleanderspool.Finding{Line: lineOf(body, err), Message: syntaxMessage(err)})
-		return object{}, false
+	nodes, err := scan(body)
+	var syntax *syntaxError
+	switch {
+	case errors.As(err, &syntax):
+		line := 1 + bytes.Count(body[:syntax.offset], []byte("\n"))
+		d.findings.Add(oleanderspool.Finding{Line: line, Message: "body is not JSON: " + syntax.message})
+	case nodes[0].kind != kindObject:
+		d.findings.addf("", "body is not a JSON object")
+	default:
+		d.nodes = nodes
+		return root, nil
 	}
-	if fields == nil {
-		findings.addf("", "body is not a JSON object")
-		return object{}, false
-	}
-	return object{fields: fields, findings: findings}, true
+	return root, d.findings.err()
 }
 
-func syntaxMessage(err error) string {
-	var mismatch *json.UnmarshalTypeError
-	if errors.As(err, &mismatch) {
-		return "body is not a JSON object"
-	}
-	return "body is not JSON: " + err.Error()
+func (v value) node() node {
+	return v.nodes[v.index]
 }
 
-// lineOf returns the line of a syntax error, from 1; 0 when it is unknown.
-func lineOf(body []byte, err error) int {
-	var syntax *json.SyntaxError
-	if !errors.As(err, &syntax) {
-		return 0
-	}
-	end := min(max(syntax.Offset, 0), int64(len(body)))
-	return 1 + bytes.Count(body[:end], []byte("\n"))
+func (v value) raw() []byte {
+	return v.data[v.node().start:v.node().end]
 }
 
-// raw returns the value of a field, and false when it is absent or null.
-func (o object) raw(key string) (json.RawMessage, bool) {
-	value, found := o.fields[key]
-	return value, found && string(value) != "null"
+// addf adds a finding about the value.
+func (v value) addf(format string, args ...any) {
+	v.findings.addf(v.key, format, args...)
 }
 
-func (o object) addf(key, format string, args ...any) {
-	o.findings.addf(o.path+key, format, args...)
+// missing adds a finding about an absent field of the object v.
+func (v value) missing(key string) {
+	v.findings.addf(v.path(key), "is missing")
 }
 
-// text returns a string field.
-func (o object) text(key string) (string, bool) {
-	value, found := o.raw(key)
-	if !found {
-		return "", false
-	}
-	var s string
-	if json.Unmarshal(value, &s) != nil {
-		o.addf(key, "must be a string")
-		return "", false
+// path returns the key of a field of the object v.
+func (v value) path(key string) string {
+	if v.key == "" {
+		return key
 	}
-	return s, true
+	return v.key + "." + key
 }
 
-// flag returns a boolean field, false when absent.
-func (o object) flag(key string) bool {
-	value, found := o.raw(key)
-	if !found {
-		return false
+// field returns a field of the object v. It returns false when it is absent or
+// null, which client libraries send for an absent field.
+func (v value) field(key string) (value, bool) {
+	found := value{document: v.document, key: v.path(key)}
+	for i := v.index + 1; i < v.node().next; i = v.nodes[i].next {
+		if !v.named(i, key) {
+			continue
+		}
+		if found.index > 0 {
+			found.addf("appears more than once")
+			break
+		}
+		found.index = i
 	}
-	var b bool
-	if json.Unmarshal(value, &b) != nil {
-		o.addf(key, "must be true or false")
-	}
-	return b
+	return found, found.index > 0 && found.node().kind != kindNull
 }
 
-// integer returns an integer field within bounds.
-func (o object) integer(key string, low, high int64) (int64, bool) {
-	value, found := o.raw(key)
-	if !found {
-		return 0, false
-	}
-	var n int64
-	if json.Unmarshal(value, &n) != nil {
-		o.addf(key, "must be an integer")
-		return 0, false
-	}
-	if n < low || n > high {
-		o.addf(key, "must be from %d to %d", low, high)
-		return 0, false
+// named reports whether the field at an index has the given key.
+func (v value) named(index int, key string) bool {
+	n := v.nodes[index]
+	raw := v.data[n.keyStart:n.keyEnd]
+	if bytes.IndexByte(raw, '\\') >= 0 {
+		return unquote(raw) == key
 	}
-	return n, true
+	return string(raw[1:len(raw)-1]) == key
 }
 
-// number checks a number field within bounds.
-func (o object) number(key string, low, high float64) {
-	value, found := o.raw(key)
-	if !found {
+// elements calls f for each element of an array of at most limit elements.
+func (v value) elements(limit int, f func(element value)) {
+	if v.node().kind != kindArray {
+		v.addf("must be an array")
 		return
 	}
-	var n float64
-	if json.Unmarshal(value, &n) != nil || math.IsNaN(n) {
-		o.addf(key, "must be a number")
+	if v.node().count > limit {
+		v.addf("must have at most %d elements", limit)
 		return
 	}
-	if n < low || n > high {
-		o.addf(key, "must be from %g to %g", low, high)
+	position := 0
+	for i := v.index + 1; i < v.node().next; i = v.nodes[i].next {
+		f(value{document: v.document, index: i, key: fmt.Sprintf("%s[%d]", v.key, position)})
+		position++
 	}
 }
 
-// child returns an object field.
-func (o object) child(key string) (object, bool) {
-	value, found := o.raw(key)
-	if !found {
-		return object{}, false
+// is reports whether the value is of kind k, and adds a finding if it is not.
+func (v value) is(k kind, name string) bool {
+	if v.node().kind == k {
+		return true
 	}
-	return o.objectAt(key, value)
+	v.addf("must be %s", name)
+	return false
 }
 
-// objectAt returns value as an object at the given key.
-func (o object) objectAt(key string, value json.RawMessage) (object, bool) {
-	var fields map[string]json.RawMessage
-	if json.Unmarshal(value, &fields) != nil || fields == nil {
-		o.addf(key, "must be an object")
-		return object{}, false
+// text returns the text of a string, and false with a finding otherwise.
+func (v value) text() (string, bool) {
+	if !v.is(kindString, "a string") {
+		return "", false
 	}
-	return object{path: o.path + key + ".", fields: fields, findings: o.findings}, true
+	return unquote(v.raw()), true
 }
 
-// list returns an array field of at most limit elements.
-func (o object) list(key string, limit int) ([]json.RawMessage, bool) {
-	value, found := o.raw(key)
-	if !found {
-		return nil, false
-	}
-	var elements []json.RawMessage
-	if json.Unmarshal(value, &elements) != nil {
-		o.addf(key, "must be an array")
-		return nil, false
+// flag returns the boolean field key of the object v, false when absent.
+func (v value) flag(key string) bool {
+	f, found := v.field(key)
+	return found && f.is(kindBool, "true or false") && string(f.raw()) == "true"
+}
+
+// positive returns the integer field key, from 1 to high, of the object v. It
+// returns false when the field is absent, and false with a finding when it is
+// out of bounds.
+func (v value) positive(key string, high int64) (int64, bool) {
+	f, found := v.field(key)
+	if !found || !f.is(kindNumber, "an integer") {
+		return 0, false
 	}
-	if len(elements) > limit {
-		o.addf(key, "must have at most %d elements", limit)
-		return nil, false
+	n, err := strconv.ParseInt(string(f.raw()), 10, 64)
+	switch {
+	case errors.Is(err, strconv.ErrSyntax):
+		f.addf("must be an integer")
+	case err != nil || n < 1 || n > high:
+		f.addf("must be from 1 to %d", high)
+	default:
+		return n, true
 	}
-	return elements, true
+	return 0, false
 }
 
-// empty reports whether a field is absent, null, false or an empty value.
-func (o object) empty(key string) bool {
-	value, found := o.raw(key)
-	if !found {
-		return true
+// number checks the number field key of the object v.
+func (v value) number(key string, low, high float64) {
+	f, found := v.field(key)
+	if !found || !f.is(kindNumber, "a number") {
+		return
 	}
-	var compact bytes.Buffer
-	if json.Compact(&compact, value) != nil {
-		return false
+	n, err := strconv.ParseFloat(string(f.raw()), 64)
+	if err != nil || n < low || n > high {
+		f.addf("must be from %g to %g", low, high)
 	}
-	switch compact.String() {
-	case "false", "0", `""`, "[]", "{}":
+}
+
+// empty reports whether the value is null, false, 0 or has nothing in it.
+func (v value) empty() bool {
+	n := v.node()
+	switch n.kind {
+	case kindNull:
 		return true
+	case kindArray, kindObject:
+		return n.count == 0
+	default:
+		raw := string(v.raw())
+		return raw == "false" || raw == "0" || raw == `""`
 	}
-	return false
 }
--- a/internal/openai/parse.go
+++ b/internal/openai/parse.go
@@ -1,8 +1,6 @@
 package openai
 
 import (
-	"encoding/json"
-	"fmt"
 	"slices"
 	"strings"
 )
@@ -20,10 +18,9 @@
 // ParseChat parses the body of a chat. Unknown fields are ignored. The error is
 // of type ErrInvalid and holds all findings.
 func ParseChat(body []byte) (Request, error) {
-	findings := &collector{}
-	o, ok := parseObject(body, findings)
-	if !ok {
-		return Request{}, findings.err()
+	o, err := parseObject(body)
+	if err != nil {
+		return Request{}, err
 	}
 	r := parseCommon(o)
 	r.Chat = true
@@ -34,19 +31,18 @@
 // ParseCompletion parses the body of a completion. Unknown fields are ignored.
 // The error is of type ErrInvalid and holds all findings.
 func ParseCompletion(body []byte) (Request, error) {
-	findings := &collector{}
-	o, ok := parseObject(body, findings)
-	if !ok {
-		return Request{}, findings.err()
+	o, err := parseObject(body)
+	if err != nil {
+		return Request{}, err
 	}
 	r := parseCommon(o)
 	r.Prompt = parsePrompt(o)
 	return finish(o, r)
 }
 
-func finish(o object, r Request) (Request, error) {
+func finish(o value, r Request) (Request, error) {
 	if len(r.Prompt) > MaxPromptBytes {
-		o.addf("prompt", "must be at most %d bytes", MaxPromptBytes)
+		o.findings.addf("", "prompt must be at most %d bytes", MaxPromptBytes)
 	}
 	if err := o.findings.err(); err != nil {
 		return Request{}, err
@@ -55,54 +51,51 @@
 }
 
 // parseCommon parses the fields that both kinds of body have.
-func parseCommon(o object) Request {
+func parseCommon(o value) Request {
 	r := Request{Stream: o.flag("stream")}
 	r.Model, r.Adapter = SplitModelName(parseModel(o))
 	r.MaxTokens = parseMaxTokens(o)
-	if options, found := o.child("stream_options"); found {
+	if options, found := o.field("stream_options"); found && options.is(kindObject, "an object") {
 		r.IncludeUsage = options.flag("include_usage")
 	}
 	o.number("temperature", 0, 2)
 	o.number("top_p", 0, 1)
 	o.number("presence_penalty", -2, 2)
 	o.number("frequency_penalty", -2, 2)
-	for _, key := range []string{"n", "best_of"} {
-		if n, found := o.integer(key, 1, 128); found && n != 1 {
-			o.addf(key, "only 1 is supported")
-		}
-	}
+	o.positive("n", 1)
+	o.positive("best_of", 1)
 	for _, key := range unsupported {
-		if !o.empty(key) {
-			o.addf(key, "is not supported")
+		if f, found := o.field(key); found && !f.empty() {
+			f.addf("is not supported")
 		}
 	}
 	return r
 }
 
-func parseModel(o object) string {
-	name, found := o.text("model")
+func parseModel(o value) string {
+	f, found := o.field("model")
 	if !found {
-		if o.empty("model") {
-			o.addf("model", "is missing")
-		}
+		o.missing("model")
 		return ""
 	}
+	name, ok := f.text()
 	model, adapter, colon := strings.Cut(name, ":")
 	switch {
+	case !ok:
 	case len(name) > MaxNameBytes:
-		o.addf("model", "must be at most %d bytes", MaxNameBytes)
+		f.addf("must be at most %d bytes", MaxNameBytes)
 	case model == "" || colon && adapter == "" || strings.Contains(adapter, ":"):
-		o.addf("model", `must be "model" or "model:adapter"`)
+		f.addf(`must be "model" or "model:adapter"`)
 	}
 	return name
 }
 
-func parseMaxTokens(o object) int {
+func parseMaxTokens(o value) int {
 	limit := int64(DefaultMaxTokens)
-	if n, found := o.integer("max_tokens", 1, MaxTokensLimit); found {
+	if n, found := o.positive("max_tokens", MaxTokensLimit); found {
 		limit = n
 	}
-	if n, found := o.integer("max_completion_tokens", 1, MaxTokensLimit); found {
+	if n, found := o.positive("max_completion_tokens", MaxTokensLimit); found {
 		limit = n
 	}
 	return int(limit)
@@ -110,54 +103,54 @@
 
 // parsePrompt returns the prompt of a completion: a string, or an array of one
 // string as some client libraries send it.
-func parsePrompt(o object) string {
-	value, found := o.raw("prompt")
+func parsePrompt(o value) string {
+	f, found := o.field("prompt")
 	if !found {
-		o.addf("prompt", "is missing")
+		o.missing("prompt")
 		return ""
 	}
-	var prompt string
-	if json.Unmarshal(value, &prompt) == nil {
-		if prompt == "" {
-			o.addf("prompt", "must not be empty")
+	if f.node().kind == kindArray {
+		if f.node().count != 1 {
+			f.addf("must be a string or an array of one string")
+			return ""
 		}
-		return prompt
+		f.elements(1, func(element value) { f = element })
 	}
-	var prompts []string
-	if json.Unmarshal(value, &prompts) != nil || len(prompts) != 1 || prompts[0] == "" {
-		o.addf("prompt", "must be a string or an array of one string")
-		return ""
+	prompt, ok := f.text()
+	if ok && prompt == "" {
+		f.addf("must not be empty")
 	}
-	return prompts[0]
+	return prompt
 }
 
 // parseMessages returns the messages of a chat as one text.
-func parseMessages(o object) string {
-	messages, found := o.list("messages", MaxMessages)
+func parseMessages(o value) string {
+	f, found := o.field("messages")
 	if !found {
-		if _, present := o.raw("messages"); !present {
-			o.addf("messages", "is missing")
-		}
-		return ""
-	}
-	if len(messages) == 0 {
-		o.addf("messages", "must not be empty")
+		o.missing("messages")
 		return ""
 	}
 	var b strings.Builder
-	for i, value := range messages {
-		message, ok := o.objectAt(fmt.Sprintf("messages[%d]", i), value)
-		if ok {
-			writeMessage(&b, parseRole(message), parseContent(message))
+	f.elements(MaxMessages, func(message value) {
+		if message.is(kindObject, "an object") {
+			role := parseRole(message)
+			writeMessage(&b, role, parseContent(message, role))
 		}
+	})
+	if f.node().kind == kindArray && f.node().count == 0 {
+		f.addf("must not be empty")
 	}
-	b.WriteString("<|assistant|>\n")
+	b.WriteString(answerMark)
 	return b.String()
 }
 
+// answerMark ends the prompt of a chat.
+const answerMark = "<|assistant|>\n"
+
 // writeMessage adds a message to a prompt. The format is the system's own;
 // engines take the prompt as one user message.
 func writeMessage(b *strings.Builder, role, content string) {
+	b.Grow(len(role) + len(content) + len("<||>\n\n") + len(answerMark))
 	b.WriteString("<|")
 	b.WriteString(role)
 	b.WriteString("|>\n")
@@ -165,53 +158,62 @@
 	b.WriteString("\n")
 }
 
-func parseRole(message object) string {
-	role, found := message.text("role")
-	switch {
-	case !found && message.empty("role"):
-		message.addf("role", "is missing")
-	case found && !slices.Contains(roles, role):
-		message.addf("role", "must be one of %s", strings.Join(roles, ", "))
+func parseRole(message value) string {
+	f, found := message.field("role")
+	if !found {
+		message.missing("role")
+		return ""
+	}
+	role, ok := f.text()
+	if ok && !slices.Contains(roles, role) {
+		f.addf("must be one of %s", strings.Join(roles, ", "))
 	}
 	return role
 }
 
 // parseContent returns the content of a message: a string or an array of text
-// parts.
-func parseContent(message object) string {
-	value, found := message.raw("content")
+// parts. Client libraries send null for an assistant that said nothing.
+func parseContent(message value, role string) string {
+	f, found := message.field("content")
+	if !found && role == "assistant" {
+		return ""
+	}
 	if !found {
-		message.addf("content", "is missing")
+		message.missing("content")
 		return ""
 	}
-	var content string
-	if json.Unmarshal(value, &content) == nil {
+	switch f.node().kind {
+	case kindString:
+		content, _ := f.text()
 		return content
-	}
-	if len(value) == 0 || value[0] != '[' {
-		message.addf("content", "must be a string or an array of text parts")
+	case kindArray:
+		var b strings.Builder
+		f.elements(MaxParts, func(part value) { b.WriteString(parsePart(part)) })
+		return b.String()
+	default:
+		f.addf("must be a string or an array of text parts")
 		return ""
 	}
-	parts, _ := message.list("content", MaxParts)
-	var b strings.Builder
-	for i, part := range parts {
-		b.WriteString(parsePart(message, fmt.Sprintf("content[%d]", i), part))
-	}
-	return b.String()
 }
 
-func parsePart(message object, key string, value json.RawMessage) string {
-	part, ok := message.objectAt(key, value)
-	if !ok {
+func parsePart(part value) string {
+	if !part.is(kindObject, "an object") {
+		return ""
+	}
+	f, found := part.field("type")
+	if !found {
+		part.missing("type")
 		return ""
 	}
-	if kind, _ := part.text("type"); kind != "text" {
-		part.addf("type", `must be "text"`)
+	if k, ok := f.text(); !ok || k != "text" {
+		f.addf(`must be "text"`)
 		return ""
 	}
-	text, found := part.text("text")
+	f, found = part.field("text")
 	if !found {
-		part.addf("text", "is missing or no string")
+		part.missing("text")
+		return ""
 	}
+	text, _ := f.text()
 	return text
 }
--- /dev/null
+++ b/internal/openai/writer_test.go
@@ -0,0 +1,188 @@
+package openai_test
+
+import (
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"slices"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/openai"
+)
+
+// form identifies the answers of the golden files.
+func form(chat bool) openai.Response {
+	return openai.Response{Chat: chat, ID: "r-1", Model: "ode:wedding", Created: 1700000000}
+}
+
+// dump returns a response as it is sent.
+func dump(w *httptest.ResponseRecorder) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d\n", w.Code)
+	keys := make([]string, 0, len(w.Header()))
+	for k := range w.Header() {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	for _, k := range keys {
+		fmt.Fprintf(&b, "%s: %s\n", k, w.Header().Get(k))
+	}
+	return b.String() + "\n" + w.Body.String()
+}
+
+var refusal = oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "try later").WithRetryAfter(1001)
+
+// sessions write one response each.
+var sessions = []struct {
+	name  string
+	write func(w *httptest.ResponseRecorder) error
+}{
+	{"response_chat", func(w *httptest.ResponseRecorder) error {
+		r := form(true)
+		r.Text, r.Finish, r.Usage = "two <pegs> & \"more\"\n", "stop", openai.Usage{PromptTokens: 3, GeneratedTokens: 4}
+		return openai.WriteResponse(w, r)
+	}},
+	{"response_completion", func(w *httptest.ResponseRecorder) error {
+		r := form(false)
+		r.Text, r.Finish = "é", "length"
+		return openai.WriteResponse(w, r)
+	}},
+	{"stream_chat", func(w *httptest.ResponseRecorder) error { return stream(w, true) }},
+	{"stream_completion", func(w *httptest.ResponseRecorder) error { return stream(w, false) }},
+	{"stream_refused_first", func(w *httptest.ResponseRecorder) error {
+		return openai.NewStream(w, form(true)).Refuse(refusal)
+	}},
+	{"stream_refused_later", func(w *httptest.ResponseRecorder) error {
+		s := openai.NewStream(w, form(true))
+		if err := s.Text("a"); err != nil {
+			return err
+		}
+		return s.Refuse(refusal.WithExecution(oleanderspool.MayHaveRun))
+	}},
+	{"models", func(w *httptest.ResponseRecorder) error {
+		return openai.WriteModels(w, []openai.Model{{ID: "ode", Created: 1}, {ID: "ode:wedding", Created: 2}})
+	}},
+	{"models_empty", func(w *httptest.ResponseRecorder) error { return openai.WriteModels(w, nil) }},
+}
+
+func stream(w *httptest.ResponseRecorder, chat bool) error {
+	s := openai.NewStream(w, form(chat))
+	usage := openai.Usage{PromptTokens: 3, GeneratedTokens: 2}
+	for _, step := range []func() error{
+		s.Heartbeat,
+		func() error { return s.Text("one ") },
+		func() error { return s.Text("two\n\n") },
+		func() error { return s.Finish("stop", &usage) },
+	} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+var _ = Describe("Writing", func() {
+	// Guards against changes of the format that callers see.
+	for _, c := range sessions {
+		It("writes "+c.name, func() {
+			w := httptest.NewRecorder()
+			Expect(c.write(w)).To(Succeed())
+			expectGolden(c.name, dump(w))
+		})
+	}
+
+	// Guards against a refusal reason without a status of its own, and a body
+	// that a caller of this module reads differently.
+	It("writes every refusal reason and reads it back", func() {
+		var b strings.Builder
+		for _, reason := range oleanderspool.RefusalReasons {
+			w := httptest.NewRecorder()
+			want := oleanderspool.Refuse(reason, "m").WithExecution(oleanderspool.Ran).WithRetryAfter(1)
+			Expect(openai.WriteRefusal(w, want)).To(Succeed())
+			Expect(w.Code).NotTo(Equal(500), string(reason))
+			got, found := openai.ParseRefusal(w.Body.Bytes())
+			Expect(found).To(BeTrue())
+			Expect(got).To(Equal(want))
+			fmt.Fprintf(&b, "%d %s\n", w.Code, strings.TrimSpace(w.Body.String()))
+		}
+		expectGolden("refusals", b.String())
+	})
+
+	It("rounds Retry-After up", func() {
+		for _, c := range []struct{ span, seconds int64 }{{0, 0}, {1, 1}, {1000, 1}, {1001, 2}, {2000, 2}} {
+			Expect(openai.RetryAfterSeconds(oleanderspool.Millis(c.span))).To(Equal(c.seconds))
+		}
+	})
+
+	// Guards against chunks that the module's own reader cannot read.
+	It("writes streams that the event reader reads", func() {
+		for _, chat := range []bool{true, false} {
+			w := httptest.NewRecorder()
+			Expect(stream(w, chat)).To(Succeed())
+			text, finish, done := readStream(w.Body)
+			Expect(text).To(Equal("one two\n\n"))
+			Expect(finish).To(Equal("stop"))
+			Expect(done).To(BeTrue())
+		}
+	})
+})
+
+func readStream(r io.Reader) (text, finish string, done bool) {
+	events := openai.NewEventReader(r)
+	for {
+		e, err := events.Next()
+		if err != nil {
+			Expect(err).To(Equal(io.EOF))
+			return text, finish, done
+		}
+		if e.Comment {
+			continue
+		}
+		if e.Done() {
+			done = true
+			continue
+		}
+		c, err := openai.ParseChunk(e.Data)
+		Expect(err).NotTo(HaveOccurred())
+		text += c.Text
+		finish += c.Finish
+	}
+}
+
+var _ = Describe("EventReader", func() {
+	// Guards against events that are cut, joined or unbounded.
+	cases := []struct {
+		name  string
+		input string
+		data  []string
+		err   string
+	}{
+		{"line ends", "data: a\r\n\r\ndata:b\n\n", []string{"a", "b"}, "EOF"},
+		{"several lines", "event: x\ndata: a\ndata: b\nid: 3\n\n", []string{"a\nb"}, "EOF"},
+		{"comments", ": c\n\ndata: a\n\n", []string{" c", "a"}, "EOF"},
+		{"empty data", "data:\n\n", []string{""}, "EOF"},
+		{"cut in a line", "data: a\n\ndata: b", []string{"a"}, "unexpected EOF"},
+		{"cut in an event", "data: a\n", nil, "unexpected EOF"},
+		{"too long a line", "data: " + strings.Repeat("a", 2<<20), nil, "longer"},
+		{"too long an event", strings.Repeat("data: "+strings.Repeat("a", 1000)+"\n", 2000), nil, "longer"},
+	}
+	for _, c := range cases {
+		It("handles "+c.name, func() {
+			events := openai.NewEventReader(strings.NewReader(c.input))
+			var got []string
+			for {
+				e, err := events.Next()
+				if err != nil {
+					Expect(err).To(MatchError(ContainSubstring(c.err)))
+					break
+				}
+				got = append(got, string(e.Data))
+			}
+			Expect(got).To(Equal(c.data))
+		})
+	}
+})
