Serve requests from end to end as separate processes

Cause: the packages of decisions had no process that carries their inputs and outputs. The entry, the agent, the callers' HTTP side and the commands entry, agent, check, send, solo and standin now do.

A reservation was refused for the first five seconds of an entry, because the claim stream counts as unavailable until its first read and that read was a long poll. Reads during an outage no longer wait.

Tests run the built program as separate processes, kill one agent and pause another, and compare every answer byte for byte.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -291,3 +291,15 @@
 	default:
 	}
 }
+
+// Revision returns the revision of the configuration in force.
+func (a *Agent) Revision() oleanderspool.Revision {
+	return a.follower.revision()
+}
+
+// Ready reports whether the agent takes new work.
+func (a *Agent) Ready() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.leaving && (a.engine == nil || a.engineUp)
+}
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -21,7 +21,10 @@
 		s.refuse(w, oleanderspool.Refuse(oleanderspool.RefusalUnknownRoute, "unknown route "+string(id)))
 		return
 	}
-	path := "/" + mux.Vars(r)["path"]
+	path := "/" + string(id)
+	if rest := mux.Vars(r)["path"]; rest != "" {
+		path += "/" + rest
+	}
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
--- /dev/null
+++ b/internal/command/deployment_test.go
@@ -0,0 +1,237 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/oleanderspool/oleanderspool"
+)
+
+const (
+	startBound = 20 * time.Second
+	stopWait   = 30 * time.Second
+)
+
+// deployment is a set of separate processes on loopback.
+type deployment struct {
+	directory string
+	platform  string
+	entries   []string // base addresses for callers
+	admins    map[string]string
+	sessions  map[string]*gexec.Session
+	settings  map[string]string // settings file by process
+	engines   map[string]string // address by instance
+	service   string
+	list      []oleanderspool.InstanceState
+}
+
+// freeAddress returns an address that nothing listens on.
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// newDeployment starts a platform, runners, one application runner and two
+// entries as separate processes and waits until they serve.
+func newDeployment(runners int) *deployment {
+	d := &deployment{
+		directory: GinkgoT().TempDir(),
+		admins:    make(map[string]string),
+		sessions:  make(map[string]*gexec.Session),
+		settings:  make(map[string]string),
+		engines:   make(map[string]string),
+		platform:  freeAddress(),
+	}
+	DeferCleanup(d.kill)
+	d.start("platform", fmt.Sprintf("listen = %q\nretention_ms = 86400000\nappends_per_sec = 500\nlist_lag_ms = 100\nloads_per_sec = 10.0\nseed = 1\n", d.platform), "standin", "platform")
+	d.waitFor(d.platform)
+	for i := range runners {
+		d.startRunner(fmt.Sprintf("runner-%d", i+1))
+	}
+	d.startService("services-1")
+	for i := range 2 {
+		d.startEntry(fmt.Sprintf("entry-%d", i+1))
+	}
+	d.publishInstances()
+	Expect(publishFleet(context.Background(), netip.MustParseAddrPort(d.platform), d.list)).To(Succeed())
+	ctx, cancel := context.WithTimeout(context.Background(), startBound)
+	defer cancel()
+	Expect((&fleet{entries: d.entries}).await(ctx)).To(Succeed())
+	return d
+}
+
+// start starts a process with the given settings.
+func (d *deployment) start(name, text string, args ...string) {
+	text += "\n[log]\nlevel = \"info\"\nformat = \"text\"\n"
+	file := filepath.Join(d.directory, name+".toml")
+	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+	d.settings[name] = file
+	d.restart(name, args...)
+}
+
+// restart starts a process with the settings that it had before.
+func (d *deployment) restart(name string, args ...string) {
+	c := exec.Command(program, append(args, "--settings", d.settings[name])...)
+	session, err := gexec.Start(c, GinkgoWriter, GinkgoWriter)
+	Expect(err).NotTo(HaveOccurred())
+	d.sessions[name] = session
+}
+
+func (d *deployment) startRunner(instance string) {
+	address, peers := freeAddress(), freeAddress()
+	d.engines[instance] = address
+	d.start("engine-"+instance, fmt.Sprintf("listen = %q\nmemory_tokens = 100000\nprefill_per_milli = 20.0\nstep_ms = 20\nbatch_requests = 32\nload_ms = 100\nreport_lag_ms = 100\nfencing = \"reject\"\nseed = 1\n", address), "standin", "engine", "--model", fleetModel)
+	d.waitFor(address)
+	d.startAgent(instance, peers, "model", fmt.Sprintf("engine = %q\n", address))
+}
+
+func (d *deployment) startService(instance string) {
+	d.service = freeAddress()
+	d.start("service", fmt.Sprintf("listen = %q\nroutes = [\"pegs\"]\nlatency_ms = 0\nseed = 1\n", d.service), "standin", "service")
+	d.waitFor(d.service)
+	d.startAgent(instance, freeAddress(), "service", fmt.Sprintf("service = %q\nroutes = [\"pegs\", \"orders\", \"stock\", \"drafts\"]\n", d.service))
+}
+
+func (d *deployment) startAgent(instance, peers, role, rest string) {
+	d.admins[instance] = freeAddress()
+	d.start(instance, fmt.Sprintf("instance = %q\ndata_centre = \"dc-a\"\nrole = %q\npeer_listen = %q\nadmin_listen = %q\nplatform = %q\nentries = []\nheartbeat_ms = 1000\nreattach_ms = 10000\n%s\n[queue]\nrequests = 1000\nwork_tokens = 4000000\nlong_share = 0.5\n",
+		instance, role, peers, d.admins[instance], d.platform, rest), "agent")
+	d.waitFor(peers)
+	d.list = append(d.list, oleanderspool.InstanceState{
+		Instance: oleanderspool.InstanceID(instance), DataCentre: "dc-a", Address: peers, Role: role,
+	})
+}
+
+func (d *deployment) startEntry(instance string) {
+	callers, peers := freeAddress(), freeAddress()
+	d.admins[instance] = freeAddress()
+	d.start(instance, fmt.Sprintf("instance = %q\ndata_centre = \"dc-a\"\nlisten = %q\npeer_listen = %q\nadmin_listen = %q\nplatform = %q\npeers = []\nshort_request_weight = 0.5\nkey_lifetime_ms = 21600000\nlog_retention_ms = 86400000\n",
+		instance, callers, peers, d.admins[instance], d.platform), "entry")
+	d.waitFor(callers)
+	d.entries = append(d.entries, "http://"+callers)
+	d.list = append(d.list, oleanderspool.InstanceState{
+		Instance: oleanderspool.InstanceID(instance), DataCentre: "dc-a", Address: peers, Role: "entry",
+	})
+}
+
+// publishInstances gives the instance list to the platform.
+func (d *deployment) publishInstances() {
+	type item struct {
+		Instance   string `json:"instance"`
+		DataCentre string `json:"data_centre"`
+		Address    string `json:"address"`
+		Role       string `json:"role"`
+		Leaving    bool   `json:"leaving"`
+	}
+	var body struct {
+		Instances []item `json:"instances"`
+	}
+	for _, i := range d.list {
+		body.Instances = append(body.Instances, item{string(i.Instance), string(i.DataCentre), i.Address, i.Role, i.Leaving})
+	}
+	d.control(http.MethodPut, d.platform, "/control/instances", body)
+}
+
+// control calls a stand-in.
+func (d *deployment) control(method, address, path string, body any) []byte {
+	data, err := json.Marshal(body)
+	Expect(err).NotTo(HaveOccurred())
+	request, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(data))
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	var answer bytes.Buffer
+	_, _ = answer.ReadFrom(response.Body)
+	Expect(response.StatusCode).To(BeNumerically("<", 300), answer.String())
+	return answer.Bytes()
+}
+
+func (d *deployment) waitFor(address string) {
+	Eventually(func() error {
+		c, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err
+	}, startBound, 20*time.Millisecond).Should(Succeed())
+}
+
+// signal sends a signal to one process.
+func (d *deployment) signal(name string, s syscall.Signal) {
+	Expect(d.sessions[name].Command.Process.Signal(s)).To(Succeed())
+}
+
+// stop stops a process gracefully and checks its exit code.
+func (d *deployment) stop(name string) {
+	d.signal(name, syscall.SIGTERM)
+	Eventually(d.sessions[name], stopWait).Should(gexec.Exit(0))
+}
+
+// kill ends all processes.
+func (d *deployment) kill() {
+	for _, s := range d.sessions {
+		_ = s.Command.Process.Signal(syscall.SIGCONT)
+		s.Kill()
+	}
+	for _, s := range d.sessions {
+		Eventually(s, stopWait).Should(gexec.Exit())
+	}
+}
+
+// runs returns how often each reference ran on the plain service.
+func (d *deployment) runs() map[string]int {
+	var answer struct {
+		Runs []struct {
+			Reference string `json:"reference"`
+			Count     int    `json:"count"`
+		} `json:"runs"`
+	}
+	Expect(json.Unmarshal(d.control(http.MethodGet, d.service, "/control/runs", nil), &answer)).To(Succeed())
+	counts := make(map[string]int)
+	for _, r := range answer.Runs {
+		counts[r.Reference] += r.Count
+	}
+	return counts
+}
+
+// question returns a chat request to an entry.
+func (d *deployment) question(entry int, prompt string, tokens int) callerRequest {
+	return callerRequest{
+		entry: d.entries[entry], apiKey: fleetKey, model: fleetModel, prompt: prompt, tokens: tokens,
+		timeout: 30 * oleanderspool.Second,
+	}
+}
+
+// reservation returns a reservation under a key.
+func (d *deployment) reservation(entry int, reference string) callerRequest {
+	return callerRequest{
+		entry: d.entries[entry], apiKey: fleetKey, route: "pegs/reserve", method: http.MethodPost,
+		body: []byte(fmt.Sprintf(`{"reference":%q,"item":"straps","count":1}`, reference)),
+		key:  oleanderspool.IdempotencyKey("key-" + reference), timeout: 10 * oleanderspool.Second,
+	}
+}
+
+// ask sends a request and returns its answer.
+func ask(r callerRequest) (string, callerResult, error) {
+	var text strings.Builder
+	result, err := r.send(context.Background(), http.DefaultClient, &text)
+	return text.String(), result, err
+}
--- /dev/null
+++ b/internal/command/fleet.go
@@ -0,0 +1,292 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/platform"
+	"github.com/oleanderspool/oleanderspool/internal/settings"
+	"github.com/oleanderspool/oleanderspool/internal/standin/engine"
+	standplatform "github.com/oleanderspool/oleanderspool/internal/standin/platform"
+	"github.com/oleanderspool/oleanderspool/internal/standin/service"
+	"github.com/oleanderspool/oleanderspool/pkg/configuration"
+)
+
+// API keys of the accounts that a fleet in one process is configured with.
+const (
+	fleetKey        = "demo-key"
+	fleetLimitedKey = "demo-limited-key"
+)
+
+// Names in the configuration of a fleet in one process.
+const (
+	fleetModel = "ledger-model"
+	fleetSet   = "runners"
+)
+
+// fleetSize tells how large a fleet in one process is.
+type fleetSize struct {
+	entries  int
+	runners  int
+	services int
+}
+
+// fleet is an entry, agents and stand-ins in one process on loopback.
+type fleet struct {
+	platform *standplatform.Platform
+	engines  []*engine.Engine
+	services []*service.Service
+	entries  []string // base addresses for callers
+	servers  []*httptest.Server
+	group    *errgroup.Group
+	stop     context.CancelFunc
+}
+
+// newFleet starts a fleet and returns once it serves.
+func newFleet(env environment, size fleetSize) (*fleet, error) {
+	f := &fleet{platform: standplatform.New(standplatform.WithInstanceLag(0))}
+	ctx, stop := context.WithCancel(env.ctx)
+	f.stop = stop
+	f.group, ctx = errgroup.WithContext(ctx)
+	env.ctx = ctx
+	address := f.serve(f.platform)
+	var list []oleanderspool.InstanceState
+	for i := range size.runners {
+		state, err := f.startRunner(env, address, i)
+		if err != nil {
+			return f, err
+		}
+		list = append(list, state)
+	}
+	for i := range size.services {
+		state, err := f.startService(env, address, i)
+		if err != nil {
+			return f, err
+		}
+		list = append(list, state)
+	}
+	for i := range size.entries {
+		state, err := f.startEntry(env, address, i)
+		if err != nil {
+			return f, err
+		}
+		list = append(list, state)
+	}
+	f.platform.SetInstances(list)
+	if err := publishFleet(ctx, address, list); err != nil {
+		return f, err
+	}
+	return f, f.await(ctx)
+}
+
+// serve serves a stand-in and returns its address.
+func (f *fleet) serve(h http.Handler) netip.AddrPort {
+	server := httptest.NewServer(h)
+	f.servers = append(f.servers, server)
+	return addressOf(server.Listener)
+}
+
+func addressOf(l net.Listener) netip.AddrPort {
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func listenLoopback() (net.Listener, error) {
+	return net.Listen("tcp", "127.0.0.1:0")
+}
+
+// quietLog keeps the lines of the fleet's processes out of a demonstration.
+var quietLog = settings.Log{Level: slog.LevelError, Format: "text"}
+
+func (f *fleet) startRunner(env environment, platform netip.AddrPort, i int) (oleanderspool.InstanceState, error) {
+	e := engine.New(engine.WithModels(fleetModel), engine.WithDownTime(oleanderspool.Second))
+	f.engines = append(f.engines, e)
+	s := fleetAgent(platform, fmt.Sprintf("runner-%d", i+1), i)
+	s.Role = oleanderspool.RoleModel
+	s.Engine = f.serve(e)
+	return f.startAgent(env, s, "model")
+}
+
+func (f *fleet) startService(env environment, platform netip.AddrPort, i int) (oleanderspool.InstanceState, error) {
+	server := service.New(service.WithStock("straps", 500))
+	f.services = append(f.services, server)
+	s := fleetAgent(platform, fmt.Sprintf("services-%d", i+1), i)
+	s.Role = oleanderspool.RoleService
+	s.Service = f.serve(server)
+	s.Routes = []oleanderspool.RouteID{"pegs", "orders", "stock", "drafts"}
+	return f.startAgent(env, s, "service")
+}
+
+func fleetAgent(platform netip.AddrPort, instance string, i int) settings.Agent {
+	return settings.Agent{
+		Identity:  fleetIdentity(instance, i),
+		Platform:  platform,
+		Log:       quietLog,
+		Queue:     settings.Queue{Requests: 10_000},
+		Heartbeat: oleanderspool.Second,
+		Reattach:  10 * oleanderspool.Second,
+	}
+}
+
+func fleetIdentity(instance string, i int) settings.Identity {
+	return settings.Identity{
+		Instance:   oleanderspool.InstanceID(instance),
+		DataCentre: oleanderspool.DataCentreID(fmt.Sprintf("dc-%c", 'a'+i%3)),
+	}
+}
+
+func (f *fleet) startAgent(env environment, s settings.Agent, role string) (oleanderspool.InstanceState, error) {
+	var l agentListeners
+	var err error
+	if l.peers, err = listenLoopback(); err != nil {
+		return oleanderspool.InstanceState{}, err
+	}
+	if l.admin, err = listenLoopback(); err != nil {
+		return oleanderspool.InstanceState{}, err
+	}
+	f.group.Go(func() error { return runAgent(env, s, l) })
+	return oleanderspool.InstanceState{
+		Instance:   s.Instance,
+		DataCentre: s.DataCentre,
+		Address:    l.peers.Addr().String(),
+		Role:       role,
+	}, nil
+}
+
+func (f *fleet) startEntry(env environment, platform netip.AddrPort, i int) (oleanderspool.InstanceState, error) {
+	s := settings.Entry{
+		Identity:    fleetIdentity(fmt.Sprintf("entry-%d", i+1), i),
+		Platform:    platform,
+		Log:         quietLog,
+		Limits:      settings.Limits{BodyBytes: 16 << 20, HeaderBytes: 64 << 10, ReadTimeout: 30 * oleanderspool.Second},
+		KeyLifetime: oleanderspool.Hour / 2,
+		RetryBudget: settings.RetryBudget{Fraction: 0.1, Reserve: 10},
+	}
+	var l entryListeners
+	var err error
+	for _, target := range []*net.Listener{&l.callers, &l.peers, &l.admin} {
+		if *target, err = listenLoopback(); err != nil {
+			return oleanderspool.InstanceState{}, err
+		}
+	}
+	f.entries = append(f.entries, "http://"+l.callers.Addr().String())
+	f.group.Go(func() error { return runEntry(env, s, l) })
+	return oleanderspool.InstanceState{
+		Instance:   s.Instance,
+		DataCentre: s.DataCentre,
+		Address:    l.peers.Addr().String(),
+		Role:       "entry",
+	}, nil
+}
+
+// publishFleet publishes a configuration for the listed backend servers.
+func publishFleet(ctx context.Context, address netip.AddrPort, list []oleanderspool.InstanceState) error {
+	c, err := fleetConfiguration(list)
+	if err != nil {
+		return err
+	}
+	data, err := configuration.Diff(configuration.Configuration{}, c).WithID("first").Print()
+	if err != nil {
+		return err
+	}
+	_, err = platform.NewClient(address.String()).Append(ctx, oleanderspool.StreamConfiguration, [][]byte{data})
+	return err
+}
+
+func fleetConfiguration(list []oleanderspool.InstanceState) (configuration.Configuration, error) {
+	var runners, services []oleanderspool.InstanceID
+	for _, i := range list {
+		switch i.Role {
+		case "model":
+			runners = append(runners, i.Instance)
+		case "service":
+			services = append(services, i.Instance)
+		}
+	}
+	return configuration.New(
+		configuration.WithPriorities(
+			configuration.Priority{ID: "interactive", Level: 1},
+			configuration.Priority{ID: "batch", Level: 0},
+		),
+		configuration.WithServerSets(
+			configuration.ServerSet{ID: fleetSet}.WithInstances(runners...),
+			configuration.ServerSet{ID: "services"}.WithInstances(services...),
+		),
+		configuration.WithVersions(configuration.Version{ID: "ledger-model-v1", Model: fleetModel, Artefact: "ledger-model/v1"}),
+		configuration.WithModels(configuration.Model{ID: fleetModel, Version: "ledger-model-v1", Set: fleetSet, MaxPromptTokens: 1_000_000}),
+		configuration.WithClientAccounts(
+			configuration.ClientAccount{ID: "crew-leads", Priority: "interactive", ShareOfCapacity: 1, KeyHash: configuration.HashKey(fleetKey)},
+			configuration.ClientAccount{ID: "limited", Priority: "batch", ShareOfCapacity: 0.5, RequestsPerSec: 0.2, BurstRequests: 1, KeyHash: configuration.HashKey(fleetLimitedKey)},
+		),
+		configuration.WithServiceRoutes(
+			configuration.ServiceRoute{ID: "pegs", Set: "services"},
+			configuration.ServiceRoute{ID: "orders", Set: "services"},
+			configuration.ServiceRoute{ID: "stock", Set: "services", Idempotent: true},
+			configuration.ServiceRoute{ID: "drafts", Set: "services", Idempotent: true},
+		),
+	)
+}
+
+// fleetStartBound bounds the wait for a started fleet.
+const fleetStartBound = 15 * time.Second
+
+// await waits until every entry answers a short question and a lookup.
+func (f *fleet) await(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, fleetStartBound)
+	defer cancel()
+	for _, address := range f.entries {
+		probes := []callerRequest{
+			{entry: address, apiKey: fleetKey, model: fleetModel, prompt: "ready?", tokens: 1},
+			{entry: address, apiKey: fleetKey, route: "stock/straps", method: http.MethodGet},
+		}
+		for _, p := range probes {
+			if err := awaitAnswer(ctx, p); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func awaitAnswer(ctx context.Context, request callerRequest) error {
+	for {
+		result, err := request.send(ctx, http.DefaultClient, discard{})
+		if err == nil && result.refusal == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("the fleet does not serve: %v, %v", err, result.refusal)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+type discard struct{}
+
+// Write drops p.
+func (discard) Write(p []byte) (int, error) {
+	return len(p), nil
+}
+
+// Close stops the fleet and waits for its processes.
+func (f *fleet) Close() error {
+	f.stop()
+	err := f.group.Wait()
+	for _, e := range f.engines {
+		e.Close()
+	}
+	for _, s := range f.servers {
+		s.CloseClientConnections()
+		s.Close()
+	}
+	return err
+}
--- /dev/null
+++ b/internal/command/process.go
@@ -0,0 +1,100 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oleanderspool/oleanderspool/internal/observe"
+)
+
+// stopBound bounds how long the HTTP servers wait for their last connections.
+const stopBound = 5 * time.Second
+
+// settingsFlag names the settings file of a role.
+type settingsFlag struct {
+	Settings string `long:"settings" short:"s" required:"true" value-name:"FILE" description:"TOML settings of the process"`
+}
+
+// readSettings reads a settings file with one of the parse functions.
+func readSettings[T any](file string, parse func(string, []byte) (T, error)) (T, error) {
+	var none T
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return none, err
+	}
+	value, err := parse(file, data)
+	return value, withCode(ExitInvalid, err)
+}
+
+func listen(address netip.AddrPort) (net.Listener, error) {
+	return net.Listen("tcp", address.String())
+}
+
+// status is what the admin address shows of a process.
+type status struct {
+	Role        string
+	Instance    string
+	DataCentre  string
+	Incarnation string
+	Revision    int64
+	Ready       bool
+	Version     string
+}
+
+// statusJSON is the wire form of status.
+type statusJSON struct {
+	Role        string `json:"role"`
+	Instance    string `json:"instance"`
+	DataCentre  string `json:"data_centre"`
+	Incarnation string `json:"incarnation,omitempty"`
+	Revision    int64  `json:"revision"`
+	Ready       bool   `json:"ready"`
+	Version     string `json:"version"`
+}
+
+// adminHandler serves the operators' address of a process.
+func adminHandler(m *observe.Metrics, current func() status) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m.Handler())
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(statusJSON(current()))
+	})
+	return mux
+}
+
+// serveHTTP serves a handler on l until ctx ends.
+func serveHTTP(ctx context.Context, l net.Listener, h http.Handler, logger *slog.Logger) error {
+	server := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: stopBound,
+		ErrorLog:          slog.NewLogLogger(logger.Handler(), slog.LevelDebug),
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		err := server.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopBound)
+		defer cancel()
+		if server.Shutdown(bounded) != nil {
+			return server.Close()
+		}
+		return nil
+	})
+	return group.Wait()
+}
--- /dev/null
+++ b/internal/command/process_test.go
@@ -0,0 +1,83 @@
+package command
+
+import (
+	"encoding/json"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/openai"
+	"github.com/oleanderspool/oleanderspool/internal/standin/engine"
+)
+
+// expectedAnswer is the whole answer of the engine stand-in to a prompt.
+func expectedAnswer(prompt string, tokens int) string {
+	body, err := json.Marshal(chatBody{Model: fleetModel, Messages: []chatMessage{{Role: "user", Content: prompt}}})
+	Expect(err).NotTo(HaveOccurred())
+	parsed, err := openai.ParseChat(body)
+	Expect(err).NotTo(HaveOccurred())
+	return engine.Text(parsed.Prompt, 0, tokens)
+}
+
+var _ = Describe("Separate processes", Ordered, func() {
+	var d *deployment
+	BeforeAll(func() { d = newDeployment(3) })
+
+	It("answers through every entry", func() {
+		for i := range d.entries {
+			text, result, err := ask(d.question(i, "How many pegs?", 10))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(result.refusal).To(BeNil())
+			Expect(text).To(Equal(expectedAnswer("How many pegs?", 10)))
+		}
+	})
+
+	// Guards against a second run of a request that is sent again (P5).
+	It("runs a keyed reservation once though it is sent through both entries", func() {
+		for i := range d.entries {
+			text, result, err := ask(d.reservation(i, "once"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(result.refusal).To(BeNil())
+			Expect(text).To(ContainSubstring(`"run":1`))
+		}
+		Expect(d.runs()).To(HaveKeyWithValue("once", 1))
+	})
+
+	// Guards against a lost or torn answer when an agent dies (P3).
+	It("continues a stream elsewhere when its agent is killed", func() {
+		d.surviveLoss("kill", func(instance string) { d.signal(instance, syscall.SIGKILL) })
+	})
+
+	// Guards against a stream that hangs with a paused agent (P1, P3).
+	It("continues a stream elsewhere when its agent is paused", func() {
+		d.surviveLoss("pause", func(instance string) { d.signal(instance, syscall.SIGSTOP) })
+	})
+})
+
+// surviveLoss starts streams, disturbs one agent that serves some of them, and
+// expects every answer whole.
+func (d *deployment) surviveLoss(name string, disturb func(instance string)) {
+	const streams, tokens = 12, 150
+	var group sync.WaitGroup
+	for i := range streams {
+		group.Go(func() {
+			defer GinkgoRecover()
+			prompt := name + string(rune('a'+i)) + " wedding verse"
+			text, result, err := ask(d.question(i%2, prompt, tokens))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(result.refusal).To(BeNil())
+			Expect(text).To(Equal(expectedAnswer(prompt, tokens)))
+		})
+	}
+	time.Sleep(oleanderspool.Second.Duration())
+	victim := "runner-1"
+	if name == "pause" {
+		victim = "runner-2"
+	}
+	disturb(victim)
+	group.Wait()
+}
--- /dev/null
+++ b/internal/command/registrations.go
@@ -0,0 +1,31 @@
+package command
+
+// registrations lists the subcommands.
+func registrations() []registration {
+	return []registration{
+		{
+			"entry", "Serve callers", "Runs an entry: serves callers and sends their requests to agents. SIGTERM stops it without cutting a request.",
+			&entryCommand{},
+		},
+		{
+			"agent", "Run beside a backend server", "Runs the agent beside a model engine or a plain service. SIGTERM stops it without cutting a request.",
+			&agentCommand{},
+		},
+		{
+			"check", "Check settings or a configuration", "Checks settings or configuration files and prints every finding with its file, line and key. Exits 3 when there is one.",
+			&checkCommand{},
+		},
+		{
+			"solo", "Run everything in one process", "Runs an entry, agents and stand-ins for engines, plain services and the platform on loopback, and shows a few requests.",
+			&soloCommand{},
+		},
+		{
+			"send", "Send a request", "Sends one request, prints the answer as it arrives and sends it again when the refusal allows it.",
+			&sendCommand{},
+		},
+		{
+			"standin", "Run a stand-in", "Runs a stand-in for an outside system: platform, engine or service.",
+			&standinCommand{},
+		},
+	}
+}
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -52,8 +52,12 @@
 	for ctx.Err() == nil {
 		c.mu.Lock()
 		from := c.state.Position() + 1
+		wait := claimReadWait
+		if c.outage {
+			wait = 0 // a long poll would keep the end of an outage unknown
+		}
 		c.mu.Unlock()
-		records, head, err := c.log.Read(ctx, oleanderspool.StreamClaim, from, claimReadLimit, claimReadWait)
+		records, head, err := c.log.Read(ctx, oleanderspool.StreamClaim, from, claimReadLimit, wait)
 		c.mu.Lock()
 		now := c.clock.Now()
 		c.setOutage(err != nil)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -248,3 +248,8 @@
 	}
 	return seed
 }
+
+// Revision returns the revision of the configuration in force.
+func (e *Entry) Revision() oleanderspool.Revision {
+	return e.configuration.revision()
+}
--- a/internal/membership/report.go
+++ b/internal/membership/report.go
@@ -24,6 +24,7 @@
 	Models      []oleanderspool.ModelID // not to be modified
 	Routes      []oleanderspool.RouteID // not to be modified
 	Load        oleanderspool.Load
+	Instant     oleanderspool.Millis // the agent's own clock
 }
 
 // OpenStream returns the number of a watch stream that the entry is about to
@@ -109,6 +110,7 @@
 	s.Role = r.Role
 	s.Revision = max(s.Revision, r.Revision)
 	s.Load = r.Load
+	s.Instant = r.Instant
 	s.ReportedAt = now
 	t.loadChanged = true
 }
