Add the resolver of keyed requests

One keyed request needs a single place that decides when its attempt may be sent and what a refusal may say about it.

The resolver sends only what the replayed log shows as the current claim, and only after it has read up to its own record. It claims only on a state that was at the end of the stream less than half a key lifetime ago: a claim made on an older state could name no superseded attempt for a key that others still hold. Past its deadline it refuses whatever event comes, so a process that was paused sends nothing on old beliefs.

An own claim that was never sent is superseded without a bar, since only its creator sends it; this lets a request survive a backend server that refuses the connection. An uncertain append is repeated with the same claim after 1 s if the log does not show it. Waiting for the time limit only was ruled out, since every lost append would cost its request.

"Not run" cannot cover what an earlier submission of the key may still do when the log cannot be read. A submission therefore says whether its caller knows of an earlier one without a known outcome, and no refusal of it says "not run".

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -43,6 +43,14 @@
 	Claims        []Claim
 }
 
+// Validate returns nil for a claim that can be appended, else an error of type
+// [oleanderspool.ErrInvalid] that lists its faults.
+func (c Claim) Validate() error {
+	var findings oleanderspool.Findings
+	c.validate(&findings, "claim")
+	return findings.Err()
+}
+
 // validate adds a finding for each part of c that must not be empty.
 func (c Claim) validate(findings *oleanderspool.Findings, place string) {
 	required := []struct {
--- /dev/null
+++ b/internal/claim/decision.go
@@ -0,0 +1,103 @@
+package claim
+
+import (
+	"fmt"
+
+	"github.com/oleanderspool/oleanderspool"
+)
+
+// Decision is what a [Resolver] asks its process to do next.
+type Decision interface {
+	fmt.Stringer
+	decision()
+}
+
+// Wait asks for nothing; an event is expected.
+type Wait struct{}
+
+// Choose asks for a backend server and a new attempt. The answer is [Chosen]
+// or [NotChosen].
+type Choose struct{}
+
+// Append asks to append the claim. The answer is [Appended],
+// [AppendUncertain] or [AppendRefused].
+type Append struct {
+	Claim Claim
+}
+
+// ReadOn asks to read the stream up to an offset, or to its end if Until is 0,
+// and to report each step with [Read].
+type ReadOn struct {
+	Until oleanderspool.Offset
+}
+
+// Send asks to run the attempt under the claim on the claim's agent.
+type Send struct {
+	Claim Claim
+}
+
+// Attach asks to follow the attempt of the claim on the claim's agent. The
+// pieces carry the claim's request.
+type Attach struct {
+	Claim Claim
+}
+
+// Bar asks the claim's agent to forbid the attempt unless it has started.
+type Bar struct {
+	Claim Claim
+}
+
+// Refuse is the final answer: the request is not served.
+type Refuse struct {
+	Refusal *oleanderspool.Refusal
+}
+
+func (Wait) decision()   {}
+func (Choose) decision() {}
+func (Append) decision() {}
+func (ReadOn) decision() {}
+func (Send) decision()   {}
+func (Attach) decision() {}
+func (Bar) decision()    {}
+func (Refuse) decision() {}
+
+// String returns the decision in one line.
+func (Wait) String() string { return "wait" }
+
+// String returns the decision in one line.
+func (Choose) String() string { return "choose" }
+
+// String returns the decision in one line.
+func (d Append) String() string {
+	if d.Claim.Supersedes == "" {
+		return fmt.Sprintf("append %s", d.Claim.place())
+	}
+	return fmt.Sprintf("append %s superseding %s", d.Claim.place(), d.Claim.Supersedes)
+}
+
+// String returns the decision in one line.
+func (d ReadOn) String() string {
+	if d.Until == 0 {
+		return "read on to the end"
+	}
+	return fmt.Sprintf("read on to %d", d.Until)
+}
+
+// String returns the decision in one line.
+func (d Send) String() string { return "send " + d.Claim.place() }
+
+// String returns the decision in one line.
+func (d Attach) String() string { return "attach " + d.Claim.place() }
+
+// String returns the decision in one line.
+func (d Bar) String() string { return "bar " + d.Claim.place() }
+
+// String returns the decision in one line.
+func (d Refuse) String() string {
+	return fmt.Sprintf("refuse %s, retry after %d ms", d.Refusal, d.Refusal.RetryAfter)
+}
+
+// place names the attempt and where it runs.
+func (c Claim) place() string {
+	return fmt.Sprintf("%s on %s/%s", c.Attempt, c.Instance, c.Incarnation)
+}
--- /dev/null
+++ b/internal/claim/event.go
@@ -0,0 +1,105 @@
+package claim
+
+import (
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/attempt"
+)
+
+// Event is something that a [Resolver] is told.
+type Event interface {
+	event()
+}
+
+// Arrived is the first event: the request was admitted.
+type Arrived struct {
+	LogOutage bool // the log is known to be unavailable
+}
+
+// Chosen answers [Choose]: the attempt is to run on the agent incarnation. Each
+// choice needs a new attempt.
+type Chosen struct {
+	Attempt     oleanderspool.AttemptID
+	Instance    oleanderspool.InstanceID
+	Incarnation oleanderspool.Incarnation
+}
+
+// NotChosen answers [Choose]: no backend server can take the request. The
+// refusal's execution is replaced by what the resolver knows.
+type NotChosen struct {
+	Refusal *oleanderspool.Refusal
+}
+
+// Appended says that the claim is in the log at an offset.
+type Appended struct {
+	Offset oleanderspool.Offset
+}
+
+// AppendUncertain says that the claim may be in the log or may still come.
+type AppendUncertain struct{}
+
+// AppendRefused says that the claim is not in the log and never will be,
+// because the log is unavailable.
+type AppendRefused struct{}
+
+// Read says that the resolver's state has applied more of the stream, or has
+// found that there is no more.
+type Read struct{}
+
+// Replied is an agent's answer to a run, an attach or a bar of an attempt.
+type Replied struct {
+	Attempt oleanderspool.AttemptID
+	State   attempt.State
+	Refusal *oleanderspool.Refusal // set for attempt.StateFailed
+}
+
+// Unreachable says that the agent of the attempt does not answer.
+type Unreachable struct {
+	Attempt oleanderspool.AttemptID
+}
+
+// Silent says that a stream of an attempt went silent and that a new
+// connection can be used.
+type Silent struct {
+	Attempt oleanderspool.AttemptID
+}
+
+// NotSent says that the attempt was certainly not received by its agent.
+type NotSent struct {
+	Attempt oleanderspool.AttemptID
+}
+
+// IncarnationChanged says that an instance answers with the given incarnation.
+type IncarnationChanged struct {
+	Instance    oleanderspool.InstanceID
+	Incarnation oleanderspool.Incarnation
+}
+
+// InstanceGone says that an instance has left the platform's list.
+type InstanceGone struct {
+	Instance oleanderspool.InstanceID
+}
+
+// LogOutage says that the log became unavailable or available again.
+type LogOutage struct {
+	Active bool
+}
+
+// TimeLimit says that the deadline has passed. Any event at or after the
+// deadline has the same effect.
+type TimeLimit struct{}
+
+func (Arrived) event()            {}
+func (Chosen) event()             {}
+func (NotChosen) event()          {}
+func (Appended) event()           {}
+func (AppendUncertain) event()    {}
+func (AppendRefused) event()      {}
+func (Read) event()               {}
+func (Replied) event()            {}
+func (Unreachable) event()        {}
+func (Silent) event()             {}
+func (NotSent) event()            {}
+func (IncarnationChanged) event() {}
+func (InstanceGone) event()       {}
+func (LogOutage) event()          {}
+func (TimeLimit) event()          {}
--- /dev/null
+++ b/internal/claim/resolver_test.go
@@ -0,0 +1,110 @@
+package claim_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/attempt"
+	"github.com/oleanderspool/oleanderspool/internal/claim"
+)
+
+// logged is a record that the resolver's state reads; the others of its
+// fields are those of [claim.Read].
+type logged struct {
+	claim.Read
+	claims []claim.Claim
+}
+
+// Each session guards against a second run, a false "not run", or a request
+// that is given up although it could be served.
+var _ = Describe("Resolver", func() {
+	type step struct {
+		at    oleanderspool.Millis
+		event claim.Event
+	}
+	chosen := func(id string) claim.Event {
+		return claim.Chosen{Attempt: oleanderspool.AttemptID(id), Instance: "i2", Incarnation: "n2"}
+	}
+	replied := func(id string, s attempt.State) claim.Event {
+		return claim.Replied{Attempt: oleanderspool.AttemptID(id), State: s}
+	}
+	record := func(key, id, supersedes string) claim.Event {
+		return logged{claims: []claim.Claim{newClaim(key, id, supersedes)}}
+	}
+	other := func(id string) claim.Event {
+		c := newClaim("k", id, "")
+		c.Fingerprint = 1
+		return logged{claims: []claim.Claim{c}}
+	}
+	failed := func(id string, e oleanderspool.Execution) claim.Event {
+		refusal := oleanderspool.Refuse(oleanderspool.RefusalBackendServerFailed, "engine").WithExecution(e)
+		return claim.Replied{Attempt: oleanderspool.AttemptID(id), State: attempt.StateFailed, Refusal: refusal}
+	}
+	noServer := claim.NotChosen{Refusal: oleanderspool.Refuse(oleanderspool.RefusalNoBackendServer, "none").WithRetryAfter(700)}
+	own := []step{{1, claim.Arrived{}}, {2, chosen("a")}, {3, claim.Appended{Offset: 1}}, {4, record("k", "a", "")}}
+	foreign := []step{{1, record("k", "f", "")}, {2, claim.Arrived{}}}
+	sessions := []struct {
+		name      string
+		before    []step
+		unsettled bool
+		steps     []step
+	}{
+		{"own_claim_wins", own, false, []step{{5, replied("a", attempt.StateRunning)}, {6, claim.Silent{Attempt: "a"}}, {7, replied("a", attempt.StateFinished)}}},
+		{"foreign_claim_wins", nil, false, []step{{1, claim.Arrived{}}, {2, chosen("a")}, {3, claim.Appended{Offset: 2}}, {4, record("k", "f", "")}, {5, record("k", "a", "")}, {6, replied("f", attempt.StateRunning)}, {7, replied("a", attempt.StateBarred)}, {9000, claim.TimeLimit{}}}},
+		{"foreign_never_started", foreign, false, []step{{3, replied("f", attempt.StateUnknown)}, {4, replied("f", attempt.StateBarred)}, {5, chosen("a")}, {6, claim.Appended{Offset: 2}}, {7, record("k", "a", "f")}}},
+		{"foreign_starts_before_bar", foreign, false, []step{{3, replied("f", attempt.StateUnknown)}, {4, replied("f", attempt.StateRunning)}, {5, replied("f", attempt.StateEvicted)}}},
+		{"foreign_superseded_meanwhile", foreign, false, []step{{3, replied("f", attempt.StateBarred)}, {4, chosen("a")}, {5, claim.Appended{Offset: 3}}, {6, record("k", "g", "f")}, {7, record("k", "a", "f")}, {8, replied("g", attempt.StateForgotten)}}},
+		{"foreign_unreachable", foreign, false, []step{{3, claim.Unreachable{Attempt: "f"}}, {4, replied("f", attempt.StateBarred)}}},
+		{"foreign_incarnation_gone", foreign, false, []step{{3, claim.IncarnationChanged{Instance: "i1", Incarnation: "n1"}}, {4, claim.IncarnationChanged{Instance: "i1", Incarnation: "n9"}}}},
+		{"instance_gone_after_send", own, false, []step{{5, claim.InstanceGone{Instance: "i1"}}, {6, claim.InstanceGone{Instance: "i2"}}}},
+		{"incarnation_gone_before_send", own[:3], false, []step{{4, claim.IncarnationChanged{Instance: "i2", Incarnation: "n9"}}, {5, record("k", "a", "")}, {6, chosen("b")}, {7, claim.AppendRefused{}}}},
+		{"not_sent", own, false, []step{{5, claim.NotSent{Attempt: "a"}}, {6, noServer}}},
+		{"foreign_not_reached", foreign, false, []step{{5, claim.NotSent{Attempt: "f"}}}},
+		{"agent_refuses", own, false, []step{{5, failed("a", oleanderspool.NotRun)}, {6, chosen("b")}}},
+		{"agent_fails", own, false, []step{{5, failed("a", oleanderspool.MayHaveRun)}}},
+		{"key_reused", nil, false, []step{{1, other("f")}, {2, claim.Arrived{}}}},
+		{"outage_new_key", nil, false, []step{{1, claim.Arrived{LogOutage: true}}, {2, claim.LogOutage{}}, {3, chosen("a")}}},
+		{"outage_unsettled_key", nil, true, []step{{1, claim.Arrived{LogOutage: true}}}},
+		{"outage_known_key", nil, false, []step{{1, record("k", "f", "")}, {2, claim.Arrived{LogOutage: true}}, {3, replied("f", attempt.StateFinished)}}},
+		{"outage_while_choosing", own[:1], false, []step{{2, claim.LogOutage{Active: true}}}},
+		{"append_refused", own[:2], false, []step{{3, claim.AppendRefused{}}, {4, claim.Appended{Offset: 1}}, {5, record("k", "a", "")}}},
+		{"uncertain_landed", own[:2], false, []step{{3, claim.AppendUncertain{}}, {4, claim.LogOutage{Active: true}}, {5, record("k2", "x", "")}, {6, record("k", "a", "")}}},
+		{"uncertain_repeated", own[:2], false, []step{{3, claim.AppendUncertain{}}, {1002, claim.Read{}}, {1003, claim.Read{}}, {1004, claim.AppendRefused{}}, {1005, record("k", "a", "")}}},
+		{"uncertain_refused_copy_landed", own[:2], false, []step{{3, claim.AppendUncertain{}}, {1003, claim.Read{}}, {1004, record("k", "a", "")}, {1005, claim.AppendRefused{}}}},
+		{"own_claim_after_gap", own[:3], false, []step{{4, logged{}}, {5, record("k", "a", "")}}},
+		{"uncertain_lost", own[:2], false, []step{{3, claim.AppendUncertain{}}, {4, record("k", "f", "")}}},
+		{"uncertain_past_limit", own[:2], false, []step{{3, claim.AppendUncertain{}}, {9000, claim.Read{}}, {9001, record("k", "a", "")}}},
+		{"paused_past_limit", own[:3], false, []step{{9000, record("k", "a", "")}, {9001, claim.Read{}}}},
+		{"catches_up_first", nil, false, []step{{31000, claim.Arrived{}}, {31001, claim.Read{}}, {31002, record("k2", "x", "")}}},
+		{"gap", nil, false, []step{{1, logged{}}, {2, claim.Arrived{}}}},
+	}
+	for _, c := range sessions {
+		It("answers session "+c.name, func() {
+			state := claim.NewState(limits)
+			state.CaughtUp(0, 0)
+			submission := claim.Submission{Key: newClaim("k", "", "").Key, Fingerprint: newClaim("k", "", "").Fingerprint, Request: "r", Deadline: 9000, Unsettled: c.unsettled}
+			if c.name == "catches_up_first" {
+				submission.Deadline = 40000
+			}
+			r := claim.NewResolver(submission, state, claim.DefaultDelays)
+			var lines []string
+			for _, p := range append(c.before[:len(c.before):len(c.before)], c.steps...) {
+				event := p.event
+				if l, ok := event.(logged); ok {
+					offset := state.Position() + 1
+					if l.claims == nil {
+						offset++ // a record that retention has taken
+					}
+					state.Apply(oleanderspool.Record{Offset: offset, Data: encode(0, l.claims...)}, p.at)
+					state.CaughtUp(offset, p.at)
+					lines = append(lines, fmt.Sprintf("%5d  log: %d %v", p.at, offset, l.claims))
+					event = l.Read
+				}
+				lines = append(lines, fmt.Sprintf("%5d  %T%+v", p.at, event, event), fmt.Sprintf("         -> %s", r.Handle(event, p.at)))
+			}
+			expectGolden("resolver_"+c.name, append(lines, fmt.Sprintf("done %t", r.Done())))
+		})
+	}
+})
