Add the load command and a benchmark of the added time to first token

The load command draws arrivals and prompt lengths from a seed, runs a phase without and a phase with long prompts and prints time to first token by length class.

--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -43,18 +43,20 @@
 
 // fleet is an entry, agents and stand-ins in one process on loopback.
 type fleet struct {
-	platform *standplatform.Platform
-	engines  []*engine.Engine
-	services []*service.Service
-	entries  []string // base addresses for callers
-	servers  []*httptest.Server
-	group    *errgroup.Group
-	stop     context.CancelFunc
+	platform        *standplatform.Platform
+	engines         []*engine.Engine
+	services        []*service.Service
+	entries         []string // base addresses for callers
+	engineAddresses []string // base addresses of the engines
+	engineOptions   []engine.Option
+	servers         []*httptest.Server
+	group           *errgroup.Group
+	stop            context.CancelFunc
 }
 
 // newFleet starts a fleet and returns once it serves.
-func newFleet(env environment, size fleetSize) (*fleet, error) {
-	f := &fleet{platform: standplatform.New(standplatform.WithInstanceLag(0))}
+func newFleet(env environment, size fleetSize, engines ...engine.Option) (*fleet, error) {
+	f := &fleet{platform: standplatform.New(standplatform.WithInstanceLag(0)), engineOptions: engines}
 	ctx, stop := context.WithCancel(env.ctx)
 	f.stop = stop
 	f.group, ctx = errgroup.WithContext(ctx)
@@ -108,11 +110,13 @@
 var quietLog = settings.Log{Level: slog.LevelError, Format: "text"}
 
 func (f *fleet) startRunner(env environment, platform netip.AddrPort, i int) (oleanderspool.InstanceState, error) {
-	e := engine.New(engine.WithModels(fleetModel), engine.WithDownTime(oleanderspool.Second))
+	options := append([]engine.Option{engine.WithModels(fleetModel), engine.WithDownTime(oleanderspool.Second)}, f.engineOptions...)
+	e := engine.New(options...)
 	f.engines = append(f.engines, e)
 	s := fleetAgent(platform, fmt.Sprintf("runner-%d", i+1), i)
 	s.Role = oleanderspool.RoleModel
 	s.Engine = f.serve(e)
+	f.engineAddresses = append(f.engineAddresses, "http://"+s.Engine.String())
 	return f.startAgent(env, s, "model")
 }
 
--- a/internal/command/registrations.go
+++ b/internal/command/registrations.go
@@ -23,6 +23,10 @@
 			"send", "Send a request", "Sends one request, prints the answer as it arrives and sends it again when the refusal allows it.",
 			&sendCommand{},
 		},
+		{
+			"load", "Generate load", "Sends seeded requests with short and long prompts and prints time to first token by prompt length and the slowdown of short requests.",
+			&loadCommand{},
+		},
 		{
 			"standin", "Run a stand-in", "Runs a stand-in for an outside system: platform, engine or service.",
 			&standinCommand{},
