Serve prompts that no single engine holds on several engines

Cause: a prompt of more than one engine's memory found no backend server and was refused. The entry now reserves parts on the fewest engines of one data centre with the group state machine, renews them while the first one generates, and releases them afterwards; the agents hold the memory on their engines and do not stop while they hold some.

A prompt of 210,000 tokens on three engines of 100,000 each is answered byte for byte, and all engines report their whole memory free afterwards.

--- a/engine.go
+++ b/engine.go
@@ -12,6 +12,10 @@
 	MaxTokens int
 	Priority  int
 	Remaining Millis // span until the answer is due
+	// Group names the memory that was reserved on several engines for the
+	// prompt; empty when this engine serves it alone.
+	Group   string
+	Engines int // number of engines that share the prompt; 0 without a group
 }
 
 // EngineReport is an engine's lagging account of itself.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -244,7 +244,7 @@
 func (a *Agent) busy() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.running > 0
+	return a.running > 0 || a.ledger.Owned(memory.OwnerGroup) > 0
 }
 
 // tick forgets old attempts and stops work that nobody reads.
--- /dev/null
+++ b/internal/agent/group.go
@@ -0,0 +1,55 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/memory"
+	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
+)
+
+// Reserve holds engine memory for a group of backend servers.
+func (h *handler) Reserve(ctx context.Context, m *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+	a := h.Agent
+	request := memory.GroupRequest{
+		Group:  m.GetGroup(),
+		Try:    m.GetTry(),
+		Tokens: m.GetTokens(),
+		Expiry: oleanderspool.Millis(m.GetExpiryMs()),
+		Age:    oleanderspool.Millis(m.GetAgeMs()),
+	}
+	reply, held := a.reserveGroup(request, oleanderspool.Incarnation(m.GetIncarnation()))
+	if reply.Granted && !held && a.engine.Reserve(ctx, memory.GroupName(request.Group, request.Try), request.Tokens) != nil {
+		a.releaseGroup(request.Group, request.Try, false)
+		reply.Granted = false
+	}
+	return &peerpb.ReserveReply{
+		Revision:   int64(a.follower.revision()),
+		Granted:    reply.Granted,
+		FreeTokens: reply.Free,
+	}, nil
+}
+
+// reserveGroup asks the ledger. held says that the memory was held before, so
+// that the request is a renewal.
+func (a *Agent) reserveGroup(r memory.GroupRequest, incarnation oleanderspool.Incarnation) (reply memory.GroupReply, held bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.engine == nil || !a.engineUp || a.leaving || incarnation != a.incarnation {
+		return memory.GroupReply{}, false
+	}
+	_, held = a.ledger.Reservation(memory.GroupName(r.Group, r.Try))
+	return a.ledger.ReserveGroup(r, a.clock.Now()), held
+}
+
+// Release gives back memory held for a group.
+func (h *handler) Release(_ context.Context, m *peerpb.ReleaseRequest) (*peerpb.ReleaseReply, error) {
+	h.releaseGroup(m.GetGroup(), m.GetTry(), m.GetWait())
+	return &peerpb.ReleaseReply{Revision: int64(h.follower.revision())}, nil
+}
+
+func (a *Agent) releaseGroup(group string, try int64, wait bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.ReleaseGroup(group, try, wait, a.clock.Now())
+}
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -83,13 +83,17 @@
 func itemOf(call peer.RunCall) queue.Item {
 	r := call.Request
 	output := int64(r.MaxTokens)
+	need := int64(promptTokens(r)) + output
+	if call.Group != "" {
+		need = 0 // reserved for the group
+	}
 	return queue.Item{
 		Attempt:      call.Attempt,
 		Account:      r.Account,
 		Priority:     r.Priority,
 		PromptTokens: int64(promptTokens(r)),
 		OutputTokens: output,
-		MemoryTokens: int64(promptTokens(r)) + output,
+		MemoryTokens: need,
 		Deadline:     r.Deadline,
 		Alone:        call.Trial,
 	}
@@ -125,13 +129,7 @@
 		a.queue.Finished(d.Attempt, now)
 		return
 	}
-	err := a.ledger.Reserve(memory.Reservation{
-		Name:   string(d.Attempt),
-		Owner:  memory.OwnerAttempt,
-		Tokens: d.MemoryTokens,
-		Expiry: call.Request.Deadline,
-	}, now)
-	if err != nil {
+	if err := a.reserve(call, d.MemoryTokens, now); err != nil {
 		a.queue.Finished(d.Attempt, now)
 		a.fail(d.Attempt, oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "no engine memory").
 			WithRetry(oleanderspool.RetryQueueFull))
@@ -142,6 +140,20 @@
 	go a.generate(ctx, cancel, call, d.EnginePriority)
 }
 
+// reserve accounts for the memory of an attempt. The memory of a group is
+// accounted for by its own reservation.
+func (a *Agent) reserve(call peer.RunCall, tokens int64, now oleanderspool.Millis) error {
+	if call.Group != "" {
+		return nil
+	}
+	return a.ledger.Reserve(memory.Reservation{
+		Name:   string(call.Attempt),
+		Owner:  memory.OwnerAttempt,
+		Tokens: tokens,
+		Expiry: call.Request.Deadline,
+	}, now)
+}
+
 // generate runs one attempt on the engine.
 func (a *Agent) generate(ctx context.Context, cancel context.CancelFunc, call peer.RunCall, priority int) {
 	defer cancel()
@@ -155,6 +167,8 @@
 		MaxTokens: r.MaxTokens,
 		Priority:  priority,
 		Remaining: r.Remaining(a.clock.Now()),
+		Group:     call.Group,
+		Engines:   len(call.Members),
 	}, func(text string, tokens int, finish string) {
 		a.emit(call.Attempt, oleanderspool.Piece{Text: text, Tokens: tokens, Finish: finish, Final: finish != ""})
 	})
--- a/internal/command/deployment_test.go
+++ b/internal/command/deployment_test.go
@@ -212,6 +212,15 @@
 	return counts
 }
 
+// freeTokens returns the free memory that an engine reports.
+func (d *deployment) freeTokens(address string) int64 {
+	var report struct {
+		Free int64 `json:"free_tokens"`
+	}
+	Expect(json.Unmarshal(d.control(http.MethodGet, address, "/v1/report", nil), &report)).To(Succeed())
+	return report.Free
+}
+
 // question returns a chat request to an entry.
 func (d *deployment) question(entry int, prompt string, tokens int) callerRequest {
 	return callerRequest{
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -141,10 +141,13 @@
 	}
 }
 
+// runnersPerDataCentre keeps enough runners together for the longest prompts.
+const runnersPerDataCentre = 3
+
 func fleetIdentity(instance string, i int) settings.Identity {
 	return settings.Identity{
 		Instance:   oleanderspool.InstanceID(instance),
-		DataCentre: oleanderspool.DataCentreID(fmt.Sprintf("dc-%c", 'a'+i%3)),
+		DataCentre: oleanderspool.DataCentreID(fmt.Sprintf("dc-%c", 'a'+i/runnersPerDataCentre%3)),
 	}
 }
 
--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -47,6 +48,19 @@
 		Expect(d.runs()).To(HaveKeyWithValue("once", 1))
 	})
 
+	// Guards against a prompt that no engine holds being refused, and against
+	// memory that stays reserved on its engines afterwards (P2).
+	It("serves a prompt of more than twice the memory of one engine", func() {
+		prompt := strings.Repeat("peg ", 210_000)
+		text, result, err := ask(d.question(0, prompt, 20))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.refusal).To(BeNil())
+		Expect(text).To(Equal(expectedAnswer(prompt, 20)))
+		for _, address := range d.engines {
+			Eventually(func() int64 { return d.freeTokens(address) }, startBound, 100*time.Millisecond).Should(Equal(int64(100_000)))
+		}
+	})
+
 	// Guards against a lost or torn answer when an agent dies (P3).
 	It("continues a stream elsewhere when its agent is killed", func() {
 		d.surviveLoss("kill", func(instance string) { d.signal(instance, syscall.SIGKILL) })
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -27,13 +27,6 @@
 	DefaultMaxExport = 1 << 30
 )
 
-// Group is a reservation of memory on several engines for one prompt. The zero
-// value is none.
-type Group struct {
-	Owner   string // owner of the reservation on each engine
-	Engines int    // number of engines that share the prompt
-}
-
 // Client calls the engine of one backend server. It implements
 // [oleanderspool.Engine] and is safe for concurrent use. Each call has its own
 // connection, so that nothing is repeated and no silent kept connection is used.
--- a/internal/engine/codec.go
+++ b/internal/engine/codec.go
@@ -22,7 +22,7 @@
 // Codec maps the calls of an engine to HTTP messages. An engine with other paths
 // or field names needs another codec and nothing else.
 type Codec interface {
-	Generate(request oleanderspool.GenerateRequest, group Group) (Message, error)
+	Generate(request oleanderspool.GenerateRequest) (Message, error)
 	Cancel(owner string) (Message, error)
 	Report() Message
 	Entries() Message
@@ -77,7 +77,7 @@
 }
 
 // Generate implements [Codec].
-func (codec) Generate(r oleanderspool.GenerateRequest, g Group) (Message, error) {
+func (codec) Generate(r oleanderspool.GenerateRequest) (Message, error) {
 	b := chatRequest{
 		Model:         openai.ModelName(r.Model, r.Adapter),
 		Messages:      []chatMessage{{Role: "user", Content: r.Prompt}},
@@ -92,8 +92,8 @@
 		b.Messages = append(b.Messages, chatMessage{Role: "assistant", Content: r.Continued})
 		b.ContinueFinalMessage = true
 	}
-	if g.Owner != "" {
-		b.Group = &groupBody{Owner: g.Owner, Engines: g.Engines}
+	if r.Group != "" {
+		b.Group = &groupBody{Owner: r.Group, Engines: r.Engines}
 	}
 	return post("/v1/chat/completions", b)
 }
--- a/internal/engine/generate.go
+++ b/internal/engine/generate.go
@@ -23,13 +23,7 @@
 // if the engine refused the request without running it, and of type ErrUncertain
 // otherwise.
 func (c *Client) Generate(ctx context.Context, request oleanderspool.GenerateRequest, emit func(text string, tokens int, finish string)) error {
-	return c.GenerateInGroup(ctx, request, Group{}, emit)
-}
-
-// GenerateInGroup is like Generate for a prompt whose memory was reserved on
-// several engines. It is called on one of them.
-func (c *Client) GenerateInGroup(ctx context.Context, request oleanderspool.GenerateRequest, group Group, emit func(text string, tokens int, finish string)) error {
-	m, err := c.codec.Generate(request, group)
+	m, err := c.codec.Generate(request)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -76,7 +76,8 @@
 	arrived   oleanderspool.Millis
 	assembler *attempt.Assembler
 	history   retry.History
-	started   bool // a piece was passed on
+	started   bool         // a piece was passed on
+	group     *reservation // engines that serve the prompt together; nil for one
 }
 
 // run runs a request that needs no claim.
@@ -84,7 +85,14 @@
 	for {
 		server, refusal := x.choose()
 		if refusal != nil {
-			return refusal
+			members, ok := x.plan()
+			if !ok {
+				return refusal
+			}
+			if done, refusal := x.runTogether(ctx, members); done {
+				return refusal
+			}
+			continue
 		}
 		id := attempt.NewID(attempt.ClassUnkeyed, server.Instant, unique())
 		if err := x.begin(id); err != nil {
@@ -159,12 +167,17 @@
 	if x.assembler != nil {
 		r.MaxTokens = max(1, r.MaxTokens-x.assembler.Tokens())
 	}
-	return peer.RunCall{
+	call := peer.RunCall{
 		Revision:    x.entry.configuration.revision(),
 		Incarnation: server.Incarnation,
 		Attempt:     id,
 		Request:     r,
 	}
+	if x.group != nil {
+		call.Group = x.group.name()
+		call.Members = x.group.members()
+	}
+	return call
 }
 
 // decide asks the policy what to do after a failed attempt.
@@ -200,6 +213,16 @@
 		WithRetryAfter(noServerRetryAfter)
 }
 
+// plan returns the servers that hold a prompt together which none holds alone.
+func (x *exchange) plan() ([]oleanderspool.BackendServer, bool) {
+	if x.request.Kind != oleanderspool.KindModel {
+		return nil, false
+	}
+	e := x.entry
+	members, ok := e.router.Plan(x.request, e.members.table.Snapshot(), x.history.Tried, e.clock.Now())
+	return members, ok && len(members) > 1
+}
+
 // noServerRetryAfter is the span in which an agent restarts and reports.
 const noServerRetryAfter = 3 * oleanderspool.Second
 
