Take an attempt that another incarnation answered as not sent

Cause: a reservation sent within the 2.5 s before the entry notices a restarted agent was claimed for the old incarnation. The new one refused it, and the key was answered may_have_run for its whole lifetime although nothing had run. Only the entry that made the claim sends the attempt, and it sent it in this one call, so the answer of another incarnation proves that it was not received.

Ruled out: waiting for the membership before sending, which delays every request and leaves the same race.

The new tests drive, with separate processes, a log outage, a paused log whose append lands late, a paused entry and a killed agent.

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -40,9 +40,17 @@
 
 // open starts an attempt and follows it.
 func (x *exchange) open(ctx context.Context, server oleanderspool.BackendServer, call peer.RunCall) ending {
-	return x.follow(ctx, server, func(ctx context.Context) (eventReceiver, error) {
+	end := x.follow(ctx, server, func(ctx context.Context) (eventReceiver, error) {
 		return x.entry.peers.Agent(server.Address).Run(ctx, peer.EncodeRun(call, x.entry.clock.Now()))
 	})
+	if end.state == attempt.StateOtherIncarnation {
+		// This call alone carried the attempt, and another run of the agent
+		// answered it, so the one that the attempt was made for has ended
+		// without receiving it.
+		end.notSent = true
+		end.failure.Execution = oleanderspool.NotRun
+	}
+	return end
 }
 
 // attach follows an attempt from the first missing piece on, over a new
