--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -94,7 +94,13 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(s.limits.BodyTimeout.Duration()))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.BodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+	} else {
+		// The deadline stays, because net/http reads the rest of the body
+		// before it sends the answer and would wait for a silent sender.
+		w.Header().Set("Connection", "close")
+	}
 	var size *http.MaxBytesError
 	var timeout interface{ Timeout() bool }
 	switch {
