Reject invalid change ids while parsing a change set

An id of any length could be remembered with a change that is rejected for other reasons. ParseChangeSet now reports an invalid id, with its line, so such a record counts as malformed. Ruled out: cutting the id, because two changes could then have the same one.

--- a/pkg/configuration/change_set.go
+++ b/pkg/configuration/change_set.go
@@ -208,6 +208,9 @@
 	top := fieldsOf(file, "", root, &p.findings)
 	p.format(top)
 	s := ChangeSet{ID: top.text("id")}
+	if m, found := top.find("id"); found && !top.faulty["id"] && idFault(s.ID) != "" {
+		top.add(m.line, "id", idFault(s.ID))
+	}
 	puts, _ := top.take("puts", nodeArray)
 	for i, n := range puts.elements {
 		s.Puts = p.put(s.Puts, fmt.Sprintf("puts[%d]", i), n)
