--- /dev/null
+++ b/internal/revision/session_test.go
@@ -0,0 +1,40 @@
+package revision
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool"
+)
+
+// Guards against decisions, findings or snapshot bytes that change unnoticed:
+// readers of different versions must decide alike. The records of the session
+// are separated by lines with "---".
+var _ = Describe("A session", func() {
+	It("gives the same decisions and the same snapshot", func() {
+		input, err := os.ReadFile("testdata/session.txt")
+		Expect(err).NotTo(HaveOccurred())
+		var s State
+		var out strings.Builder
+		for i, data := range strings.Split(string(input), "---\n") {
+			d, err := s.Apply(oleanderspool.Record{Offset: oleanderspool.Offset(i + 1), Data: []byte(data)})
+			Expect(err).NotTo(HaveOccurred())
+			fmt.Fprintf(&out, "%d: %v change=%q offset=%d repeated=%v revision=%d\n", i+1, d.Verdict, d.Change, d.Offset, d.Repeated, s.Revision())
+			for _, f := range d.Findings {
+				fmt.Fprintf(&out, "   %v\n", f)
+			}
+		}
+		out.WriteString("snapshot:\n")
+		out.Write(s.Snapshot().Data)
+		if *update {
+			Expect(os.WriteFile("testdata/session.golden", []byte(out.String()), 0o644)).To(Succeed())
+		}
+		want, err := os.ReadFile("testdata/session.golden")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out.String()).To(Equal(string(want)))
+	})
+})
