--- /dev/null
+++ b/internal/measure/measure_test.go
@@ -0,0 +1,36 @@
+package measure_test
+
+import (
+	"bytes"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/measure"
+)
+
+var _ = Describe("Run", func() {
+	small := []measure.Option{
+		measure.WithDuration(20 * oleanderspool.Second),
+		measure.WithServers(6),
+		measure.WithTraces(measure.TraceSteady, measure.TraceKilled),
+	}
+
+	// Guards against results that depend on anything but the seed.
+	It("is exactly repeatable", func() {
+		var first, second bytes.Buffer
+		Expect(measure.Run(append(small, measure.WithParallel(1))...).Write(&first)).To(Succeed())
+		Expect(measure.Run(append(small, measure.WithParallel(2))...).Write(&second)).To(Succeed())
+		Expect(second.String()).To(Equal(first.String()))
+	})
+
+	// Guards against requests that get lost in the measurement.
+	It("accounts for every request", func() {
+		for _, row := range measure.Run(small...).Rows {
+			for _, c := range row.Classes {
+				Expect(c.Finished+c.Refused+c.Failed).To(Equal(c.Count), "%s %s %s", row.Policy, row.Trace, c.Name)
+			}
+		}
+	})
+})
