--- a/internal/queue/next.go
+++ b/internal/queue/next.go
@@ -103,12 +103,22 @@
 	if best.Alone && len(q.running.items) > 0 {
 		return q.beforeTrial(best, room, now)
 	}
-	if best.MemoryTokens <= room {
+	if q.fits(best, room) {
 		return best
 	}
 	return q.bypass(best, room, now)
 }
 
+// fits reports whether an item fits into the free memory. Large items leave
+// the reserve free, unless they need it on an empty engine.
+func (q *Queue) fits(w *waitingItem, room int64) bool {
+	reserve := int64(q.settings.reserve * float64(q.settings.memory))
+	if w.MemoryTokens <= reserve || len(q.running.items) == 0 {
+		return w.MemoryTokens <= room
+	}
+	return w.MemoryTokens+reserve <= room
+}
+
 // firstEligible returns the item that is due first among the heads of the
 // classes below limit that the engine may take now and that pass accept.
 func (q *Queue) firstEligible(limit int, accept func(*waitingItem) bool) *waitingItem {
@@ -141,7 +151,7 @@
 		return nil
 	}
 	return q.firstEligible(blocked.class, func(w *waitingItem) bool {
-		return !w.Alone && w.MemoryTokens <= room
+		return !w.Alone && q.fits(w, room)
 	})
 }
 
@@ -150,7 +160,7 @@
 func (q *Queue) beforeTrial(trial *waitingItem, room int64, now oleanderspool.Millis) *waitingItem {
 	drained := q.drained(now)
 	return q.firstEligible(classCount, func(w *waitingItem) bool {
-		if w == trial || w.Alone || w.MemoryTokens > room {
+		if w == trial || w.Alone || !q.fits(w, room) {
 			return false
 		}
 		start := now + q.rate.span(float64(q.running.outstanding(w.class)))
--- a/internal/queue/options.go
+++ b/internal/queue/options.go
@@ -29,6 +29,9 @@
 	// DefaultBypassBound is how long smaller items may pass one that does not
 	// fit into memory.
 	DefaultBypassBound = 10 * oleanderspool.Second
+	// DefaultMemoryReserve is the part of the engine's memory that items larger
+	// than it leave free, so that short work does not wait for memory.
+	DefaultMemoryReserve = 0.06
 	// DefaultPrefillRate is the rate assumed before any was observed, in
 	// tokens per millisecond.
 	DefaultPrefillRate = 10.0
@@ -71,6 +74,7 @@
 	slowFraction float64
 	stallBound   oleanderspool.Millis
 	memory       int64 // 0 means unbounded
+	reserve      float64
 }
 
 func defaultSettings() settings {
@@ -84,6 +88,7 @@
 		slackMargin:  DefaultSlackMargin,
 		creditSteps:  DefaultCreditSteps,
 		bypassBound:  DefaultBypassBound,
+		reserve:      DefaultMemoryReserve,
 		prefillRate:  DefaultPrefillRate,
 		tokenSpan:    DefaultTokenSpan,
 		slowFraction: DefaultSlowFraction,
@@ -203,3 +208,10 @@
 func WithMemory(tokens int64) Option {
 	return func(s *settings) { s.memory = tokens }
 }
+
+// WithMemoryReserve sets the part of the engine's memory, between 0 and 1,
+// that items larger than it leave free. It has an effect only together with
+// [WithMemory].
+func WithMemoryReserve(part float64) Option {
+	return func(s *settings) { s.reserve = min(1, max(0, part)) }
+}
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -131,6 +131,22 @@
 	})
 })
 
+// Guards against short work that waits until long work has freed memory.
+var _ = Describe("memory reserve", func() {
+	It("is left free by large items unless the engine is empty", func() {
+		q := queue.New(queue.WithMemory(100_000), queue.WithMemoryReserve(0.1))
+		Expect(q.Push(item("first", 95_000), 0)).To(Succeed())
+		Expect(started(q.Next(100_000, 0))).To(Equal([]string{"first"}))
+		q.FirstToken("first", 9000)
+		Expect(q.Push(item("small", 1000), 9000)).To(Succeed())
+		Expect(q.Push(item("large", 15_000), 9000)).To(Succeed())
+		Expect(started(q.Next(20_000, 9000))).To(Equal([]string{"small"}))
+		q.FirstToken("small", 9100)
+		Expect(q.Next(20_000, 9100).Start).To(BeEmpty())
+		Expect(started(q.Next(25_000, 9100))).To(Equal([]string{"large"}))
+	})
+})
+
 // Guards against short work that starves long work which is due.
 var _ = Describe("share of long work", func() {
 	It("stops shorter work once its credit is used, until the long item has progressed", func() {
