Prefer short work for longer at a high short_request_weight

Cause: in the steady traces 408 of 909 short requests above 450 ms waited for the credit that they draw on once longer work is due; with a stretch of at most 16, work of a second was due after 16 s.

The tests that depend on the stretch now set it themselves.

--- a/internal/queue/options.go
+++ b/internal/queue/options.go
@@ -50,7 +50,7 @@
 // own prefill work.
 const (
 	stretchAtZero   = 1.0
-	stretchAtOne    = 16.0
+	stretchAtOne    = 64.0
 	longShareAtZero = 0.5
 	longShareAtOne  = 0.2
 )
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -83,7 +83,7 @@
 	}
 	for _, c := range cases {
 		It("handles "+c.name, func() {
-			q := queue.New(queue.WithWindowSteps(1))
+			q := queue.New(queue.WithWindowSteps(1), queue.WithStretch(8.5))
 			now := oleanderspool.Millis(0)
 			for _, x := range c.arrivals {
 				now = x.at
@@ -120,7 +120,7 @@
 	})
 
 	It("passes an item that does not fit into memory only until the bypass bound", func() {
-		q := queue.New(queue.WithBypassBound(1000))
+		q := queue.New(queue.WithBypassBound(1000), queue.WithStretch(8.5))
 		Expect(q.Push(item("large", 20_000), 0)).To(Succeed())
 		Expect(q.Next(10_000, 50_000).Start).To(BeEmpty())
 		Expect(q.Push(item("small", 1000), 50_000)).To(Succeed())
