Route by the work that goes first instead of all work

Cause: the scorer counted all queued and running work. A short request does not wait for long prompts, so it was kept from servers with long prompts and queued behind other short ones; in the trace with a slow server, 420 of 425 short requests above 3 s were on the slow server, whose backlog of short work looked like the others' long prompts.

The queue tells the work that a prompt of a given length waits for, the measurement reports it by class of lengths, and the scorer adds longer work with a small weight, because a request delays it.

The agents' reports need the work by class of lengths for this; the root type Load and the internal protocol do not carry it yet.

--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -155,7 +155,7 @@
 	for i := range entryCount {
 		random := rand.New(rand.NewPCG(s.seed, uint64(100+i)))
 		e := &entry{view: newView(), recent: make([][]assignment, s.servers)}
-		e.placement = p.Router(e.view, random)
+		e.placement = p.Router(d, e.view, random)
 		for _, x := range f.servers {
 			load := oleanderspool.Load{PrefillRate: fullRate}
 			e.known = append(e.known, oleanderspool.BackendServer{Instance: x.id, Load: load})
@@ -220,11 +220,23 @@
 	if _, plain := s.queue.(*fcfs); plain {
 		load.RunningTokens = s.engine.remaining()
 	}
-	taken := f.now
-	f.after(f.lag(), func() { f.report(s, load, taken) })
+	ahead, taken := f.ahead(s), f.now
+	f.after(f.lag(), func() { f.report(s, load, ahead, taken) })
 	f.after(reportInterval, func() { f.tick(s) })
 }
 
+// ahead returns the work that requests of each class would wait for.
+func (f *fleet) ahead(s *server) ClassTokens {
+	var c ClassTokens
+	if q, ok := s.queue.(*queue.Queue); ok {
+		for i, bound := range classBounds {
+			c[i] = q.WorkUpTo(bound, f.now)
+		}
+		c[len(c)-1] = q.WorkUpTo(engineMemory, f.now)
+	}
+	return c
+}
+
 func (f *fleet) lag() oleanderspool.Millis {
 	if f.trace == TraceStale {
 		return staleLag
@@ -232,15 +244,15 @@
 	return reportLag
 }
 
-func (f *fleet) report(s *server, load oleanderspool.Load, taken oleanderspool.Millis) {
+func (f *fleet) report(s *server, load oleanderspool.Load, ahead ClassTokens, taken oleanderspool.Millis) {
 	for _, e := range f.entries {
 		e.known[s.number] = e.known[s.number].WithLoad(load, f.now)
 		e.recent[s.number] = slices.DeleteFunc(e.recent[s.number], func(a assignment) bool { return a.at <= taken })
-		total := int64(0)
+		var assigned ClassTokens
 		for _, a := range e.recent[s.number] {
-			total += a.tokens
+			assigned = assigned.addUpTo(lengthClass(a.tokens), a.tokens)
 		}
-		e.view.Assigned[s.id] = total
+		e.view.Ahead[s.id], e.view.Assigned[s.id] = ahead, assigned
 	}
 }
 
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -12,7 +12,7 @@
 type Policy struct {
 	Name string
 	// Router returns the choice of one entry.
-	Router func(view *View, random *rand.Rand) Placement
+	Router func(d Deployment, view *View, random *rand.Rand) Placement
 	// Queue returns the queue of one agent.
 	Queue func(d Deployment) Scheduler
 }
@@ -40,12 +40,27 @@
 	Load(now oleanderspool.Millis) oleanderspool.Load
 }
 
+// ClassTokens holds work in tokens for each class of lengths of the report.
+type ClassTokens [len(classNames)]int64
+
+// addUpTo adds the work of a request to all classes that wait for it.
+func (c ClassTokens) addUpTo(class int, tokens int64) ClassTokens {
+	for i := class; i < len(c); i++ {
+		c[i] += tokens
+	}
+	return c
+}
+
 // View is what an entry knows beyond the agents' reports.
 type View struct {
 	// Outstanding counts the entry's own requests by instance.
 	Outstanding map[oleanderspool.InstanceID]int
-	// Assigned holds the entry's assignments since the last report, in tokens.
-	Assigned map[oleanderspool.InstanceID]int64
+	// Ahead holds the reported prefill work, in tokens, that a request of each
+	// class of lengths would wait for.
+	Ahead map[oleanderspool.InstanceID]ClassTokens
+	// Assigned holds the entry's assignments since the last report, in tokens,
+	// that a request of each class of lengths would wait for.
+	Assigned map[oleanderspool.InstanceID]ClassTokens
 	// Prefixes holds the instances to which a prefix was sent.
 	Prefixes map[oleanderspool.Fingerprint]map[oleanderspool.InstanceID]bool
 	// PrefixTokens is the length of the shared prefix of the request that is
@@ -56,7 +71,8 @@
 func newView() *View {
 	return &View{
 		Outstanding: make(map[oleanderspool.InstanceID]int),
-		Assigned:    make(map[oleanderspool.InstanceID]int64),
+		Ahead:       make(map[oleanderspool.InstanceID]ClassTokens),
+		Assigned:    make(map[oleanderspool.InstanceID]ClassTokens),
 		Prefixes:    make(map[oleanderspool.Fingerprint]map[oleanderspool.InstanceID]bool),
 	}
 }
@@ -64,7 +80,8 @@
 // assigned records a placement.
 func (v *View) assigned(r oleanderspool.Request, instance oleanderspool.InstanceID) {
 	v.Outstanding[instance]++
-	v.Assigned[instance] += int64(r.PromptCount)
+	tokens := int64(r.PromptCount)
+	v.Assigned[instance] = v.Assigned[instance].addUpTo(lengthClass(tokens), tokens)
 	if r.Fingerprint == 0 {
 		return
 	}
@@ -77,12 +94,14 @@
 // Policies returns the baselines and then the policy of this repository.
 func Policies() []Policy {
 	return []Policy{
-		{"round_robin_fcfs", func(*View, *rand.Rand) Placement { return &roundRobin{} }, firstCome},
-		{"least_requests_fcfs", func(v *View, _ *rand.Rand) Placement { return scored(leastRequests{v}) }, firstCome},
-		{"two_choices_fcfs", func(_ *View, r *rand.Rand) Placement {
+		{"round_robin_fcfs", func(Deployment, *View, *rand.Rand) Placement { return &roundRobin{} }, firstCome},
+		{"least_requests_fcfs", func(_ Deployment, v *View, _ *rand.Rand) Placement { return scored(leastRequests{v}) }, firstCome},
+		{"two_choices_fcfs", func(_ Deployment, _ *View, r *rand.Rand) Placement {
 			return sampled{scored(leastTokens{}), r, 2}
 		}, firstCome},
-		{"oleanderspool", func(v *View, _ *rand.Rand) Placement { return scored(expectedDelay{v}) }, ordered},
+		{"oleanderspool", func(d Deployment, v *View, _ *rand.Rand) Placement {
+			return scored(newExpectedDelay(v, d))
+		}, ordered},
 	}
 }
 
@@ -161,20 +180,38 @@
 	return float64(b.Load.QueuedTokens + b.Load.RunningTokens)
 }
 
-// expectedDelay scores by the expected delay of the first token: reported and
-// recently assigned work and the request's own work without a cached prefix,
-// at the reported rate.
+// The weight of longer work, which a request does not wait for but delays, at
+// a short_request_weight of 1 and 0. Higher values keep short requests away
+// from servers with long prompts, so they wait for each other more often.
+const (
+	longerWeightAtOne  = 0.002
+	longerWeightAtZero = 0.026
+)
+
+// expectedDelay scores by the expected delay of the first token: the reported
+// and recently assigned work that goes first, and the request's own work
+// without a cached prefix, at the reported rate.
 type expectedDelay struct {
-	view *View
+	view   *View
+	longer float64 // weight of longer work
+}
+
+func newExpectedDelay(v *View, d Deployment) expectedDelay {
+	w := d.ShortRequestWeight
+	return expectedDelay{v, longerWeightAtZero + w*(longerWeightAtOne-longerWeightAtZero)}
 }
 
 // Cost returns the expected delay in milliseconds.
 func (e expectedDelay) Cost(r oleanderspool.Request, b oleanderspool.BackendServer, _ oleanderspool.Millis) float64 {
-	work := b.Load.QueuedTokens + b.Load.RunningTokens + e.view.Assigned[b.Instance] + int64(r.PromptCount)
+	class := lengthClass(int64(r.PromptCount))
+	ahead, assigned := e.view.Ahead[b.Instance], e.view.Assigned[b.Instance]
+	last := len(ahead) - 1
+	work := ahead[class] + assigned[class] + int64(r.PromptCount)
 	if e.view.Prefixes[r.Fingerprint][b.Instance] {
 		work -= e.view.PrefixTokens
 	}
-	return float64(work) / max(0.1, b.Load.PrefillRate)
+	longer := ahead[last] + assigned[last] - ahead[class] - assigned[class]
+	return (float64(work) + e.longer*float64(longer)) / max(0.1, b.Load.PrefillRate)
 }
 
 // fingerprint returns the fingerprint of a text.
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -175,6 +175,19 @@
 	}
 }
 
+// WorkUpTo returns the prefill work, in tokens, that waits or runs and that a
+// prompt of the given length would wait for: the work of its class and the
+// smaller ones.
+func (q *Queue) WorkUpTo(promptTokens int64, now oleanderspool.Millis) int64 {
+	q.running.advance(q.rate.perMilli(), now)
+	class := classOf(promptTokens)
+	total := q.running.outstanding(class)
+	for i := range q.classes[:class+1] {
+		total += q.classes[i].sum()
+	}
+	return total
+}
+
 // Rate returns the observed prefill rate in tokens per millisecond.
 func (q *Queue) Rate() float64 { return q.rate.perMilli() }
 
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -286,6 +286,17 @@
 		Expect(q.Slow(now)).To(BeTrue())
 	})
 
+	// Guards against routers that see long work as delay of short requests.
+	It("tells the work that a prompt of a length would wait for", func() {
+		q := queue.New(queue.WithStepTokens(1000))
+		Expect(q.Push(item("long", 200_000), 0)).To(Succeed())
+		q.Next(room, 0)
+		Expect(q.Push(item("short", 500), 0)).To(Succeed())
+		Expect(q.WorkUpTo(1000, 0)).To(Equal(int64(500)))
+		Expect(q.WorkUpTo(300_000, 0)).To(Equal(int64(200_500)))
+		Expect(q.WorkUpTo(300_000, 5000)).To(Equal(int64(150_500)), "progress at 10 tokens/ms")
+	})
+
 	It("signals an engine that shows no progress", func() {
 		q := queue.New()
 		Expect(q.Push(item("x", 10_000), 0)).To(Succeed())
