--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -83,7 +83,7 @@
 	}
 	for _, c := range cases {
 		It("handles "+c.name, func() {
-			q := queue.New(queue.WithWindowSteps(1))
+			q := queue.New(queue.WithWindowSteps(1), queue.WithStretch(8.5))
 			now := oleanderspool.Millis(0)
 			for _, x := range c.arrivals {
 				now = x.at
@@ -120,7 +120,7 @@
 	})
 
 	It("passes an item that does not fit into memory only until the bypass bound", func() {
-		q := queue.New(queue.WithBypassBound(1000))
+		q := queue.New(queue.WithBypassBound(1000), queue.WithStretch(8.5))
 		Expect(q.Push(item("large", 20_000), 0)).To(Succeed())
 		Expect(q.Next(10_000, 50_000).Start).To(BeEmpty())
 		Expect(q.Push(item("small", 1000), 50_000)).To(Succeed())
@@ -131,6 +131,22 @@
 	})
 })
 
+// Guards against short work that waits until long work has freed memory.
+var _ = Describe("memory reserve", func() {
+	It("is left free by large items unless the engine is empty", func() {
+		q := queue.New(queue.WithMemory(100_000), queue.WithMemoryReserve(0.1))
+		Expect(q.Push(item("first", 95_000), 0)).To(Succeed())
+		Expect(started(q.Next(100_000, 0))).To(Equal([]string{"first"}))
+		q.FirstToken("first", 9000)
+		Expect(q.Push(item("small", 1000), 9000)).To(Succeed())
+		Expect(q.Push(item("large", 15_000), 9000)).To(Succeed())
+		Expect(started(q.Next(20_000, 9000))).To(Equal([]string{"small"}))
+		q.FirstToken("small", 9100)
+		Expect(q.Next(20_000, 9100).Start).To(BeEmpty())
+		Expect(started(q.Next(25_000, 9100))).To(Equal([]string{"large"}))
+	})
+})
+
 // Guards against short work that starves long work which is due.
 var _ = Describe("share of long work", func() {
 	It("stops shorter work once its credit is used, until the long item has progressed", func() {
@@ -270,6 +286,17 @@
 		Expect(q.Slow(now)).To(BeTrue())
 	})
 
+	// Guards against routers that see long work as delay of short requests.
+	It("tells the work that a prompt of a length would wait for", func() {
+		q := queue.New(queue.WithStepTokens(1000))
+		Expect(q.Push(item("long", 200_000), 0)).To(Succeed())
+		q.Next(room, 0)
+		Expect(q.Push(item("short", 500), 0)).To(Succeed())
+		Expect(q.WorkUpTo(1000, 0)).To(Equal(int64(500)))
+		Expect(q.WorkUpTo(300_000, 0)).To(Equal(int64(200_500)))
+		Expect(q.WorkUpTo(300_000, 5000)).To(Equal(int64(150_500)), "progress at 10 tokens/ms")
+	})
+
 	It("signals an engine that shows no progress", func() {
 		q := queue.New()
 		Expect(q.Push(item("x", 10_000), 0)).To(Succeed())
