--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		delete(t.agents, a.listed.Instance)
-		t.changed = true
+		t.excluded = true
 		changes = append(changes, a.change(Gone))
 	}
 	clear(t.ordered[len(kept):])
@@ -88,6 +88,7 @@
 	a.server.Leaving = a.leaving || a.listed.Leaving
 	t.changed = true
 	if a.server.Leaving && !wasLeaving {
+		t.excluded = true
 		changes = append(changes, a.change(Leaving))
 	}
 	return changes
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -19,8 +19,8 @@
 	// leaves right after sending it. Agents report every second, so it takes two
 	// missed reports.
 	DefaultSuspectAfter oleanderspool.Millis = 2500
-	// DefaultPublishInterval bounds how often a change of load alone copies the
-	// snapshot.
+	// DefaultPublishInterval bounds how often changes that exclude no server copy
+	// the snapshot.
 	DefaultPublishInterval oleanderspool.Millis = 20
 )
 
@@ -29,6 +29,10 @@
 // the order of their streams.
 const keptIncarnations = 4
 
+// neverPublished makes the first change appear at once. It is far enough from
+// the ends of the range to be subtracted from an instant.
+const neverPublished oleanderspool.Millis = -1 << 62
+
 // Option configures the table that [New] returns.
 type Option func(*Table)
 
@@ -38,8 +42,9 @@
 	return func(t *Table) { t.suspectAfter = span }
 }
 
-// WithPublishInterval sets the interval in milliseconds at which changes of
-// load alone appear in the snapshot. Every other change appears at once.
+// WithPublishInterval sets the interval in milliseconds at which new loads and
+// new servers appear in the snapshot. A server that may no longer be chosen
+// disappears at once.
 func WithPublishInterval(span oleanderspool.Millis) Option {
 	return func(t *Table) { t.publishInterval = span }
 }
@@ -60,7 +65,8 @@
 
 	snapshot    atomic.Pointer[[]oleanderspool.BackendServer]
 	publishedAt oleanderspool.Millis
-	loadChanged bool // a change of load is not in the snapshot yet
+	copies      int  // snapshots published so far
+	excluded    bool // the snapshot contains a server that may not be chosen
 	changed     bool // another change is not in the snapshot yet
 }
 
@@ -85,6 +91,7 @@
 		suspectAfter:    DefaultSuspectAfter,
 		publishInterval: DefaultPublishInterval,
 		agents:          make(map[oleanderspool.InstanceID]*agent),
+		publishedAt:     neverPublished,
 	}
 	for _, o := range options {
 		o(t)
@@ -110,6 +117,11 @@
 	return a.server, true
 }
 
+// Copies returns the number of snapshots that were published, for a counter.
+func (t *Table) Copies() int {
+	return t.copies
+}
+
 // Known returns the number of listed agents.
 func (t *Table) Known() int {
 	return len(t.ordered)
@@ -127,7 +139,7 @@
 			continue
 		}
 		a.suspected = true
-		t.changed = true
+		t.excluded = true
 		changes = append(changes, a.change(Suspected))
 	}
 	t.publish(now)
@@ -136,8 +148,8 @@
 
 // publish replaces the snapshot when a change is due.
 func (t *Table) publish(now oleanderspool.Millis) {
-	due := t.loadChanged && now-t.publishedAt >= t.publishInterval
-	if !t.changed && !due {
+	due := t.changed && now-t.publishedAt >= t.publishInterval
+	if !t.excluded && !due {
 		return
 	}
 	snapshot := make([]oleanderspool.BackendServer, 0, len(t.ordered))
@@ -147,8 +159,9 @@
 		}
 	}
 	t.snapshot.Store(&snapshot)
+	t.copies++
 	t.publishedAt = now
-	t.changed, t.loadChanged = false, false
+	t.excluded, t.changed = false, false
 }
 
 func (a *agent) eligible() bool {
--- a/internal/membership/report.go
+++ b/internal/membership/report.go
@@ -64,11 +64,11 @@
 	var changes []Change
 	if known := a.server.Incarnation; known != "" && known != r.Incarnation {
 		changes = append(changes, a.change(Ended))
+		t.excluded = true
 		a.endIncarnation(known)
 	}
 	a.reported = true
 	t.take(a, r, now)
-	t.changed = true
 	changes = append(changes, a.change(Started))
 	return t.merge(a, changes)
 }
@@ -85,7 +85,6 @@
 	}
 	if a.suspected {
 		a.suspected = false
-		t.changed = true
 		changes = append(changes, a.change(Recovered))
 	}
 	t.take(a, r, now)
@@ -110,7 +109,7 @@
 	s.Revision = max(s.Revision, r.Revision)
 	s.Load = r.Load
 	s.ReportedAt = now
-	t.loadChanged = true
+	t.changed = true
 }
 
 // ObserveLeaving notes that an agent refused work because it leaves. Another
@@ -137,7 +136,7 @@
 	var changes []Change
 	if a.server.Incarnation == incarnation {
 		changes = append(changes, a.change(Ended))
-		t.changed = true
+		t.excluded = true
 	}
 	a.endIncarnation(incarnation)
 	t.publish(now)
@@ -152,6 +151,6 @@
 		return
 	}
 	a.reported, a.suspected = false, false
-	t.changed = true
+	t.excluded = true
 	t.publish(now)
 }
