--- a/internal/membership/report.go
+++ b/internal/membership/report.go
@@ -65,11 +65,11 @@
 	var changes []Change
 	if known := a.server.Incarnation; known != "" && known != r.Incarnation {
 		changes = append(changes, a.change(Ended))
+		t.excluded = true
 		a.endIncarnation(known)
 	}
 	a.reported = true
 	t.take(a, r, now)
-	t.changed = true
 	changes = append(changes, a.change(Started))
 	return t.merge(a, changes)
 }
@@ -86,7 +86,6 @@
 	}
 	if a.suspected {
 		a.suspected = false
-		t.changed = true
 		changes = append(changes, a.change(Recovered))
 	}
 	t.take(a, r, now)
@@ -112,7 +111,7 @@
 	s.Load = r.Load
 	s.Instant = r.Instant
 	s.ReportedAt = now
-	t.loadChanged = true
+	t.changed = true
 }
 
 // ObserveLeaving notes that an agent refused work because it leaves. Another
@@ -139,7 +138,7 @@
 	var changes []Change
 	if a.server.Incarnation == incarnation {
 		changes = append(changes, a.change(Ended))
-		t.changed = true
+		t.excluded = true
 	}
 	a.endIncarnation(incarnation)
 	t.publish(now)
@@ -154,6 +153,6 @@
 		return
 	}
 	a.reported, a.suspected = false, false
-	t.changed = true
+	t.excluded = true
 	t.publish(now)
 }
