Test that a call of a plain service is written once

A stand-in server breaks connections at each point of a request's life, on a fresh connection and after a healthy answer on a kept one.

Planted faults that the tests caught: kept connections in the sender (a GET was then written twice), a failed connection reported as not sent, a bound of the response that is off by one, a fault that skips the effect it should carry out.

--- /dev/null
+++ b/internal/service/client_test.go
@@ -0,0 +1,157 @@
+package service_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/service"
+	"github.com/oleanderspool/oleanderspool/internal/standin"
+	servicestandin "github.com/oleanderspool/oleanderspool/internal/standin/service"
+)
+
+func call(method, path, body string) oleanderspool.ServiceRequest {
+	return oleanderspool.ServiceRequest{Attempt: "a", Method: method, Path: path, Body: []byte(body), Remaining: 300}
+}
+
+// calls are calls that net/http would repeat on a broken kept connection, and
+// one that it would not.
+var calls = []oleanderspool.ServiceRequest{
+	call(http.MethodGet, "/stock/peg", ""),
+	call(http.MethodPost, "/pegs/reserve", ""),
+	call(http.MethodPost, "/pegs/reserve", `{"reference":"r"}`),
+}
+
+var _ = Describe("Call", func() {
+	// Guards against a second run, and against a call that may have run being
+	// reported as not sent.
+	points := []struct {
+		name     string
+		point    standin.BreakPoint
+		requests int
+	}{
+		{"before accept", standin.BreakBeforeAccept, 0},
+		{"after accept", standin.BreakAfterAccept, 0},
+		{"after reading the request", standin.BreakAfterRequest, 1},
+		{"without an answer", standin.BreakSilent, 1},
+		{"in the header of the response", standin.BreakInHeader, 1},
+		{"in the body of the response", standin.BreakInBody, 1},
+	}
+	for _, p := range points {
+		It("is uncertain and not repeated when the service breaks "+p.name, func(ctx context.Context) {
+			for _, c := range calls {
+				for _, healthy := range []int{0, 1} {
+					if p.point == standin.BreakBeforeAccept && healthy > 0 {
+						continue
+					}
+					server, err := standin.NewBroken(p.point, "answer", healthy)
+					Expect(err).NotTo(HaveOccurred())
+					DeferCleanup(server.Close)
+					client := service.NewClient(server.Address())
+					for range healthy {
+						answer, err := client.Call(ctx, c)
+						Expect(err).NotTo(HaveOccurred())
+						Expect(string(answer.Body)).To(Equal("answer"))
+					}
+					_, err = client.Call(ctx, c)
+					Expect(errorx.IsOfType(err, oleanderspool.ErrUncertain)).To(BeTrue(), "%s: %v", c.Method, err)
+					Expect(server.Requests()).To(Equal(healthy+p.requests), c.Method)
+				}
+			}
+		})
+	}
+
+	// Guards against a refusal "not run" that is lost as "may have run".
+	It("says that nothing was sent when nothing listens", func(ctx context.Context) {
+		server, err := standin.NewBroken(standin.BreakBeforeAccept, "", 0)
+		Expect(err).NotTo(HaveOccurred())
+		server.Close()
+		_, err = service.NewClient(server.Address()).Call(ctx, calls[2])
+		Expect(errorx.IsOfType(err, oleanderspool.ErrNotSent)).To(BeTrue(), "%v", err)
+	})
+
+	It("sends nothing to a host name or after its end", func(ctx context.Context) {
+		_, err := service.NewClient("localhost:80").Call(ctx, calls[0])
+		Expect(errorx.IsOfType(err, oleanderspool.ErrNotSent)).To(BeTrue(), "%v", err)
+		ended, cancel := context.WithCancel(ctx)
+		cancel()
+		_, err = service.NewClient("127.0.0.1:1").Call(ended, calls[0])
+		Expect(errorx.IsOfType(err, oleanderspool.ErrNotSent)).To(BeTrue(), "%v", err)
+	})
+
+	// Guards against a path that reaches another host than the service.
+	It("refuses malformed methods and paths", func(ctx context.Context) {
+		client := service.NewClient("127.0.0.1:1")
+		for _, c := range []oleanderspool.ServiceRequest{call("GET", "/a b%zz", ""), call("BAD METHOD", "/", "")} {
+			_, err := client.Call(ctx, c)
+			Expect(errorx.IsOfType(err, oleanderspool.ErrInvalid)).To(BeTrue(), "%v", err)
+		}
+	})
+
+	It("passes on any status and bounds the response", func(ctx context.Context) {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			Expect(r.Header.Get("Idempotency-Key")).To(BeEmpty())
+			w.Header().Set("Content-Type", "text/plain")
+			w.Header().Set("Location", "/elsewhere")
+			w.WriteHeader(http.StatusTemporaryRedirect)
+			_, _ = w.Write([]byte(strings.Repeat("x", 100)))
+		}))
+		DeferCleanup(server.Close)
+		address := server.Listener.Addr().String()
+		answer, err := service.NewClient(address, service.WithMaxResponse(100)).Call(ctx, calls[2])
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Status).To(Equal(http.StatusTemporaryRedirect))
+		Expect(answer.Type).To(Equal("text/plain"))
+		Expect(answer.Body).To(HaveLen(100))
+		_, err = service.NewClient(address, service.WithMaxResponse(99)).Call(ctx, calls[2])
+		Expect(errorx.IsOfType(err, oleanderspool.ErrUncertain)).To(BeTrue(), "%v", err)
+	})
+
+	// Guards against a stand-in whose record of runs differs from what ran.
+	faults := []struct {
+		kind standin.FaultKind
+		runs int
+		ok   bool
+	}{
+		{standin.FaultOutage, 0, true},
+		{standin.FaultBreak, 0, false},
+		{standin.FaultSlow, 1, true},
+		{standin.FaultHang, 0, false},
+		{standin.FaultLoseResponse, 1, false},
+		{standin.FaultSilence, 1, false},
+		{standin.FaultLate, 1, false},
+		{standin.FaultCut, 1, false},
+		{standin.FaultStall, 1, false},
+	}
+	for _, f := range faults {
+		It("meets the fault "+string(f.kind), func(ctx context.Context) {
+			s := servicestandin.New(servicestandin.WithFault(standin.Fault{Kind: f.kind, Delay: 50, Bytes: 5, Count: 1}))
+			server := httptest.NewServer(s)
+			DeferCleanup(func() {
+				s.Clear()
+				server.Close()
+			})
+			client := service.NewClient(server.Listener.Addr().String())
+			reserve := call(http.MethodPost, "pegs/reserve", `{"reference":"r-1","item":"peg","count":2}`)
+			_, err := client.Call(ctx, reserve)
+			if f.ok {
+				Expect(err).NotTo(HaveOccurred())
+			} else {
+				Expect(errorx.IsOfType(err, oleanderspool.ErrUncertain)).To(BeTrue(), "%v", err)
+			}
+			Eventually(func() int { return len(s.Runs()) }).Should(Equal(f.runs))
+			answer, err := client.Call(ctx, reserve)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(s.Runs()).To(Equal([]servicestandin.Run{
+				{Operation: servicestandin.OperationReserve, Reference: "r-1", Count: f.runs + 1},
+			}))
+			Expect(answer.Status).To(Equal(http.StatusOK))
+		})
+	}
+})
