Do not begin work of an attempt after its time limit

The fuzz test of the claims found a second run: an agent accepted an attempt, kept it queued for longer than the key lifetime, and ran it after the key had been claimed again and run elsewhere. The table now takes the remaining span with the start, and Begin refuses the hand-over to the engine or service once it has passed; the attempt is then barred.

Begin also tells queued from begun work, so a cancel of non-idempotent work that is still queued is a true "not run".

--- a/internal/attempt/benchmark_test.go
+++ b/internal/attempt/benchmark_test.go
@@ -19,7 +19,8 @@
 	for i := range b.N {
 		if i%length == 0 {
 			id = attempt.NewID(attempt.ClassUnkeyed, 0, strconv.Itoa(i))
-			table.Start(attempt.Start{Attempt: id, Request: "r", Incarnation: run1, Idempotent: true}, 0)
+			table.Start(attempt.Start{Attempt: id, Request: "r", Incarnation: run1, Idempotent: true, Remaining: 1000}, 0)
+			table.Begin(id, 0)
 			a = attempt.NewAssembler("r", id, true)
 		}
 		p, _ := table.Append(id, oleanderspool.Piece{Text: "sixteen bytes...", Tokens: 4, Final: i%length == length-1}, 0)
@@ -42,7 +43,8 @@
 	for i := range b.N {
 		now := oleanderspool.Millis(i)
 		id := attempt.NewID(attempt.ClassKeyed, now, strconv.Itoa(i))
-		table.Start(attempt.Start{Attempt: id, Request: "r", Incarnation: run1}, now)
+		table.Start(attempt.Start{Attempt: id, Request: "r", Incarnation: run1, Remaining: 1000}, now)
+		table.Begin(id, now)
 		table.Append(id, oleanderspool.Piece{Text: "sixteen bytes...", Final: true}, now)
 		table.Detach(id, now)
 	}
--- a/internal/attempt/fuzz_test.go
+++ b/internal/attempt/fuzz_test.go
@@ -22,6 +22,8 @@
 	withdrawn map[oleanderspool.AttemptID]bool
 	barred    map[oleanderspool.AttemptID]bool
 	finished  map[oleanderspool.AttemptID]string
+	begun     map[oleanderspool.AttemptID]bool
+	deadlines map[oleanderspool.AttemptID]oleanderspool.Millis
 	pieces    map[oleanderspool.AttemptID]int
 	readers   map[oleanderspool.AttemptID]int
 }
@@ -33,6 +35,8 @@
 		withdrawn: map[oleanderspool.AttemptID]bool{},
 		barred:    map[oleanderspool.AttemptID]bool{},
 		finished:  map[oleanderspool.AttemptID]string{},
+		begun:     map[oleanderspool.AttemptID]bool{},
+		deadlines: map[oleanderspool.AttemptID]oleanderspool.Millis{},
 		pieces:    map[oleanderspool.AttemptID]int{},
 		readers:   map[oleanderspool.AttemptID]int{},
 	}
@@ -56,6 +60,10 @@
 
 func (m *tableModel) saw(t *rapid.T, id oleanderspool.AttemptID, s attempt.State) {
 	ran := m.started[id] && !m.withdrawn[id]
+	// Work that had not begun may be withdrawn by a cancel or the time limit.
+	if ran && !m.begun[id] && s == attempt.StateBarred {
+		m.withdrawn[id], ran = true, false
+	}
 	switch s {
 	case attempt.StateBarred:
 		if ran {
@@ -75,7 +83,7 @@
 
 func (m *tableModel) start(t *rapid.T) {
 	id := m.id(t)
-	state, ok := m.table.Start(attempt.Start{Attempt: id, Request: "r", Incarnation: run1, Idempotent: rapid.Bool().Draw(t, "idempotent")}, m.now)
+	state, ok := m.table.Start(attempt.Start{Attempt: id, Request: "r", Incarnation: run1, Idempotent: rapid.Bool().Draw(t, "idempotent"), Remaining: 700}, m.now)
 	if !ok {
 		m.saw(t, id, state)
 		return
@@ -84,9 +92,21 @@
 		t.Fatalf("%s starts, started before: %t, barred: %t", id, m.started[id], m.barred[id])
 	}
 	m.started[id] = true
+	m.deadlines[id] = m.now + 700
 	m.readers[id]++
 }
 
+func (m *tableModel) begin(t *rapid.T) {
+	id := m.id(t)
+	if !m.table.Begin(id, m.now) {
+		return
+	}
+	if m.withdrawn[id] || !m.begun[id] && m.now >= m.deadlines[id] {
+		t.Fatalf("%s begins, withdrawn: %t, deadline %d, now %d", id, m.withdrawn[id], m.deadlines[id], m.now)
+	}
+	m.begun[id] = true
+}
+
 func (m *tableModel) bar(t *rapid.T) {
 	id := m.id(t)
 	m.saw(t, id, m.table.Bar(id, run1, m.now))
@@ -172,7 +192,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newTableModel()
 		t.Repeat(map[string]func(*rapid.T){
-			"start": m.start, "bar": m.bar, "cancel": m.cancel, "attach": m.attach, "detach": m.detach,
+			"start": m.start, "begin": m.begin, "bar": m.bar, "cancel": m.cancel, "attach": m.attach, "detach": m.detach,
 			"piece": m.piece, "fail": m.fail, "advance": m.advance, "": m.check,
 		})
 	})
--- a/internal/attempt/record.go
+++ b/internal/attempt/record.go
@@ -17,6 +17,8 @@
 	class       Class
 	issued      oleanderspool.Millis // instant in the ID
 	idempotent  bool
+	begun       bool                 // the work was handed to the engine or service
+	deadline    oleanderspool.Millis // instant after which the work must not begin
 	state       State
 	pieces      []oleanderspool.Piece
 	bytes       int64 // size of the pieces
@@ -36,13 +38,11 @@
 
 // due returns the instant at which the table must look at the record.
 func (r *record) due(limits Limits) oleanderspool.Millis {
-	if r.readers > 0 {
-		return never
+	if r.state == StateRunning {
+		return r.runningDue(limits)
 	}
 	switch {
-	case r.state == StateRunning && r.idempotent:
-		return r.unreadSince + limits.ReaderTimeout
-	case r.state == StateRunning:
+	case r.readers > 0:
 		return never
 	case r.state == StateBarred:
 		return r.issued + limits.StartWindow + 1
@@ -53,6 +53,18 @@
 	}
 }
 
+// runningDue returns the instant at which a running attempt is to be ended.
+func (r *record) runningDue(limits Limits) oleanderspool.Millis {
+	due := never
+	if !r.begun {
+		due = r.deadline
+	}
+	if r.idempotent && r.readers == 0 {
+		due = min(due, r.unreadSince+limits.ReaderTimeout)
+	}
+	return due
+}
+
 // from returns the pieces from a sequence number on.
 func (r *record) from(sequence int64) []oleanderspool.Piece {
 	first := max(sequence, 1) - 1
--- a/internal/attempt/state.go
+++ b/internal/attempt/state.go
@@ -18,7 +18,8 @@
 	StateUnknown
 	// StateBarred says that the attempt did not run and never will.
 	StateBarred
-	// StateRunning says that the attempt was accepted and has not ended.
+	// StateRunning says that the attempt was accepted, begun or not, and has not
+	// ended.
 	StateRunning
 	// StateFinished says that the whole answer is available.
 	StateFinished
--- a/internal/attempt/table.go
+++ b/internal/attempt/table.go
@@ -50,6 +50,10 @@
 	Request     oleanderspool.RequestID
 	Incarnation oleanderspool.Incarnation // that the attempt was made for
 	Idempotent  bool
+	// Remaining is the span until the answer is due, in milliseconds. Work
+	// that has not begun by then is not begun any more: a claim that is older
+	// than its key's lifetime may have been replaced.
+	Remaining oleanderspool.Millis
 }
 
 // Reply is the answer to an attach.
@@ -67,6 +71,7 @@
 	DroppedPieces   int64 // pieces of attempts that do not run
 	Cancelled       int64 // attempts cancelled on request
 	Abandoned       int64 // attempts cancelled for want of a reader
+	Expired         int64 // attempts whose work had not begun by their time limit
 	EvictedAnswers  int64 // answers dropped because of the byte bound
 	ForgottenEarly  int64 // attempts forgotten because of MaxEnded
 	ForgottenInTime int64 // attempts forgotten after their time
@@ -131,16 +136,34 @@
 	r.request = s.Request
 	r.idempotent = s.Idempotent
 	r.readers = 1
+	r.deadline = now + s.Remaining
+	t.schedule(r)
 	t.counts.Started++
 	return StateRunning, true
 }
 
+// Begin marks that the work of an accepted attempt is about to be handed to
+// the engine or service. It returns false if the work must not begin: the
+// attempt has ended or its time limit has passed.
+func (t *Table) Begin(id oleanderspool.AttemptID, now oleanderspool.Millis) bool {
+	r, ok := t.running(id)
+	if !ok {
+		return false
+	}
+	if !r.begun && now >= r.deadline {
+		t.expire(r, now)
+		return false
+	}
+	r.begun = true
+	return true
+}
+
 // Append numbers a piece of a running attempt, adds it and returns it as it is
 // to be sent. A final piece ends the attempt. It returns false and drops the
-// piece if the attempt does not run.
+// piece if the attempt does not run or its work has not begun.
 func (t *Table) Append(id oleanderspool.AttemptID, p oleanderspool.Piece, now oleanderspool.Millis) (oleanderspool.Piece, bool) {
 	r, ok := t.running(id)
-	if !ok {
+	if !ok || !r.begun {
 		t.counts.DroppedPieces++
 		return oleanderspool.Piece{}, false
 	}
@@ -183,8 +206,8 @@
 	return StateBarred
 }
 
-// Cancel ends a running idempotent attempt; it returns true if its work is to
-// be stopped. Non-idempotent work runs on, because stopping it would leave
+// Cancel ends an attempt; it returns true if its work is to be stopped.
+// Non-idempotent work that has begun runs on, because stopping it would leave
 // unknown how much of it was done. An attempt that has not started is barred,
 // in case the cancel overtook the start.
 func (t *Table) Cancel(id oleanderspool.AttemptID, incarnation oleanderspool.Incarnation, now oleanderspool.Millis) (State, bool) {
@@ -196,12 +219,12 @@
 		}
 		return state, false
 	}
-	if state != StateRunning || !r.idempotent {
+	if state != StateRunning || r.begun && !r.idempotent {
 		return state, false
 	}
 	t.counts.Cancelled++
 	t.cancel(r, now)
-	return r.state, true
+	return r.state, r.begun
 }
 
 // Attach adds a reader to an attempt and returns the pieces from a sequence
@@ -243,8 +266,9 @@
 	t.shrink()
 }
 
-// Tick forgets what need not be remembered and returns the attempts whose work
-// is to be stopped because nobody reads them.
+// Tick forgets what need not be remembered and returns the attempts that are
+// to be stopped or taken from the queue, because nobody reads them or their
+// work has not begun in time.
 func (t *Table) Tick(now oleanderspool.Millis) []oleanderspool.AttemptID {
 	var stop []oleanderspool.AttemptID
 	for {
@@ -253,8 +277,7 @@
 			return stop
 		}
 		if r.state == StateRunning {
-			t.counts.Abandoned++
-			t.cancel(r, now)
+			t.stop(r, now)
 			stop = append(stop, r.id)
 			continue
 		}
@@ -317,9 +340,27 @@
 	t.end(t.add(id, StateBarred), StateBarred, now)
 }
 
+func (t *Table) stop(r *record, now oleanderspool.Millis) {
+	if !r.begun && now >= r.deadline {
+		t.expire(r, now)
+		return
+	}
+	t.counts.Abandoned++
+	t.cancel(r, now)
+}
+
 func (t *Table) cancel(r *record, now oleanderspool.Millis) {
 	refusal := oleanderspool.Refuse(oleanderspool.RefusalCancelled, "the attempt was cancelled")
-	t.fail(r, refusal.WithExecution(oleanderspool.MayHaveRun), now)
+	if r.begun {
+		refusal = refusal.WithExecution(oleanderspool.MayHaveRun)
+	}
+	t.fail(r, refusal, now)
+}
+
+// expire ends an attempt whose work has not begun by its time limit.
+func (t *Table) expire(r *record, now oleanderspool.Millis) {
+	t.counts.Expired++
+	t.fail(r, oleanderspool.Refuse(oleanderspool.RefusalTimeLimit, "the time limit passed before the work began"), now)
 }
 
 func (t *Table) fail(r *record, refusal *oleanderspool.Refusal, now oleanderspool.Millis) {
--- a/internal/attempt/table_test.go
+++ b/internal/attempt/table_test.go
@@ -36,10 +36,15 @@
 }
 
 func (s *session) start(id oleanderspool.AttemptID, idempotent bool) {
-	state, ok := s.table.Start(attempt.Start{Attempt: id, Request: "r-" + oleanderspool.RequestID(id), Incarnation: run1, Idempotent: idempotent}, s.now)
+	state, ok := s.table.Start(attempt.Start{Attempt: id, Request: "r-" + oleanderspool.RequestID(id), Incarnation: run1, Idempotent: idempotent, Remaining: 2000}, s.now)
+	if ok && !strings.Contains(string(id), "queued") {
+		s.begin(id)
+	}
 	s.write("start %s: %s, accepted %t", id, state, ok)
 }
 
+func (s *session) begin(id oleanderspool.AttemptID) bool { return s.table.Begin(id, s.now) }
+
 func (s *session) piece(id oleanderspool.AttemptID, text string, final bool) {
 	p, ok := s.table.Append(id, oleanderspool.Piece{Text: text, Final: final}, s.now)
 	s.write("piece %s %.10q final %t: number %d, added %t", id, text, final, p.Sequence, ok)
@@ -128,6 +133,19 @@
 			s.fail("k.0.crash", oleanderspool.NotRun)
 			s.attach("k.0.crash", 1)
 		}},
+		{"queued", func(s *session) {
+			s.start("k.0.queued1", false)
+			s.start("k.0.queued2", false)
+			s.start("u.0.queued3", true)
+			s.piece("k.0.queued1", "early", false)
+			s.cancel("k.0.queued2")
+			s.cancel("u.0.queued3")
+			s.at(1999).start("k.1999.queued4", false)
+			s.at(2000).write("begin: %t %t", s.begin("k.0.queued1"), s.begin("k.1999.queued4"))
+			s.attach("k.0.queued1", 1)
+			s.start("k.0.queued1", false)
+			s.at(4000).piece("k.1999.queued4", "whole", true)
+		}},
 		{"late_start", func(s *session) {
 			s.start("u.0.a", true)
 			s.piece("u.0.a", "x", true)
