Begin work of an attempt only within its time limit

The table of attempts now refuses work whose limit passed while it was queued; the agent tells it the remaining span and asks it before each hand-over.

--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -32,6 +32,7 @@
 		Request:     call.Request.ID,
 		Incarnation: call.Incarnation,
 		Idempotent:  call.Request.Idempotent,
+		Remaining:   call.Request.Remaining(now),
 	}, now)
 	if !ok {
 		return failureOf(call.Attempt, attempt.Reply{State: state})
@@ -129,8 +130,9 @@
 // dispatch hands one attempt to the engine.
 func (a *Agent) dispatch(d queue.Dispatch, now oleanderspool.Millis) {
 	call, ok := a.calls[d.Attempt]
-	if !ok {
+	if !ok || !a.attempts.Begin(d.Attempt, now) {
 		a.queue.Finished(d.Attempt, now)
+		a.ended(d.Attempt)
 		return
 	}
 	if err := a.reserve(call, d.MemoryTokens, now); err != nil {
@@ -249,6 +251,9 @@
 		return oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "too many calls of the plain service").
 			WithRetryAfter(oleanderspool.Second).WithRetry(oleanderspool.RetryQueueFull)
 	}
+	if !a.attempts.Begin(call.Attempt, a.clock.Now()) {
+		return oleanderspool.Refuse(oleanderspool.RefusalTimeLimit, "the time limit has passed")
+	}
 	a.inCall++
 	ctx, cancel := context.WithTimeout(a.base, call.Request.Remaining(a.clock.Now()).Duration())
 	a.cancels[call.Attempt] = cancel
