Test the stand-in engine and the control of stand-ins over HTTP

The engine now remembers the requests it took, so that tests above it can count runs; orders are carried out one by one, because two that overlapped could take effect in the wrong order despite fencing; and a request whose handler a fault ends by a panic no longer stays in the engine.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -17,8 +17,9 @@
 
 // fixture is a stand-in engine on loopback with a client.
 type fixture struct {
-	engine *standin.Engine
-	client *engine.Client
+	engine  *standin.Engine
+	client  *engine.Client
+	address string
 }
 
 func start(options ...standin.Option) fixture {
@@ -31,9 +32,11 @@
 	DeferCleanup(func() {
 		e.Clear()
 		e.Close()
+		server.CloseClientConnections()
 		server.Close()
 	})
-	return fixture{engine: e, client: engine.NewClient(server.Listener.Addr().String(), engine.WithTimeout(2000))}
+	address := server.Listener.Addr().String()
+	return fixture{engine: e, address: address, client: engine.NewClient(address, engine.WithTimeout(2000))}
 }
 
 func request(attempt, prompt string, tokens int) oleanderspool.GenerateRequest {
--- /dev/null
+++ b/internal/engine/stream_test.go
@@ -0,0 +1,206 @@
+package engine_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/engine"
+	"github.com/oleanderspool/oleanderspool/internal/standin"
+)
+
+// recorder is an engine that records the requests and answers all with one body.
+type recorder struct {
+	status int
+	answer string
+	log    strings.Builder
+}
+
+func (r *recorder) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	body := new(strings.Builder)
+	_ = q.Write(body)
+	text := strings.ReplaceAll(body.String(), q.Host, "ENGINE")
+	fmt.Fprintf(&r.log, "%s\n\n", strings.ReplaceAll(strings.TrimSpace(text), "\r\n", "\n"))
+	w.WriteHeader(r.status)
+	_, _ = w.Write([]byte(r.answer))
+}
+
+func record(status int, answer string) (*recorder, *engine.Client) {
+	r := &recorder{status: status, answer: answer}
+	server := httptest.NewServer(r)
+	DeferCleanup(server.Close)
+	return r, engine.NewClient(server.Listener.Addr().String())
+}
+
+func ignore(string, int, string) {}
+
+var _ = Describe("Codec", func() {
+	// Guards against changes of the messages that engines get.
+	It("encodes every call", func(ctx context.Context) {
+		r, c := record(200, `{}`)
+		q := request("attempt-1", "<prompt> & \"more\"\n", 5)
+		q.Adapter, q.Priority = "wedding", 3
+		_ = c.Generate(ctx, q, ignore)
+		q.Continued = "so far"
+		_ = c.GenerateInGroup(ctx, q, engine.Group{Owner: "group-1", Engines: 3}, ignore)
+		Expect(c.Cancel(ctx, "attempt-1")).To(Succeed())
+		_, _ = c.Report(ctx)
+		_, _ = c.Entries(ctx)
+		Expect(c.Apply(ctx, oleanderspool.Order{
+			Kind: oleanderspool.OrderLoad, Model: "ode", Version: "v2", Adapter: "wedding", Role: "prefill", Fencing: 7,
+		})).To(Succeed())
+		Expect(c.Reserve(ctx, "group-1", 100)).To(Succeed())
+		_, _ = c.Export(ctx, "attempt-1")
+		Expect(c.Import(ctx, "a b&c", []byte("cache"))).To(Succeed())
+		_, _ = c.CacheEvents(ctx, 12)
+		expectGolden("requests", r.log.String())
+	})
+
+	// Guards against answers that are taken for complete although they are not,
+	// and against lost parts.
+	streams := []struct {
+		name string
+		body string
+		text string
+		err  *errorx.Type
+	}{
+		{"complete", chunk("a", "1", "") + chunk("b", "3", "stop") + done, "a/1 b/2 /0stop", nil},
+		{"no counts", chunk("a", "", "") + chunk("b", "", "stop") + done, "a/1 b/1 /0stop", nil},
+		{"comments and usage", ": c\n\n" + chunk("a", "1", "length") + "data: {\"choices\":[],\"usage\":{\"completion_tokens\":1}}\n\n" + done, "a/1 /0length", nil},
+		{"no end mark", chunk("a", "1", "stop"), "a/1", oleanderspool.ErrUncertain},
+		{"no finish reason", chunk("a", "1", "") + done, "a/1", oleanderspool.ErrUncertain},
+		{"cut chunk", chunk("a", "1", "") + "data: {\"choices\":", "a/1", oleanderspool.ErrUncertain},
+		{"malformed chunk", chunk("a", "1", "") + "data: {\"choices\":3}\n\n" + done, "a/1", oleanderspool.ErrUncertain},
+		{"error", chunk("a", "1", "") + "data: {\"error\":{\"message\":\"m\"}}\n\n" + done, "a/1", oleanderspool.ErrUncertain},
+		{"nothing", "", "", oleanderspool.ErrUncertain},
+	}
+	for _, s := range streams {
+		It("reads a stream: "+s.name, func(ctx context.Context) {
+			_, c := record(200, s.body)
+			var parts []string
+			err := c.Generate(ctx, request("a", "p", 5), func(text string, tokens int, finish string) {
+				parts = append(parts, fmt.Sprintf("%s/%d%s", text, tokens, finish))
+			})
+			Expect(strings.Join(parts, " ")).To(Equal(s.text))
+			if s.err == nil {
+				Expect(err).NotTo(HaveOccurred())
+			} else {
+				Expect(isType(err, s.err)).To(BeTrue(), "%v", err)
+			}
+		})
+	}
+
+	// Guards against a refusal that is taken for a run, and the reverse.
+	refusals := []struct {
+		status int
+		body   string
+		err    *errorx.Type
+	}{
+		{503, `{"error":{"code":"queue_full","effect":"none"}}`, oleanderspool.ErrUnavailable},
+		{507, `{"error":{"effect":"none"}}`, oleanderspool.ErrUnavailable},
+		{429, `{"error":{"effect":"none"}}`, oleanderspool.ErrUnavailable},
+		{409, `{"error":{"code":"fenced","effect":"none"}}`, oleanderspool.ErrFenced},
+		{400, `{"error":{"message":"m"}}`, oleanderspool.ErrInvalid},
+		{503, `{"error":{"message":"m"}}`, oleanderspool.ErrUncertain},
+		{500, `{"error":{"message":"m"}}`, oleanderspool.ErrUncertain},
+		{502, `<html>`, oleanderspool.ErrUncertain},
+	}
+	for _, c := range refusals {
+		It(fmt.Sprintf("reads %d %s", c.status, c.body), func(ctx context.Context) {
+			_, client := record(c.status, c.body)
+			err := client.Generate(ctx, request("a", "p", 5), ignore)
+			Expect(isType(err, c.err)).To(BeTrue(), "%v", err)
+		})
+	}
+
+	It("refuses malformed reports, entries and events", func(ctx context.Context) {
+		for _, body := range []string{``, `[]`, `{}`, `{"events":[{"prefix":"xyz"}],"entries":{}}`} {
+			_, c := record(200, body)
+			_, err := c.Report(ctx)
+			Expect(err).To(HaveOccurred())
+			_, err = c.Entries(ctx)
+			Expect(err).To(HaveOccurred())
+			if _, err = c.CacheEvents(ctx, 0); body != `{}` {
+				Expect(err).To(HaveOccurred())
+			}
+		}
+	})
+})
+
+const done = "data: [DONE]\n\n"
+
+// chunk returns an event with text, the tokens generated so far and a finish
+// reason, without those that are empty.
+func chunk(text, generated, finish string) string {
+	usage, reason := "null", "null"
+	if generated != "" {
+		usage = `{"completion_tokens":` + generated + `}`
+	}
+	if finish != "" {
+		reason = `"` + finish + `"`
+	}
+	return fmt.Sprintf("data: {\"choices\":[{\"delta\":{\"content\":%q},\"finish_reason\":%s}],\"usage\":%s}\n\n", text, reason, usage)
+}
+
+func expectGolden(name, got string) {
+	GinkgoHelper()
+	path := filepath.Join("testdata", name+".golden")
+	if *update {
+		Expect(os.WriteFile(path, []byte(got), 0o644)).To(Succeed())
+	}
+	want, err := os.ReadFile(path)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(got).To(Equal(string(want)))
+}
+
+var _ = Describe("Generate under faults", func() {
+	// Guards against a second run, and against a request that may have run being
+	// reported as not sent.
+	It("is written once when the connection breaks", func(ctx context.Context) {
+		for _, point := range []standin.BreakPoint{
+			standin.BreakAfterAccept, standin.BreakAfterRequest, standin.BreakInHeader, standin.BreakInBody,
+		} {
+			server, err := standin.NewBroken(point, chunk("a", "1", "stop")+done, 1)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(server.Close)
+			c := engine.NewClient(server.Address())
+			Expect(c.Generate(ctx, request("a", "p", 5), ignore)).To(Succeed())
+			err = c.Generate(ctx, request("a", "p", 5), ignore)
+			Expect(isType(err, oleanderspool.ErrUncertain)).To(BeTrue(), "%v", err)
+			Expect(server.Requests()).To(BeNumerically("<=", 2))
+		}
+	})
+
+	// Guards against an answer that hangs until the request's time limit.
+	It("ends when the engine is silent", func(ctx context.Context) {
+		f := start()
+		c := engine.NewClient(f.address, engine.WithSilence(100))
+		f.engine.Add(standin.Fault{Kind: standin.FaultStall, Path: "/v1/chat", Bytes: 300})
+		begin := time.Now()
+		err := c.Generate(ctx, request("a", "p", 1000), ignore)
+		Expect(err).To(MatchError(ContainSubstring("silent")))
+		Expect(isType(err, oleanderspool.ErrUncertain)).To(BeTrue(), "%v", err)
+		Expect(time.Since(begin)).To(BeNumerically("<", 5*time.Second))
+	})
+
+	It("bounds the time to the first part if asked to, and the whole by the remaining time", func(ctx context.Context) {
+		f := start(standinHang())
+		err := engine.NewClient(f.address, engine.WithFirstPart(50)).Generate(ctx, request("a", "p", 5), ignore)
+		Expect(err).To(MatchError(ContainSubstring("silent")))
+		q := request("a", "p", 5)
+		q.Remaining = 50
+		err = engine.NewClient(f.address).Generate(ctx, q, ignore)
+		Expect(err).To(MatchError(ContainSubstring("deadline")))
+		Expect(isType(err, oleanderspool.ErrUncertain)).To(BeTrue(), "%v", err)
+	})
+})
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -125,9 +125,9 @@
 			return
 		}
 		e.waiting = e.waiting[1:]
-		cached := e.cache.match(q.prefixes)
+		q.cached = e.cache.match(q.prefixes)
 		total := countTokens(q.prompt) + int64(q.start)
-		left := max(1, total-cached-e.imported[q.owner])
+		left := max(1, total-q.cached-e.imported[q.owner])
 		delete(e.imported, q.owner)
 		q.prefill = (left + q.share - 1) / q.share
 		e.running = insert(e.running, q)
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -4,6 +4,8 @@
 	"container/list"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/oleanderspool/oleanderspool"
 )
 
 // blockTokens is the unit in which prompt prefixes are cached.
@@ -29,6 +31,13 @@
 	return &cache{limit: limit, recent: list.New(), blocks: map[uint64]*list.Element{}, notify: notify}
 }
 
+// Prefix returns the fingerprint that cache events have for the first tokens of
+// a prompt. It is the 64-bit xxHash of the model's name with adapter, a line end
+// and the text.
+func Prefix(model, prompt string, tokens int64) oleanderspool.Fingerprint {
+	return oleanderspool.Fingerprint(xxhash.Sum64String(model + "\n" + prompt[:tokens*TokenBytes]))
+}
+
 // prefixes returns the prefixes of all whole blocks of a prompt.
 func prefixes(model, prompt string) []uint64 {
 	digest := xxhash.New()
--- a/internal/standin/engine/codec.go
+++ b/internal/standin/engine/codec.go
@@ -150,3 +150,28 @@
 type failureFields struct {
 	Message string `json:"message"`
 }
+
+type requestBody struct {
+	RequestID    string `json:"request_id"`
+	Model        string `json:"model"`
+	PromptTokens int64  `json:"prompt_tokens"`
+	CachedTokens int64  `json:"cached_tokens"`
+	Generated    int    `json:"generated"`
+	Outcome      string `json:"outcome"`
+}
+
+type requestsBody struct {
+	Crashes  int           `json:"crashes"`
+	Requests []requestBody `json:"requests"`
+}
+
+func requestBodies(crashes int, requests []Request) requestsBody {
+	body := requestsBody{Crashes: crashes, Requests: make([]requestBody, 0, len(requests))}
+	for _, r := range requests {
+		body.Requests = append(body.Requests, requestBody{
+			RequestID: r.ID, Model: r.Model, PromptTokens: r.PromptTokens,
+			CachedTokens: r.CachedTokens, Generated: r.Generated, Outcome: r.Outcome,
+		})
+	}
+	return body
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -22,6 +22,9 @@
 //	                           "evicted"}]}
 //	POST /control/engine       {"action": "crash", "pause", "resume" or "slow",
 //	                           "factor"}
+//	GET  /control/requests     -> {"crashes", "requests": [{"request_id", "model",
+//	                           "prompt_tokens", "cached_tokens", "generated",
+//	                           "outcome"}]}
 //	     /control/faults       see package standin
 //
 // A refusal is {"error": {"message", "code", "effect"}}.
@@ -92,6 +95,7 @@
 	onCrash         func()
 
 	handler http.Handler
+	orders  sync.Mutex // held while an order is carried out
 	closing sync.Once
 	closed  chan struct{}
 	stopped chan struct{}
@@ -115,6 +119,7 @@
 	role      string
 	fence     int64
 	report    report
+	history   history // survives a crash
 	crashes   int
 }
 
@@ -178,6 +183,14 @@
 	return e.crashes
 }
 
+// Requests lists the requests that the engine has taken, oldest first, up to a
+// bound.
+func (e *Engine) Requests() []Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.history.list()
+}
+
 // Pause stops the batch; the engine still answers other calls.
 func (e *Engine) Pause() { e.setPaused(true) }
 
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -23,6 +23,8 @@
 		refuse(w, refusal.status, refusal.code, refusal.message)
 		return
 	}
+	// A fault may end the handler by a panic at any write.
+	defer e.lose(q)
 	a := &answerWriter{writer: w, sequence: q, stream: b.Stream, chat: len(b.Messages) > 0}
 	a.open()
 	if !e.follow(r, a, b.TimeoutMS) {
@@ -48,6 +50,7 @@
 	e.arrivals++
 	q.arrival = e.arrivals
 	e.sequences[q.owner] = q
+	e.history.add(q)
 	e.waiting = insert(e.waiting, q)
 	e.wake()
 	return q, nil
@@ -126,7 +129,6 @@
 		case <-expired:
 			e.drop(q, "time limit")
 		case <-r.Context().Done():
-			e.lose(q)
 			return false
 		}
 	}
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -28,6 +28,7 @@
 	mux.HandleFunc("GET /v1/cache_events", e.serveCacheEvents)
 	control := http.NewServeMux()
 	control.HandleFunc("POST /control/engine", e.serveControl)
+	control.HandleFunc("GET /control/requests", e.serveRequests)
 	control.Handle("/", e.whileUp(mux))
 	return control
 }
@@ -217,20 +218,33 @@
 	standin.WriteJSON(w, http.StatusOK, struct{}{})
 }
 
+func (e *Engine) serveRequests(w http.ResponseWriter, _ *http.Request) {
+	standin.WriteJSON(w, http.StatusOK, requestBodies(e.Crashes(), e.Requests()))
+}
+
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var b orderBody
 	if !standin.ReadJSON(w, r, &b) {
 		return
 	}
-	if !e.fences(w, b) {
+	// Orders are carried out one by one, so that one with a lower fencing number
+	// never takes effect after one with a higher.
+	e.orders.Lock()
+	defer e.orders.Unlock()
+	run, fenced := e.fences(w, b)
+	if fenced {
 		return
 	}
 	if !e.pause(e.loadTime) {
 		panic(http.ErrAbortHandler)
 	}
 	e.mu.Lock()
-	known := e.apply(b)
+	lost := run != e.started
+	known := !lost && e.apply(b)
 	e.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
 	if !known {
 		refuse(w, http.StatusBadRequest, "bad_request", "unknown kind of order: "+b.Kind)
 		return
@@ -238,17 +252,17 @@
 	standin.WriteJSON(w, http.StatusOK, struct{}{})
 }
 
-// fences takes the fencing number of an order, or refuses a number below the
-// highest one seen.
-func (e *Engine) fences(w http.ResponseWriter, b orderBody) bool {
+// fences takes the fencing number of an order and returns the run of the engine,
+// or refuses a number below the highest one seen.
+func (e *Engine) fences(w http.ResponseWriter, b orderBody) (run string, fenced bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.fencing && b.Fencing < e.fence {
 		refuse(w, http.StatusConflict, "fenced", "fencing number is below "+strconv.FormatInt(e.fence, 10))
-		return false
+		return "", true
 	}
 	e.fence = max(e.fence, b.Fencing)
-	return true
+	return e.started, false
 }
 
 // apply carries out an order. The caller holds the lock.
--- a/internal/standin/engine/sequence.go
+++ b/internal/standin/engine/sequence.go
@@ -14,6 +14,7 @@
 	priority int
 	arrival  int64
 
+	cached    int64 // tokens of the prompt found in the prefix cache
 	prefill   int64 // tokens left to prefill on this engine
 	generated int
 	finish    string // set when generation has ended
