Let a hung engine fall silent and settle overlapping orders

The stand-in's comments went on while its batch hung, which hid the hang from the client's silence bound; an engine whose batch hangs sends nothing.

--- a/internal/engine/standin_test.go
+++ b/internal/engine/standin_test.go
@@ -260,6 +260,34 @@
 		Expect(isType(order("explode", "", 7), oleanderspool.ErrInvalid)).To(BeTrue())
 	})
 
+	// Guards against orders that overlap and take effect in the wrong order, and
+	// against one that takes effect in an engine that was restarted meanwhile.
+	It("are carried out one by one and end with the engine's run", func(ctx context.Context) {
+		f := start(standin.WithLoadTime(100), standin.WithDownTime(1))
+		load := func(model string) error {
+			return f.client.Apply(ctx, oleanderspool.Order{Kind: oleanderspool.OrderLoad, Model: oleanderspool.ModelID(model)})
+		}
+		begin := time.Now()
+		var orders sync.WaitGroup
+		for _, model := range []string{"a", "b"} {
+			orders.Go(func() {
+				defer GinkgoRecover()
+				Expect(load(model)).To(Succeed())
+			})
+		}
+		orders.Wait()
+		Expect(time.Since(begin)).To(BeNumerically(">=", 200*time.Millisecond))
+		result := make(chan error, 1)
+		go func() { result <- load("c") }()
+		time.Sleep(50 * time.Millisecond)
+		f.engine.Crash()
+		Expect(isType(<-result, oleanderspool.ErrUncertain)).To(BeTrue())
+		Eventually(func() []oleanderspool.ModelID {
+			report, _ := f.client.Report(ctx)
+			return report.Models
+		}).Should(Equal([]oleanderspool.ModelID{"ode"}))
+	})
+
 	It("are not fenced by an engine that ignores the number", func(ctx context.Context) {
 		f := start(standin.WithoutFencing())
 		for _, fencing := range []int64{5, 4} {
--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -193,6 +193,14 @@
 		Expect(time.Since(begin)).To(BeNumerically("<", 5*time.Second))
 	})
 
+	// Guards against a hung batch that the engine's comments hide.
+	It("ends when the engine's batch hangs", func(ctx context.Context) {
+		f := start()
+		c := engine.NewClient(f.address, engine.WithSilence(1500))
+		f.engine.Pause()
+		Expect(c.Generate(ctx, request("a", "p", 5), ignore)).To(MatchError(ContainSubstring("silent")))
+	})
+
 	It("bounds the time to the first part if asked to, and the whole by the remaining time", func(ctx context.Context) {
 		f := start(standinHang())
 		err := engine.NewClient(f.address, engine.WithFirstPart(50)).Generate(ctx, request("a", "p", 5), ignore)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -191,7 +191,8 @@
 	return e.history.list()
 }
 
-// Pause stops the batch; the engine still answers other calls.
+// Pause stops the batch, so that answers fall silent; the engine still answers
+// other calls.
 func (e *Engine) Pause() { e.setPaused(true) }
 
 // Resume continues the batch.
@@ -204,6 +205,12 @@
 	e.wake()
 }
 
+func (e *Engine) isPaused() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.paused
+}
+
 // Slow multiplies the time of each step by factor; 1 is the normal speed.
 func (e *Engine) Slow(factor float64) {
 	e.mu.Lock()
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -125,7 +125,9 @@
 				return ok
 			}
 		case <-ticker.C:
-			a.heartbeat()
+			if !e.isPaused() {
+				a.heartbeat()
+			}
 		case <-expired:
 			e.drop(q, "time limit")
 		case <-r.Context().Done():
