Adapt the engine's tests to groups in the generate request

The root request names the group since the entry serves prompts on several engines, so the client needs no second method. The assertions are the same.

--- a/internal/engine/standin_test.go
+++ b/internal/engine/standin_test.go
@@ -12,7 +12,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderspool/oleanderspool"
-	"github.com/oleanderspool/oleanderspool/internal/engine"
 	base "github.com/oleanderspool/oleanderspool/internal/standin"
 	standin "github.com/oleanderspool/oleanderspool/internal/standin/engine"
 )
@@ -73,11 +72,11 @@
 		f := start(standin.WithSize(1000))
 		r := request("a", prompt(2490, "p"), 10)
 		Expect(isType(f.client.Generate(ctx, r, ignore), oleanderspool.ErrInvalid)).To(BeTrue())
-		group := engine.Group{Owner: "group", Engines: 3}
-		Expect(isType(f.client.GenerateInGroup(ctx, r, group, ignore), oleanderspool.ErrUnavailable)).To(BeTrue())
+		r.Group, r.Engines = "group", 3
+		Expect(isType(f.client.Generate(ctx, r, ignore), oleanderspool.ErrUnavailable)).To(BeTrue())
 		Expect(f.client.Reserve(ctx, "group", 834)).To(Succeed())
 		var a answer
-		Expect(f.client.GenerateInGroup(ctx, r, group, a.emit)).To(Succeed())
+		Expect(f.client.Generate(ctx, r, a.emit)).To(Succeed())
 		Expect(a.text.String()).To(Equal(standin.Text(r.Prompt, 0, 10)))
 		Expect(f.client.Entries(ctx)).To(HaveLen(1))
 	})
--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -52,7 +52,8 @@
 		q.Adapter, q.Priority = "wedding", 3
 		_ = c.Generate(ctx, q, ignore)
 		q.Continued = "so far"
-		_ = c.GenerateInGroup(ctx, q, engine.Group{Owner: "group-1", Engines: 3}, ignore)
+		q.Group, q.Engines = "group-1", 3
+		_ = c.Generate(ctx, q, ignore)
 		Expect(c.Cancel(ctx, "attempt-1")).To(Succeed())
 		_, _ = c.Report(ctx)
 		_, _ = c.Entries(ctx)
