Run requests that were in flight at a crash as trials

Cause: a request that crashes its engine was retried on other servers, up to four of them. The agent now names the crash in the failure and reports it with all fingerprints in flight at once; entries put them into the stream of suspects, and a suspect runs alone, by the entry whose claim the log shows first. The loss of three servers within 10 s is not put down to requests, or the loss of a data centre would make all its requests wait.

An attempt that was sent and whose agent then refused connections was taken as not sent, which could have run a call without a key twice. Attach and Bar now say that such an attempt may have run.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -68,6 +68,7 @@
 	leaving       bool
 	report        oleanderspool.EngineReport
 	engineUp      bool
+	crashes       crashes
 	changed       broadcast.Signal // state that Watch reports
 	feeds         map[oleanderspool.AttemptID]*feed
 	configuration *replica.Replica
--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -106,17 +106,17 @@
 	a.logger.Warn("engine not available", "instance", a.identity.Instance)
 }
 
-// engineCrashed asks the engine whether it still is the one that the agent
-// knows.
-func (a *Agent) engineCrashed() bool {
+// engineCrashed asks the engine whether it still is the run that an attempt
+// was handed to.
+func (a *Agent) engineCrashed(started string) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.base), reportTimeout)
 	defer cancel()
 	report, err := a.engine.Report(ctx)
+	if err == nil {
+		return report.Started != started
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if err != nil {
-		a.setEngineUp(false)
-		return true
-	}
-	return report.Started != a.report.Started
+	a.setEngineUp(false)
+	return true
 }
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -176,8 +176,12 @@
 		a.mu.Lock()
 		changed := a.changed.Wait()
 		state := a.state()
+		crashes := a.crashes.recent(a.clock.Now())
+		started := a.report.Started
 		a.mu.Unlock()
 		message := peer.EncodeState(state)
+		message.Crashes = peer.EncodeCrashes(crashes)
+		message.EngineStarted = started
 		message.Position = int64(a.configuration.Position())
 		if err := s.Send(message); err != nil {
 			return err
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -143,7 +143,7 @@
 	}
 	ctx, cancel := context.WithTimeout(a.base, call.Request.Remaining(now).Duration())
 	a.cancels[d.Attempt] = cancel
-	go a.generate(ctx, cancel, call, d.EnginePriority)
+	go a.generate(ctx, cancel, call, d.EnginePriority, a.report.Started)
 }
 
 // reserve accounts for the memory of an attempt. The memory of a group is
@@ -160,8 +160,8 @@
 	}, now)
 }
 
-// generate runs one attempt on the engine.
-func (a *Agent) generate(ctx context.Context, cancel context.CancelFunc, call peer.RunCall, priority int) {
+// generate runs one attempt on the given run of the engine.
+func (a *Agent) generate(ctx context.Context, cancel context.CancelFunc, call peer.RunCall, priority int, started string) {
 	defer cancel()
 	r := call.Request
 	err := a.engine.Generate(ctx, oleanderspool.GenerateRequest{
@@ -178,7 +178,11 @@
 	}, func(text string, tokens int, finish string) {
 		a.emit(call.Attempt, oleanderspool.Piece{Text: text, Tokens: tokens, Finish: finish, Final: finish != ""})
 	})
-	refusal := a.explain(ctx, err)
+	refusal, broken := explain(ctx, err)
+	if broken && a.engineCrashed(started) {
+		crash := a.noteCrash(call, started)
+		refusal = refusal.WithRetry(oleanderspool.RetryEngineDied).WithCrash(crash)
+	}
 
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -212,34 +216,29 @@
 	a.notify(id)
 }
 
-// explain maps an error of the engine to a refusal. It asks the engine for a
-// report when the stream broke, since only a crashed engine makes its requests
-// suspect.
-func (a *Agent) explain(ctx context.Context, err error) *oleanderspool.Refusal {
+// explain maps an error of the engine to a refusal. broken says that the stream
+// broke without a word of the engine, which may have crashed.
+func explain(ctx context.Context, err error) (refusal *oleanderspool.Refusal, broken bool) {
 	switch {
 	case err == nil:
-		return nil
+		return nil, false
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return oleanderspool.Refuse(oleanderspool.RefusalTimeLimit, "the time limit has passed").
-			WithExecution(oleanderspool.MayHaveRun)
+			WithExecution(oleanderspool.MayHaveRun), false
 	case ctx.Err() != nil:
 		return oleanderspool.Refuse(oleanderspool.RefusalCancelled, "the attempt was cancelled").
-			WithExecution(oleanderspool.MayHaveRun)
+			WithExecution(oleanderspool.MayHaveRun), false
 	case errorx.IsOfType(err, oleanderspool.ErrInvalid):
-		return oleanderspool.Refuse(oleanderspool.RefusalBadRequest, err.Error())
+		return oleanderspool.Refuse(oleanderspool.RefusalBadRequest, err.Error()), false
 	case errorx.IsOfType(err, oleanderspool.ErrUnavailable):
 		return oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "the engine refused the request").
-			WithRetry(oleanderspool.RetryQueueFull)
+			WithRetry(oleanderspool.RetryQueueFull), false
 	case errorx.IsOfType(err, oleanderspool.ErrNotSent):
 		return oleanderspool.Refuse(oleanderspool.RefusalBackendServerFailed, "the engine could not be reached").
-			WithRetry(oleanderspool.RetryConnectFailed)
-	}
-	refusal := oleanderspool.Refuse(oleanderspool.RefusalBackendServerFailed, "the engine broke the stream").
-		WithExecution(oleanderspool.MayHaveRun)
-	if a.engineCrashed() {
-		return refusal.WithRetry(oleanderspool.RetryEngineDied)
+			WithRetry(oleanderspool.RetryConnectFailed), false
 	}
-	return refusal.WithRetry(oleanderspool.RetryStreamSilent)
+	return oleanderspool.Refuse(oleanderspool.RefusalBackendServerFailed, "the engine broke the stream").
+		WithExecution(oleanderspool.MayHaveRun).WithRetry(oleanderspool.RetryStreamSilent), true
 }
 
 // beginCall starts a call of the plain service.
--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -122,7 +122,7 @@
 	assignments := c.entry.router.Assignments()
 	assignments.Start(cl.Attempt, c.request, cl.Instance, c.entry.clock.Now())
 	defer assignments.End(cl.Attempt)
-	return c.ended(ctx, cl, c.open(ctx, server, c.call(server, cl.Attempt)), true)
+	return c.ended(ctx, cl, c.open(ctx, server, c.call(server, cl.Attempt)))
 }
 
 // attachTo follows an attempt that may have been started by another entry.
@@ -133,7 +133,7 @@
 	}
 	server.Incarnation = cl.Incarnation
 	c.assemble(cl)
-	return c.ended(ctx, cl, c.attach(ctx, server, cl.Attempt), false)
+	return c.ended(ctx, cl, c.attach(ctx, server, cl.Attempt))
 }
 
 // assemble prepares the assembler for the attempt of a claim. Nothing was
@@ -148,16 +148,16 @@
 }
 
 // ended maps the end of a stream to an event.
-func (c *claimed) ended(ctx context.Context, cl claim.Claim, end ending, first bool) claim.Event {
+func (c *claimed) ended(ctx context.Context, cl claim.Claim, end ending) claim.Event {
 	switch {
 	case end.complete:
 		c.complete = true
 		return nil
 	case ctx.Err() != nil:
 		return claim.TimeLimit{}
-	case end.notSent && first:
-		return claim.NotSent{Attempt: cl.Attempt}
 	case end.notSent:
+		return claim.NotSent{Attempt: cl.Attempt}
+	case end.away:
 		return claim.Unreachable{Attempt: cl.Attempt}
 	case end.refusal != nil:
 		return c.replied(cl, end)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,6 +68,7 @@
 	peers         *peer.Client
 	router        *routing.Router
 	claims        *claims
+	suspects      *suspects
 	configuration *replica.Replica
 	stopping      atomic.Bool
 
@@ -171,6 +172,7 @@
 	e.retries = retry.New(retry.WithBudget(e.budget), retry.WithSeed(randomSeed()))
 	e.configuration = replica.New(e.logger, e.metrics, e.configured)
 	e.claims = newClaims(e.log, e.clock, e.metrics, claim.Limits{KeyLifetime: e.lifetime, MaxClaims: maxClaims})
+	e.suspects = newSuspects(e)
 	e.members = newMembers(e, membership.New())
 	e.router = routing.NewRouter(routing.WithSets(e.setOf), routing.WithDistances(e.distances), routing.WithSeed(randomSeed()))
 	return e
@@ -186,6 +188,8 @@
 	group.Go(func() error { e.followConfiguration(serving); return nil })
 	group.Go(func() error { e.claims.read(serving); return nil })
 	group.Go(func() error { e.claims.append(serving); return nil })
+	group.Go(func() error { e.suspects.read(serving); return nil })
+	group.Go(func() error { e.suspects.append(serving); return nil })
 	group.Go(func() error { e.members.run(serving); return nil })
 	e.logger.Info("entry started", "instance", e.instance)
 	select {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -127,11 +127,19 @@
 // runOn runs one attempt on a server until it is complete, the request is
 // refused, or another attempt is to be made.
 func (x *exchange) runOn(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID) (done bool, refusal *oleanderspool.Refusal) {
+	a, refusal := x.checkSuspect(ctx, server, id)
+	if refusal != nil {
+		return true, refusal
+	}
 	assignments := x.entry.router.Assignments()
 	assignments.Start(id, x.request, server.Instance, x.entry.clock.Now())
 	defer assignments.End(id)
 	x.entry.bringUpToDate(ctx, server)
-	end := x.open(ctx, server, x.call(server, id))
+	call := x.call(server, id)
+	call.Trial = a.trial
+	end := x.open(ctx, server, call)
+	crashed := false
+	defer func() { x.endTrial(a, id, end.complete, crashed) }()
 	for {
 		if end.complete {
 			return true, nil
@@ -146,18 +154,20 @@
 			end = x.bar(ctx, server, id)
 			continue
 		}
+		crashed = x.noteCrash(a, id, &end)
 		decision := x.decide(server, end)
-		switch decision.Action {
-		case retry.Refuse:
-			return true, decision.Refusal
-		case retry.Attach:
+		if decision.Action == retry.Attach {
 			x.entry.metrics.Retried(decision.Reason)
 			end = x.attach(ctx, server, id)
-		default:
-			x.entry.metrics.Retried(decision.Reason)
-			sleep(ctx, decision.Delay)
-			return false, nil
+			continue
 		}
+		crashed = crashed || x.noteLoss(server, end)
+		if decision.Action == retry.Refuse {
+			return true, decision.Refusal
+		}
+		x.entry.metrics.Retried(decision.Reason)
+		sleep(ctx, decision.Delay)
+		return false, nil
 	}
 }
 
@@ -258,6 +268,11 @@
 	if x.request.Idempotent {
 		x.cancel(server, id)
 	}
+	return x.ended(ctx)
+}
+
+// ended refuses a request whose caller has gone or whose time has passed.
+func (x *exchange) ended(ctx context.Context) *oleanderspool.Refusal {
 	reason, message := oleanderspool.RefusalCancelled, "the caller has gone"
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		reason, message = oleanderspool.RefusalTimeLimit, "the time limit has passed"
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -150,6 +150,9 @@
 		}
 		silence.Reset(membership.DefaultSuspectAfter.Duration())
 		m.report(stream, position, peer.DecodeState(state, address, m.entry.clock.Now()))
+		for _, c := range peer.DecodeCrashes(state.GetCrashes()) {
+			m.entry.suspects.crashed(c, false)
+		}
 		m.offer(ctx, address, state, &offered)
 	}
 }
@@ -206,6 +209,7 @@
 // handle counts and logs changes.
 func (m *members) handle(changes []membership.Change) {
 	for _, c := range changes {
+		m.entry.suspects.noteChange(c)
 		m.entry.metrics.Changed("backend_server_" + c.Kind.String())
 		m.entry.logger.Info("backend server changed", "instance", c.Instance, "change", c.Kind.String(), "incarnation", c.Incarnation)
 	}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -29,7 +29,8 @@
 	failure  retry.Failure
 	state    attempt.State          // what the agent knows; StateForgotten when it did not say
 	refusal  *oleanderspool.Refusal // the agent's refusal
-	notSent  bool                   // the agent certainly received nothing
+	notSent  bool                   // the agent certainly received nothing of the attempt
+	away     bool                   // the agent of a started attempt cannot be reached
 }
 
 // eventReceiver is the stream that Run and Attach return.
@@ -58,14 +59,26 @@
 func (x *exchange) attach(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID) ending {
 	from, _ := x.assembler.Missing()
 	x.entry.peers.Discard(server.Address)
-	return x.follow(ctx, server, func(ctx context.Context) (eventReceiver, error) {
+	return sent(x.follow(ctx, server, func(ctx context.Context) (eventReceiver, error) {
 		return x.entry.peers.Agent(server.Address).Attach(ctx, &peerpb.AttachRequest{
 			Revision:    int64(x.entry.configuration.Revision()),
 			Incarnation: string(server.Incarnation),
 			Attempt:     string(id),
 			From:        from,
 		})
-	})
+	}))
+}
+
+// sent corrects the end of a call about an attempt that was sent before: that
+// this call did not reach the agent says nothing about the attempt.
+func sent(end ending) ending {
+	if end.notSent {
+		end.notSent = false
+		end.away = true
+		end.failure.Reason = oleanderspool.RetryAgentDied
+		end.failure.Execution = oleanderspool.MayHaveRun
+	}
+	return end
 }
 
 // follow passes the pieces of a stream on until it ends, breaks or goes
@@ -153,7 +166,7 @@
 		Attempt:     string(id),
 	})
 	if err != nil {
-		return broken(server, err)
+		return sent(broken(server, err))
 	}
 	state := attempt.ParseState(reply.GetState())
 	end := ending{state: state, failure: retry.Failure{
--- /dev/null
+++ b/internal/entry/suspects.go
@@ -0,0 +1,277 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/broadcast"
+	"github.com/oleanderspool/oleanderspool/internal/membership"
+	"github.com/oleanderspool/oleanderspool/internal/peer"
+	"github.com/oleanderspool/oleanderspool/internal/suspect"
+)
+
+const (
+	suspectReadLimit = 1000
+	suspectReadWait  = 5 * oleanderspool.Second
+	suspectTick      = 100 * oleanderspool.Millis(1)
+	// commonLossSpan and commonLossServers tell a crash that a request may have
+	// caused from the loss of a rack, a switch or a data centre: one request is
+	// in flight on few servers. Without this rule the loss of a data centre
+	// would make every request in flight there wait for a trial.
+	commonLossSpan    = 10 * oleanderspool.Second
+	commonLossServers = 3
+)
+
+// suspects reads the stream of suspects and appends to it.
+type suspects struct {
+	log    oleanderspool.Log
+	clock  oleanderspool.Clock
+	report func(change string)
+
+	mu      sync.Mutex
+	state   *suspect.State
+	changed broadcast.Signal
+	losses  []oleanderspool.Millis // instants at which servers were lost
+	wake    chan struct{}
+}
+
+func newSuspects(e *Entry) *suspects {
+	return &suspects{
+		log:    e.log,
+		clock:  e.clock,
+		report: e.metrics.Changed,
+		state:  suspect.New(string(e.instance)+"/"+unique(), e.clock.Now()),
+		wake:   make(chan struct{}, 1),
+	}
+}
+
+// read applies the stream until ctx ends.
+func (s *suspects) read(ctx context.Context) {
+	wait := oleanderspool.Millis(0)
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		from := s.state.Next()
+		s.mu.Unlock()
+		sentAt := s.clock.Now()
+		records, head, err := s.log.Read(ctx, oleanderspool.StreamSuspect, from, suspectReadLimit, wait)
+		now := s.clock.Now()
+		s.mu.Lock()
+		if err != nil {
+			s.state.ReadFailed(sentAt, now)
+		} else if s.state.Apply(records, head, sentAt, now) > 0 {
+			s.report("suspect_record_unreadable")
+		}
+		s.changed.Notify()
+		s.mu.Unlock()
+		wait = suspectReadWait
+		if err != nil {
+			wait = 0
+			sleep(ctx, claimReadRetry)
+		}
+	}
+}
+
+// append appends what is due until ctx ends.
+func (s *suspects) append(ctx context.Context) {
+	ticker := time.NewTicker(suspectTick.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.wake:
+		}
+		s.mu.Lock()
+		now := s.clock.Now()
+		s.state.Tick(now)
+		records := s.state.Outbox(now)
+		s.mu.Unlock()
+		if len(records) == 0 {
+			continue
+		}
+		// A failed append is repeated until the records were read.
+		if _, err := s.log.Append(ctx, oleanderspool.StreamSuspect, records); err != nil {
+			s.report("suspect_append_failed")
+		}
+	}
+}
+
+func (s *suspects) hasten() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// crashed takes a crash that an agent reported.
+func (s *suspects) crashed(c peer.Crash, own bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.Crashed(suspect.Crash{
+		ID:           suspect.CrashID(c.ID),
+		Fingerprints: c.Fingerprints,
+		Trial:        c.Trial,
+		Own:          own,
+	}, s.clock.Now())
+	s.changed.Notify()
+	s.hasten()
+}
+
+// vanished takes the loss of a server with a request of this entry in flight,
+// unless several servers were lost at once.
+func (s *suspects) vanished(server oleanderspool.BackendServer, f oleanderspool.Fingerprint) bool {
+	if s.commonLoss() {
+		return false
+	}
+	s.crashed(peer.Crash{
+		ID:           string(server.Instance) + "/" + string(server.Incarnation),
+		Fingerprints: []oleanderspool.Fingerprint{f},
+	}, true)
+	return true
+}
+
+func (s *suspects) commonLoss() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.losses) >= commonLossServers && s.clock.Now()-s.losses[len(s.losses)-commonLossServers] <= commonLossSpan
+}
+
+// noteChange takes a change of the membership.
+func (s *suspects) noteChange(c membership.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	switch c.Kind {
+	case membership.Ended, membership.Gone:
+		s.state.ServerEnded(c.Instance, c.Incarnation, now)
+		s.changed.Notify()
+	case membership.Suspected:
+		s.losses = append(s.losses, now)
+		if len(s.losses) > commonLossServers {
+			s.losses = s.losses[1:]
+		}
+	}
+}
+
+// check decides whether a request may run. The returned channel is closed when
+// the decision may change.
+func (s *suspects) check(q suspect.Query) (suspect.Verdict, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := s.changed.Wait()
+	v := s.state.Check(q, s.clock.Now())
+	if v.Action == suspect.Wait {
+		s.hasten()
+	}
+	return v, changed
+}
+
+func (s *suspects) withdraw(id oleanderspool.AttemptID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.Withdraw(id, s.clock.Now())
+	s.hasten()
+}
+
+func (s *suspects) trialEnded(id oleanderspool.AttemptID, outcome suspect.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.TrialEnded(id, outcome, s.clock.Now())
+	s.changed.Notify()
+	s.hasten()
+}
+
+// admitted is the answer of checkSuspect: where an attempt runs and whether it
+// runs alone.
+type admitted struct {
+	server oleanderspool.BackendServer
+	trial  bool
+}
+
+// checkSuspect waits until the request may run: at once as a rule, and alone
+// after it was in flight on a server that crashed.
+func (x *exchange) checkSuspect(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID) (admitted, *oleanderspool.Refusal) {
+	e := x.entry
+	for {
+		verdict, changed := e.suspects.check(suspect.Query{
+			Fingerprint: x.request.Fingerprint,
+			Attempt:     id,
+			Instance:    server.Instance,
+			Incarnation: server.Incarnation,
+			Remaining:   x.request.Remaining(e.clock.Now()),
+			Need:        x.need(server),
+		})
+		switch verdict.Action {
+		case suspect.Run:
+			return admitted{server: server}, nil
+		case suspect.RunTrial:
+			e.metrics.Retried(oleanderspool.RetrySuspectTrial)
+			return admitted{server: server, trial: true}, nil
+		case suspect.Refuse:
+			return admitted{}, x.worsen(verdict.Refusal)
+		}
+		timer := time.NewTimer(max(1, verdict.Until-e.clock.Now()).Duration())
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			e.suspects.withdraw(id)
+			return admitted{}, x.ended(ctx)
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// need returns the span that the request takes on an idle server at least.
+func (x *exchange) need(server oleanderspool.BackendServer) oleanderspool.Millis {
+	rate := server.Load.PrefillRate
+	if rate <= 0 {
+		return 0
+	}
+	return oleanderspool.Millis(float64(x.request.PromptCount) / rate)
+}
+
+// noteCrash takes a crash of the engine that ended an attempt. It reports
+// whether there was one.
+func (x *exchange) noteCrash(a admitted, id oleanderspool.AttemptID, end *ending) bool {
+	if end.refusal == nil || end.refusal.Crash == "" {
+		return false
+	}
+	c := peer.Crash{ID: end.refusal.Crash, Fingerprints: []oleanderspool.Fingerprint{x.request.Fingerprint}}
+	if a.trial {
+		c.Trial = id
+	}
+	x.entry.suspects.crashed(c, true)
+	end.failure.Suspect = true
+	return true
+}
+
+// noteLoss takes the loss of a server that ran an attempt. It reports whether
+// the request may have caused it.
+func (x *exchange) noteLoss(server oleanderspool.BackendServer, end ending) bool {
+	reason := end.failure.Reason
+	lost := reason == oleanderspool.RetryStreamSilent || reason == oleanderspool.RetryAgentDied
+	if !lost || end.notSent || x.request.Kind != oleanderspool.KindModel {
+		return false
+	}
+	return x.entry.suspects.vanished(server, x.request.Fingerprint)
+}
+
+// endTrial tells what a trial has shown about its request.
+func (x *exchange) endTrial(a admitted, id oleanderspool.AttemptID, complete, crashed bool) {
+	if !a.trial {
+		return
+	}
+	outcome := suspect.OutcomeEnded
+	switch {
+	case complete:
+		outcome = suspect.OutcomeFinished
+	case crashed:
+		outcome = suspect.OutcomeCrashed
+	}
+	x.entry.suspects.trialEnded(id, outcome)
+}
--- a/internal/peer/mapping.go
+++ b/internal/peer/mapping.go
@@ -166,6 +166,7 @@
 		Message:      f.Refusal.Message,
 		RetryReason:  string(f.Refusal.Retry),
 		State:        f.State,
+		Crash:        f.Refusal.Crash,
 	}
 }
 
@@ -175,6 +176,7 @@
 		State:   m.GetState(),
 		Refusal: oleanderspool.Refusal{
 			Retry:      oleanderspool.RetryReason(m.GetRetryReason()),
+			Crash:      m.GetCrash(),
 			Reason:     oleanderspool.RefusalReason(m.GetReason()),
 			Execution:  oleanderspool.ParseExecution(m.GetExecution()),
 			RetryAfter: oleanderspool.Millis(m.GetRetryAfterMs()),
@@ -183,6 +185,37 @@
 	}
 }
 
+// Crash is a crash of an engine with the requests that were in flight.
+type Crash struct {
+	ID           string
+	Fingerprints []oleanderspool.Fingerprint
+	Trial        oleanderspool.AttemptID // attempt that ran alone; empty for none
+}
+
+// EncodeCrashes maps crashes to their messages.
+func EncodeCrashes(crashes []Crash) []*peerpb.Crash {
+	list := make([]*peerpb.Crash, len(crashes))
+	for i, c := range crashes {
+		list[i] = &peerpb.Crash{Id: c.ID, Trial: string(c.Trial)}
+		for _, f := range c.Fingerprints {
+			list[i].Fingerprints = append(list[i].Fingerprints, uint64(f))
+		}
+	}
+	return list
+}
+
+// DecodeCrashes maps messages to crashes.
+func DecodeCrashes(list []*peerpb.Crash) []Crash {
+	crashes := make([]Crash, len(list))
+	for i, m := range list {
+		crashes[i] = Crash{ID: m.GetId(), Trial: oleanderspool.AttemptID(m.GetTrial())}
+		for _, f := range m.GetFingerprints() {
+			crashes[i].Fingerprints = append(crashes[i].Fingerprints, oleanderspool.Fingerprint(f))
+		}
+	}
+	return crashes
+}
+
 // Names of the backend server roles on the wire and in settings.
 const (
 	RoleNameModel   = "model"
--- a/refusal.go
+++ b/refusal.go
@@ -82,6 +82,9 @@
 	Message    string
 	// Retry is set when another attempt inside the fleet makes sense.
 	Retry RetryReason
+	// Crash identifies the crash of an engine that ended the attempt; empty
+	// for none. It stays inside the fleet.
+	Crash string
 }
 
 // Refuse returns a refusal of a request that was not run.
@@ -115,6 +118,13 @@
 	return &c
 }
 
+// WithCrash returns a copy that names the crash that ended the attempt.
+func (r *Refusal) WithCrash(id string) *Refusal {
+	c := *r
+	c.Crash = id
+	return &c
+}
+
 // RetryReason is a machine-readable reason of a retry inside the fleet, from
 // a closed list.
 type RetryReason string
