routing: count untried servers and expose the expected delay

The retry policy needs to know whether a retry has anywhere to go, and Slowness.Observe needs the time to compare with. Both follow from the filters and scorers that the router already has, so the entry should not repeat them.

--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -197,6 +197,34 @@
 	return d.router.Route(q, candidates, now)
 }
 
+// CountExcept returns the number of candidates that may run q and were not
+// tried, up to limit. It tells whether a retry has anywhere to go.
+func (r *Router) CountExcept(q oleanderspool.Request, candidates []oleanderspool.BackendServer, tried []oleanderspool.InstanceID, limit int, now oleanderspool.Millis) int {
+	d := r.decisions.Get().(*decision)
+	defer r.decisions.Put(d)
+	d.tried = tried
+	count := 0
+	for i := range candidates {
+		if count == limit {
+			break
+		}
+		if d.allows(q, candidates[i], now) {
+			count++
+		}
+	}
+	return count
+}
+
+// Expect returns the span until q probably makes progress on b: the queue
+// there, the assignments since its last report, its distance and the prefill of
+// q. It is what [Slowness.Observe] compares with.
+func (r *Router) Expect(q oleanderspool.Request, b oleanderspool.BackendServer, now oleanderspool.Millis) oleanderspool.Millis {
+	span := Queue(r.fallback, r.callTime).Cost(q, b, now)
+	span += Distance(r.distances, DefaultUnknownDistance).Cost(q, b, now)
+	span += r.assignments.Cost(q, b, now)
+	return oleanderspool.Millis(span) + 1
+}
+
 // holder returns the index of the candidate that runs the request's
 // fingerprint, or -1.
 func (r *Router) holder(q oleanderspool.Request, candidates []oleanderspool.BackendServer, allowed func(int) bool) int {
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -82,6 +82,16 @@
 		Expect(b.Instance).To(Equal(oleanderspool.InstanceID("t")))
 	})
 
+	// Guards against retries that have nowhere to go, and wrong expectations.
+	It("counts untried servers and expects the queue, the prefill and the way", func() {
+		list := []oleanderspool.BackendServer{runner("s", nil), runner("t", queued(5000)), runner("u", nil)}
+		list[2].Leaving = true
+		Expect(newRouter().CountExcept(prompt("p"), list, []oleanderspool.InstanceID{"s"}, 9, now)).To(Equal(1))
+		Expect(newRouter().CountExcept(prompt("p"), list, nil, 1, now)).To(Equal(1))
+		list[1].DataCentre = "far"
+		Expect(newRouter().Expect(prompt("p"), list[1], now)).To(Equal(oleanderspool.Millis(705)))
+	})
+
 	scored := []struct {
 		name  string // what must decide
 		other func(b *oleanderspool.BackendServer)
