--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -7,15 +7,16 @@
 	"github.com/oleanderspool/oleanderspool/pkg/configuration"
 )
 
-// Roles of backend servers in the platform's list.
+// Roles in the platform's list.
 const (
+	listedEntry   = "entry"
 	listedModel   = "model"
 	listedService = "service"
 )
 
 // ApplyList merges the platform's list. poll numbers the polls in the order
 // in which they were sent; the answer to an older poll is ignored. Instances
-// that are not backend servers are skipped.
+// other than entries and backend servers are skipped.
 //
 // An instance that is absent is gone, and one that returns is new: reports of
 // its earlier life are not applied. An instance that the list marks as leaving
@@ -28,7 +29,11 @@
 	t.poll = poll
 	listed := make(map[oleanderspool.InstanceID]bool, len(list))
 	var changes []Change
+	t.entries = 0
 	for _, s := range list {
+		if s.Role == listedEntry && !s.Leaving {
+			t.entries++
+		}
 		if s.Role != listedModel && s.Role != listedService {
 			continue
 		}
@@ -40,6 +45,12 @@
 	return changes
 }
 
+// Entries returns the number of listed entries that do not leave, at least 1.
+// They share the rates of client accounts.
+func (t *Table) Entries() int {
+	return max(1, t.entries)
+}
+
 func (t *Table) list(s oleanderspool.InstanceState, changes []Change) []Change {
 	a := t.agents[s.Instance]
 	if a == nil {
