suspect: history of crashes for agents, sessions from testdata

An entry that connects after a crash, or that resumes during an outage of the log, learns of suspects only if agents repeat their crashes. The fuzz model assumes this, so the package provides the bounded history.

The sessions move to scripts; their events and verdicts are those of before.

--- /dev/null
+++ b/internal/suspect/history.go
@@ -0,0 +1,53 @@
+package suspect
+
+import (
+	"fmt"
+
+	"github.com/oleanderspool/oleanderspool"
+)
+
+// keptCrashes is the number of crashes that an agent repeats. An engine that
+// crashes more often within the retention of the log is unusable anyway.
+const keptCrashes = 16
+
+// History holds the recent crashes of the engine beside an agent. The agent
+// tells them on every watch stream from its start, so that an entry that
+// connects later, or resumes after a pause, knows the suspects before it sends
+// anything, also while the log is unavailable. It is not safe for concurrent
+// use.
+type History struct {
+	instance    oleanderspool.InstanceID
+	incarnation oleanderspool.Incarnation
+	crashes     []Crash
+	total       int
+}
+
+// NewHistory returns the history of an agent that has seen no crash.
+func NewHistory(instance oleanderspool.InstanceID, incarnation oleanderspool.Incarnation) *History {
+	return &History{instance: instance, incarnation: incarnation}
+}
+
+// Add notes a crash of the engine with the requests in flight, and returns it
+// for the streams that are open. trial is the attempt that ran as a trial, or
+// empty. A crash without requests in flight is not kept.
+func (h *History) Add(fingerprints []oleanderspool.Fingerprint, trial oleanderspool.AttemptID) Crash {
+	h.total++
+	c := Crash{
+		ID:           CrashID(fmt.Sprintf("%s/%s/%d", h.instance, h.incarnation, h.total)),
+		Fingerprints: fingerprints,
+		Trial:        trial,
+	}
+	if len(fingerprints) > 0 {
+		h.crashes = append(h.crashes, c)
+	}
+	if len(h.crashes) > keptCrashes {
+		h.crashes = h.crashes[1:]
+	}
+	return c
+}
+
+// Crashes returns the kept crashes, the oldest first. The entry that takes them
+// sets Own.
+func (h *History) Crashes() []Crash {
+	return append([]Crash(nil), h.crashes...)
+}
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -17,7 +18,8 @@
 
 var update = flag.Bool("update", false, "write the golden files")
 
-// session drives two entries that share a log and writes down what happens.
+// session plays a script with two entries that share a log and writes down
+// what happens.
 type session struct {
 	transcript strings.Builder
 	now        oleanderspool.Millis
@@ -25,190 +27,95 @@
 	log        []oleanderspool.Record
 }
 
-func newSession() *session {
-	return &session{states: map[string]*suspect.State{"e1": suspect.New("e1", 0), "e2": suspect.New("e2", 0)}}
-}
-
 func (s *session) note(format string, args ...any) {
 	fmt.Fprintf(&s.transcript, "%6d  %s\n", s.now, fmt.Sprintf(format, args...))
 }
 
-// at lets time pass; both entries stay alive.
-func (s *session) at(now oleanderspool.Millis) {
-	for s.now < now {
-		s.now = min(now, s.now+100)
-		s.states["e1"].Tick(s.now)
-		s.states["e2"].Tick(s.now)
-	}
-}
-
-func (s *session) read(names ...string) {
-	for _, name := range names {
-		n := s.states[name].Apply(s.log, oleanderspool.Offset(len(s.log)), s.now, s.now)
-		s.note("%s reads up to %d, %d unreadable", name, len(s.log), n)
-	}
+func (s *session) store(data []byte) {
+	s.log = append(s.log, oleanderspool.Record{Offset: oleanderspool.Offset(len(s.log) + 1), Data: data})
 }
 
-func (s *session) appendFrom(name string) {
-	for _, data := range s.states[name].Outbox(s.now) {
-		s.log = append(s.log, oleanderspool.Record{Offset: oleanderspool.Offset(len(s.log) + 1), Data: data})
-		s.note("%s appends %s", name, data)
+// play plays one line: an event, an entry, and what the event needs.
+func (s *session) play(line string) {
+	event, rest, _ := strings.Cut(line, " ")
+	words := append(strings.Fields(rest), "", "")
+	state := s.states[words[0]]
+	s.note("%s", line)
+	switch event {
+	case "at": // both entries stay alive
+		for end := number(words[0]); s.now < end; s.now = min(end, s.now+100) {
+			s.states["e1"].Tick(s.now)
+			s.states["e2"].Tick(s.now)
+		}
+	case "paused":
+		s.now = number(words[0])
+	case "outage":
+		for i := range 4 {
+			s.states[[]string{"e1", "e2"}[i%2]].ReadFailed(s.now, s.now)
+		}
+	case "store":
+		s.store([]byte(rest))
+	case "read":
+		unreadable := state.Apply(s.log, oleanderspool.Offset(len(s.log)), s.now, s.now)
+		s.note("    up to %d, %d unreadable", len(s.log), unreadable)
+	case "append":
+		for _, data := range state.Outbox(s.now) {
+			s.store(data)
+			s.note("    %s", data)
+		}
+	case "crash":
+		c := suspect.Crash{ID: suspect.CrashID(words[1]), Own: words[2] == "true"}
+		for _, word := range strings.Fields(rest)[3:] {
+			c.Fingerprints = append(c.Fingerprints, oleanderspool.Fingerprint(number(word)))
+		}
+		state.Crashed(c, s.now)
+	case "server_ended":
+		state.ServerEnded(oleanderspool.InstanceID(words[1]), oleanderspool.Incarnation(words[2]), s.now)
+	case "ended":
+		state.TrialEnded(oleanderspool.AttemptID(words[1]), suspect.Outcome(words[2]), s.now)
+	case "withdraw":
+		state.Withdraw(oleanderspool.AttemptID(words[1]), s.now)
+	case "check":
+		s.check(state, words)
 	}
 }
 
-func (s *session) crash(name, id string, own bool, trial string, fingerprints ...oleanderspool.Fingerprint) {
-	s.note("%s learns of crash %s of %v, trial %q", name, id, fingerprints, trial)
-	s.states[name].Crashed(suspect.Crash{
-		ID: suspect.CrashID(id), Fingerprints: fingerprints, Own: own, Trial: oleanderspool.AttemptID(trial),
-	}, s.now)
-}
-
-func (s *session) check(name string, f oleanderspool.Fingerprint, attempt string, remaining oleanderspool.Millis) {
-	v := s.states[name].Check(suspect.Query{
-		Fingerprint: f, Attempt: oleanderspool.AttemptID(attempt), Instance: "s9", Incarnation: "i9",
-		Remaining: remaining, Need: 1000,
+func (s *session) check(state *suspect.State, words []string) {
+	v := state.Check(suspect.Query{
+		Fingerprint: oleanderspool.Fingerprint(number(words[1])), Attempt: oleanderspool.AttemptID(words[2]),
+		Instance: "s9", Incarnation: "i9", Remaining: number(words[3]), Need: 1000,
 	}, s.now)
-	verdict := [...]string{"run", "run as trial on " + string(v.Instance), fmt.Sprintf("wait until %d", v.Until), "refuse"}[v.Action]
+	s.note("    %s", [...]string{"run", "run as trial on " + string(v.Instance), fmt.Sprintf("wait until %d", v.Until), "refuse"}[v.Action])
 	if v.Refusal != nil {
-		verdict += fmt.Sprintf(": %v, retry after %d", v.Refusal, v.Refusal.RetryAfter)
-	}
-	s.note("%s checks %d as %s: %s", name, f, attempt, verdict)
-}
-
-func (s *session) ended(name, attempt string, outcome suspect.Outcome) {
-	s.note("%s ends trial %s: %s", name, attempt, outcome)
-	s.states[name].TrialEnded(oleanderspool.AttemptID(attempt), outcome, s.now)
-}
-
-func (s *session) outage() {
-	for range 2 {
-		s.states["e1"].ReadFailed(s.now, s.now)
-		s.states["e2"].ReadFailed(s.now, s.now)
+		s.note("    %v, retry after %d", v.Refusal, v.Refusal.RetryAfter)
 	}
-	s.note("the log is unavailable")
 }
 
-var sessions = []struct {
-	name string
-	run  func(s *session)
-}{
-	{"cause", func(s *session) {
-		s.read("e1", "e2")
-		s.crash("e1", "s1/1", true, "", 10, 11)
-		s.check("e1", 10, "a1", 60_000)
-		s.check("e1", 11, "a2", 60_000)
-		s.appendFrom("e1")
-		s.read("e1", "e2")
-		s.check("e2", 10, "b1", 60_000)
-		s.check("e2", 10, "b2", 1500)
-		s.check("e1", 10, "a1", 60_000)
-		s.check("e1", 11, "a2", 60_000)
-		s.at(800)
-		s.ended("e1", "a2", suspect.OutcomeFinished)
-		s.ended("e1", "a1", suspect.OutcomeCrashed)
-		s.check("e1", 10, "a3", 60_000)
-		s.appendFrom("e1")
-		s.read("e1", "e2")
-		s.check("e2", 10, "b1", 60_000)
-		s.check("e2", 11, "b3", 60_000)
-		s.note("a late report of the first crash")
-		s.crash("e2", "s1/1", false, "", 10, 11)
-		s.check("e2", 11, "b4", 60_000)
-		s.log = append(s.log, oleanderspool.Record{Offset: 6, Data: s.log[0].Data})
-		s.read("e2")
-		s.check("e2", 11, "b5", 60_000)
-	}},
-	{"rival_claims", func(s *session) {
-		s.read("e1", "e2")
-		s.crash("e1", "s1/1", true, "", 10)
-		s.crash("e2", "s1/1", false, "", 10)
-		s.check("e2", 10, "b1", 8000)
-		s.check("e1", 10, "a1", 8000)
-		s.appendFrom("e2")
-		s.appendFrom("e1")
-		s.read("e1", "e2")
-		s.check("e1", 10, "a1", 7900)
-		s.check("e2", 10, "b1", 7900)
-		s.note("e2 vanishes")
-		s.at(8900)
-		s.check("e1", 10, "a2", 8000)
-		s.appendFrom("e1")
-		s.at(9100)
-		s.check("e1", 10, "a2", 8000)
-		s.appendFrom("e1")
-		s.read("e1", "e2")
-		s.check("e1", 10, "a2", 8000)
-		s.check("e2", 10, "b1", 8000)
-	}},
-	{"given_back", func(s *session) {
-		s.read("e1", "e2")
-		s.crash("e1", "s1/1", true, "", 10)
-		s.check("e1", 10, "a1", 8000)
-		s.appendFrom("e1")
-		s.note("the caller of a1 goes away before the claim is read")
-		s.states["e1"].Withdraw("a1", s.now)
-		s.read("e1")
-		s.appendFrom("e1")
-		s.read("e1", "e2")
-		s.check("e2", 10, "b1", 8000)
-		s.appendFrom("e2")
-		s.read("e2")
-		s.check("e2", 10, "b1", 8000)
-		s.note("s9 ends while b1 runs, and e2 with it")
-		s.states["e1"].ServerEnded("s9", "i9", s.now)
-		s.at(1000)
-		s.read("e1")
-		s.at(6500)
-		s.appendFrom("e1")
-		s.read("e1")
-		s.check("e1", 10, "a3", 8000)
-	}},
-	{"outage", func(s *session) {
-		s.read("e1", "e2")
-		s.outage()
-		s.crash("e1", "s1/1", true, "", 10)
-		s.crash("e2", "s1/1", false, "", 10)
-		s.check("e1", 10, "a1", 60_000)
-		s.check("e2", 10, "b1", 60_000)
-		s.check("e2", 99, "b2", 60_000)
-		s.at(1000)
-		s.log = append(s.log, oleanderspool.Record{Offset: 1, Data: []byte(`{"kind":"trial","fingerprint":"no number"}`)})
-		s.read("e1", "e2")
-		s.check("e2", 10, "b1", 60_000)
-		s.appendFrom("e2")
-		s.read("e2")
-		s.check("e2", 10, "b1", 60_000)
-	}},
-	{"pause", func(s *session) {
-		s.read("e1", "e2")
-		s.crash("e1", "s1/1", true, "", 10)
-		s.check("e1", 10, "a1", 8000)
-		s.appendFrom("e1")
-		s.now = 3000
-		s.note("both entries were paused")
-		s.check("e2", 10, "b1", 8000)
-		s.check("e2", 99, "b2", 8000)
-		s.read("e2", "e1")
-		s.check("e2", 10, "b1", 8000)
-		s.check("e2", 99, "b2", 8000)
-		s.check("e1", 10, "a1", 5000)
-		s.now = 9000
-		s.check("e1", 10, "a1", 0)
-	}},
+func number(word string) oleanderspool.Millis {
+	n, err := strconv.ParseInt(word, 10, 64)
+	Expect(err).NotTo(HaveOccurred())
+	return oleanderspool.Millis(n)
 }
 
 var _ = Describe("State", func() {
+	scripts, err := filepath.Glob("testdata/*.session")
+	if err != nil || len(scripts) == 0 {
+		panic("no sessions in testdata")
+	}
 	// Guards against changes of the record format and of the decisions.
-	for _, c := range sessions {
-		It("plays the session "+c.name, func() {
-			s := newSession()
-			c.run(s)
-			file := filepath.Join("testdata", c.name+".golden")
+	for _, script := range scripts {
+		It("plays "+script, func() {
+			lines, err := os.ReadFile(script)
+			Expect(err).NotTo(HaveOccurred())
+			s := &session{states: map[string]*suspect.State{"e1": suspect.New("e1", 0), "e2": suspect.New("e2", 0)}}
+			for line := range strings.Lines(string(lines)) {
+				s.play(strings.TrimSpace(line))
+			}
+			golden := strings.TrimSuffix(script, ".session") + ".golden"
 			if *update {
-				Expect(os.MkdirAll("testdata", 0o755)).To(Succeed())
-				Expect(os.WriteFile(file, []byte(s.transcript.String()), 0o644)).To(Succeed())
+				Expect(os.WriteFile(golden, []byte(s.transcript.String()), 0o644)).To(Succeed())
 			}
-			want, err := os.ReadFile(file)
+			want, err := os.ReadFile(golden)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(s.transcript.String()).To(Equal(string(want)))
 		})
@@ -233,6 +140,18 @@
 		Expect(v.Refusal.Reason).To(Equal(oleanderspool.RefusalCrashesServer))
 	})
 
+	// Guards against an entry that connects after a crash and does not learn of
+	// it, and against a history that grows.
+	It("repeats a bounded number of crashes to later entries", func() {
+		h := suspect.NewHistory("s1", "i1")
+		h.Add(nil, "")
+		for i := range 20 {
+			h.Add([]oleanderspool.Fingerprint{oleanderspool.Fingerprint(i)}, "")
+		}
+		Expect(h.Crashes()).To(HaveLen(16))
+		Expect(h.Crashes()[15].ID).To(Equal(suspect.CrashID("s1/i1/21")))
+	})
+
 	// Measures what concurrent copies do: they are routed to one server while it
 	// lives, but one that arrives before the crash is known finds another.
 	It("measures the crashes caused by concurrent copies", func() {
