admission: say that the bound of requests is a guess

The comment derived the bound from a size of buffers per request that nobody has measured. The entry lane can measure it; the bound is an option.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -13,8 +13,8 @@
 	// DefaultHorizon is the amount of prefill work in progress, as time of all
 	// servers, from which on accounts contend for capacity.
 	DefaultHorizon = 2 * oleanderspool.Second
-	// DefaultMaxRequests bounds the requests in progress at one entry. At 50 KB
-	// of buffers per request it stays below 512 MB.
+	// DefaultMaxRequests bounds the requests in progress at one entry. It is a
+	// guess until the memory of an entry per request has been measured.
 	DefaultMaxRequests = 10000
 )
 
