--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -23,6 +23,7 @@
 	"github.com/oleanderspool/oleanderspool/internal/peer"
 	"github.com/oleanderspool/oleanderspool/internal/queue"
 	"github.com/oleanderspool/oleanderspool/internal/replica"
+	"github.com/oleanderspool/oleanderspool/internal/suspect"
 )
 
 // Defaults of the options, in milliseconds unless stated otherwise.
@@ -161,6 +162,7 @@
 		o(a)
 	}
 	a.identity.Incarnation = a.incarnation
+	a.crashes.history = suspect.NewHistory(a.identity.Instance, a.incarnation)
 	a.attempts = attempt.NewTable(a.incarnation, a.limits)
 	a.queue = queue.New(a.queueKnobs...)
 	a.ledger = memory.NewLedger(0, memory.WithListLag(DefaultReportLag))
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -10,6 +10,7 @@
 	"github.com/oleanderspool/oleanderspool/internal/attempt"
 	"github.com/oleanderspool/oleanderspool/internal/peer"
 	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
+	"github.com/oleanderspool/oleanderspool/internal/suspect"
 )
 
 // eventStream is what Run and Attach send to.
@@ -176,11 +177,11 @@
 		a.mu.Lock()
 		changed := a.changed.Wait()
 		state := a.state()
-		crashes := a.crashes.recent(a.clock.Now())
+		crashes := a.crashes.history.Crashes()
 		started := a.report.Started
 		a.mu.Unlock()
 		message := peer.EncodeState(state)
-		message.Crashes = peer.EncodeCrashes(crashes)
+		message.Crashes = encodeCrashes(crashes)
 		message.EngineStarted = started
 		message.Position = int64(a.configuration.Position())
 		if err := s.Send(message); err != nil {
@@ -236,3 +237,15 @@
 		Version:    a.version,
 	}, nil
 }
+
+func encodeCrashes(list []suspect.Crash) []*peerpb.Crash {
+	messages := make([]*peerpb.Crash, len(list))
+	for i, c := range list {
+		messages[i] = peer.EncodeCrash(peer.Crash{
+			ID:           string(c.ID),
+			Fingerprints: c.Fingerprints,
+			Trial:        c.Trial,
+		})
+	}
+	return messages
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -76,7 +76,10 @@
 	arrived   oleanderspool.Millis
 	assembler *attempt.Assembler
 	history   retry.History
-	started   bool         // a piece was passed on
+	started   bool                        // a piece was passed on
+	server    oleanderspool.BackendServer // of the current attempt
+	expected  oleanderspool.Millis        // span until its first piece
+	sentAt    oleanderspool.Millis
 	group     *reservation // engines that serve the prompt together; nil for one
 }
 
@@ -131,13 +134,17 @@
 	if refusal != nil {
 		return true, refusal
 	}
+	x.server, x.sentAt = server, x.entry.clock.Now()
+	x.expected = x.entry.router.Expect(x.request, server, x.sentAt)
 	assignments := x.entry.router.Assignments()
-	assignments.Start(id, x.request, server.Instance, x.entry.clock.Now())
+	assignments.Start(id, x.request, server.Instance, x.sentAt)
 	defer assignments.End(id)
 	x.entry.bringUpToDate(ctx, server)
 	call := x.call(server, id)
 	call.Trial = a.trial
-	end := x.open(ctx, server, call)
+	running, stop := x.watchSuspicion(ctx, a, id)
+	defer stop()
+	end := x.open(running, server, call)
 	crashed := false
 	defer func() { x.endTrial(a, id, end.complete, crashed) }()
 	for {
@@ -147,18 +154,22 @@
 		if ctx.Err() != nil {
 			return true, x.abandon(ctx, server, id)
 		}
+		if running.Err() != nil {
+			x.cancel(server, id)
+			return false, nil // runs again as a trial
+		}
 		if end.refusal != nil && end.failure.Reason == "" {
 			return true, x.worsen(end.refusal)
 		}
 		if end.state == attempt.StateUnknown {
-			end = x.bar(ctx, server, id)
+			end = x.bar(running, server, id)
 			continue
 		}
 		crashed = x.noteCrash(a, id, &end)
 		decision := x.decide(server, end)
 		if decision.Action == retry.Attach {
 			x.entry.metrics.Retried(decision.Reason)
-			end = x.attach(ctx, server, id)
+			end = x.attach(running, server, id)
 			continue
 		}
 		crashed = crashed || x.noteLoss(server, end)
@@ -236,17 +247,12 @@
 // noServerRetryAfter is the span in which an agent restarts and reports.
 const noServerRetryAfter = 3 * oleanderspool.Second
 
-// untried counts the servers that may run the request and were not tried.
+// untried counts the servers that may run the request and were not tried, up
+// to the number of retries that make sense.
 func (x *exchange) untried(failed oleanderspool.InstanceID) int {
-	n := 0
-	now := x.entry.clock.Now()
+	e := x.entry
 	tried := append([]oleanderspool.InstanceID{failed}, x.history.Tried...)
-	for _, b := range x.entry.members.table.Snapshot() {
-		if _, ok := x.entry.router.RouteExcept(x.request, []oleanderspool.BackendServer{b}, tried, now); ok {
-			n++
-		}
-	}
-	return n
+	return e.router.CountExcept(x.request, e.members.table.Snapshot(), tried, retry.DefaultMaxRetries, e.clock.Now())
 }
 
 // refuse returns a refusal that says what the attempts so far may have done.
@@ -297,7 +303,9 @@
 	x.started = true
 	e := x.entry
 	if x.request.Kind == oleanderspool.KindModel {
-		e.metrics.FirstToken(x.request.PromptCount, e.clock.Now()-x.arrived)
+		now := e.clock.Now()
+		e.metrics.FirstToken(x.request.PromptCount, now-x.arrived)
+		e.router.Slowness().Observe(x.server.Instance, x.expected, now-x.sentAt, now)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -34,19 +34,53 @@
 	state   *suspect.State
 	changed broadcast.Signal
 	losses  []oleanderspool.Millis // instants at which servers were lost
+	running map[oleanderspool.Fingerprint]map[oleanderspool.AttemptID]context.CancelFunc
 	wake    chan struct{}
 }
 
 func newSuspects(e *Entry) *suspects {
 	return &suspects{
-		log:    e.log,
-		clock:  e.clock,
-		report: e.metrics.Changed,
-		state:  suspect.New(string(e.instance)+"/"+unique(), e.clock.Now()),
-		wake:   make(chan struct{}, 1),
+		log:     e.log,
+		clock:   e.clock,
+		report:  e.metrics.Changed,
+		state:   suspect.New(string(e.instance)+"/"+unique(), e.clock.Now()),
+		running: make(map[oleanderspool.Fingerprint]map[oleanderspool.AttemptID]context.CancelFunc),
+		wake:    make(chan struct{}, 1),
 	}
 }
 
+// started notes an attempt that is ended when its request becomes a suspect,
+// since a copy that still runs would crash another server.
+func (s *suspects) started(f oleanderspool.Fingerprint, id oleanderspool.AttemptID, cancel context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running[f] == nil {
+		s.running[f] = make(map[oleanderspool.AttemptID]context.CancelFunc)
+	}
+	s.running[f][id] = cancel
+}
+
+// ended notes the end of an attempt that was started.
+func (s *suspects) ended(f oleanderspool.Fingerprint, id oleanderspool.AttemptID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running[f], id)
+	if len(s.running[f]) == 0 {
+		delete(s.running, f)
+	}
+}
+
+// notify ends the copies of new suspects and wakes waiting requests. The
+// caller holds the lock.
+func (s *suspects) notify() {
+	for _, f := range s.state.NewSuspects() {
+		for _, cancel := range s.running[f] {
+			cancel()
+		}
+	}
+	s.changed.Notify()
+}
+
 // read applies the stream until ctx ends.
 func (s *suspects) read(ctx context.Context) {
 	wait := oleanderspool.Millis(0)
@@ -63,7 +97,7 @@
 		} else if s.state.Apply(records, head, sentAt, now) > 0 {
 			s.report("suspect_record_unreadable")
 		}
-		s.changed.Notify()
+		s.notify()
 		s.mu.Unlock()
 		wait = suspectReadWait
 		if err != nil {
@@ -116,7 +150,7 @@
 		Trial:        c.Trial,
 		Own:          own,
 	}, s.clock.Now())
-	s.changed.Notify()
+	s.notify()
 	s.hasten()
 }
 
@@ -147,7 +181,7 @@
 	switch c.Kind {
 	case membership.Ended, membership.Gone:
 		s.state.ServerEnded(c.Instance, c.Incarnation, now)
-		s.changed.Notify()
+		s.notify()
 	case membership.Suspected:
 		s.losses = append(s.losses, now)
 		if len(s.losses) > commonLossServers {
@@ -180,7 +214,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.TrialEnded(id, outcome, s.clock.Now())
-	s.changed.Notify()
+	s.notify()
 	s.hasten()
 }
 
@@ -235,6 +269,21 @@
 	return oleanderspool.Millis(float64(x.request.PromptCount) / rate)
 }
 
+// watchSuspicion returns a context that ends when the request becomes a suspect
+// while it runs, unless it must not run again or runs alone already.
+func (x *exchange) watchSuspicion(ctx context.Context, a admitted, id oleanderspool.AttemptID) (context.Context, func()) {
+	running, cancel := context.WithCancel(ctx)
+	if a.trial || !x.request.Idempotent {
+		return running, cancel
+	}
+	s := x.entry.suspects
+	s.started(x.request.Fingerprint, id, cancel)
+	return running, func() {
+		s.ended(x.request.Fingerprint, id)
+		cancel()
+	}
+}
+
 // noteCrash takes a crash of the engine that ended an attempt. It reports
 // whether there was one.
 func (x *exchange) noteCrash(a admitted, id oleanderspool.AttemptID, end *ending) bool {
--- a/internal/peer/mapping.go
+++ b/internal/peer/mapping.go
@@ -192,16 +192,13 @@
 	Trial        oleanderspool.AttemptID // attempt that ran alone; empty for none
 }
 
-// EncodeCrashes maps crashes to their messages.
-func EncodeCrashes(crashes []Crash) []*peerpb.Crash {
-	list := make([]*peerpb.Crash, len(crashes))
-	for i, c := range crashes {
-		list[i] = &peerpb.Crash{Id: c.ID, Trial: string(c.Trial)}
-		for _, f := range c.Fingerprints {
-			list[i].Fingerprints = append(list[i].Fingerprints, uint64(f))
-		}
+// EncodeCrash maps a crash to its message.
+func EncodeCrash(c Crash) *peerpb.Crash {
+	m := &peerpb.Crash{Id: c.ID, Trial: string(c.Trial)}
+	for _, f := range c.Fingerprints {
+		m.Fingerprints = append(m.Fingerprints, uint64(f))
 	}
-	return list
+	return m
 }
 
 // DecodeCrashes maps messages to crashes.
