Test that Begin alone refuses work past its time limit

Removing the check in Begin left all tests green, because Tick had always run at the same instant and ended the attempt first. The session "queued" now calls Begin before Tick; it fails with the check removed.

--- a/internal/attempt/table_test.go
+++ b/internal/attempt/table_test.go
@@ -145,6 +145,10 @@
 			s.attach("k.0.queued1", 1)
 			s.start("k.0.queued1", false)
 			s.at(4000).piece("k.1999.queued4", "whole", true)
+			s.start("k.4000.queued5", false)
+			s.now = 6000 // before the tick
+			s.write("begin: %t", s.begin("k.4000.queued5"))
+			s.attach("k.4000.queued5", 1)
 		}},
 		{"late_start", func(s *session) {
 			s.start("u.0.a", true)
