--- a/internal/claim/batcher_test.go
+++ b/internal/claim/batcher_test.go
@@ -39,7 +39,7 @@
 			s := b.Done(result, 9)
 			write(now, "done: %d claims, %T%+v", len(s.Claims), s.Event(), s.Event())
 		}
-		add(0, "a", "\xff")
+		add(0, "a", "")
 		next(4)
 		next(5)
 		add(6, "b", "c", "d", "e")
