Judge claims alike whether or not a reader met a gap

When retention had taken every record, a reader never came to the end of the stream: no record showed the gap, so the state stayed stale and no key could be claimed again by anyone. EndOfRead now passes such a gap after a second read that returned nothing.

A record that landed more than a key lifetime after its claims were decided was valid for a reader that had met a gap and invalid for one that had not, since only the latter still held the earlier claim. A claim now names the position that it was decided on. A reader that has missed later records marks the claim as doubtful, as it does with claims that supersede a doubtful one, and makes no claim of its own on it. Ignoring such claims was ruled out: the reader without a gap honours some of them.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -31,6 +31,9 @@
 	Instance    oleanderspool.InstanceID
 	Incarnation oleanderspool.Incarnation
 	Supersedes  oleanderspool.AttemptID // current attempt that the claim replaces; empty for none
+	// BasedOn is the position of the state that the claim was decided on. A
+	// reader that has missed later records cannot judge the claim.
+	BasedOn oleanderspool.Offset
 }
 
 // Record is a record of the claim stream: a batch of claims in order.
@@ -72,6 +75,9 @@
 			findings.Addf(place+"."+r.name, "is not UTF-8")
 		}
 	}
+	if c.BasedOn < 0 {
+		findings.Addf(place+".based_on", "is negative")
+	}
 	if c.Supersedes != "" && c.Supersedes == c.Attempt {
 		findings.Addf(place+".supersedes", "names the claim's own attempt")
 	}
--- a/internal/claim/codec.go
+++ b/internal/claim/codec.go
@@ -33,6 +33,7 @@
 	Instance    string `json:"instance"`
 	Incarnation string `json:"incarnation"`
 	Supersedes  string `json:"supersedes,omitempty"`
+	BasedOn     int64  `json:"based_on"`
 }
 
 // Encode returns the JSON form of r. The error is of type
@@ -98,6 +99,7 @@
 		Instance:    string(c.Instance),
 		Incarnation: string(c.Incarnation),
 		Supersedes:  string(c.Supersedes),
+		BasedOn:     int64(c.BasedOn),
 	}
 }
 
@@ -117,6 +119,7 @@
 		Instance:    oleanderspool.InstanceID(w.Instance),
 		Incarnation: oleanderspool.Incarnation(w.Incarnation),
 		Supersedes:  oleanderspool.AttemptID(w.Supersedes),
+		BasedOn:     oleanderspool.Offset(w.BasedOn),
 	}, nil
 }
 
--- a/internal/claim/resolver.go
+++ b/internal/claim/resolver.go
@@ -75,6 +75,7 @@
 	ownOffset   oleanderspool.Offset      // of the own claim, in phaseRead
 	uncertainAt oleanderspool.Millis      // last uncertain append
 	supersede   oleanderspool.AttemptID   // attempt to name in the next claim
+	basedOn     oleanderspool.Offset      // position at which supersede was chosen
 	harmless    []oleanderspool.AttemptID // attempts that never start
 	target      Claim                     // claim that is followed
 	exposed     bool                      // the target may have started
@@ -177,6 +178,7 @@
 	if ok {
 		r.supersede = current.Claim.Attempt
 	}
+	r.basedOn = r.state.Position()
 	r.phase = phaseChoose
 	return Choose{}
 }
@@ -196,6 +198,7 @@
 		Instance:    e.Instance,
 		Incarnation: e.Incarnation,
 		Supersedes:  r.supersede,
+		BasedOn:     r.basedOn,
 	}
 	r.ownGone = false
 	r.harmless = append(r.harmless, e.Attempt) // until it is sent
--- a/internal/claim/resolver_test.go
+++ b/internal/claim/resolver_test.go
@@ -83,7 +83,7 @@
 	for _, c := range sessions {
 		It("answers session "+c.name, func() {
 			state := claim.NewState(limits)
-			state.CaughtUp(0, 0)
+			state.EndOfRead(0, 0, 0)
 			submission := claim.Submission{Key: newClaim("k", "", "").Key, Fingerprint: newClaim("k", "", "").Fingerprint, Request: "r", Deadline: 9000, Unsettled: c.unsettled}
 			if c.name == "catches_up_first" {
 				submission.Deadline = 40000
@@ -98,7 +98,7 @@
 						offset++ // a record that retention has taken
 					}
 					state.Apply(oleanderspool.Record{Offset: offset, Data: encode(0, l.claims...)}, p.at)
-					state.CaughtUp(offset, p.at)
+					state.EndOfRead(1, offset, p.at)
 					lines = append(lines, fmt.Sprintf("%5d  log: %d %v", p.at, offset, l.claims))
 					event = l.Read
 				}
--- a/internal/claim/slots.go
+++ b/internal/claim/slots.go
@@ -62,7 +62,7 @@
 	return oleanderspool.RequestID(s.text[start:])
 }
 
-// claim returns the claim without the superseded attempt, which is not kept.
+// claim returns the claim without Supersedes and BasedOn, which are not kept.
 func (s *slot) claim() Claim {
 	return Claim{
 		Key:         s.key(),
--- a/internal/claim/state.go
+++ b/internal/claim/state.go
@@ -44,10 +44,11 @@
 
 // Current is the current claim of a key.
 type Current struct {
-	Claim  Claim // Supersedes is not kept and always empty
+	Claim  Claim // Supersedes and BasedOn are not kept and always empty
 	Offset oleanderspool.Offset
-	// Doubtful says that the claim was applied while the state was incomplete.
-	// Other readers may hold another claim as current.
+	// Doubtful says that the claim was applied while the state was incomplete,
+	// or was decided on a state from before a gap. Other readers may hold
+	// another claim as current.
 	Doubtful bool
 }
 
@@ -57,10 +58,12 @@
 type State struct {
 	limits          Limits
 	position        oleanderspool.Offset // last offset read
+	missed          oleanderspool.Offset // last offset of the last gap
 	horizon         oleanderspool.Offset // claims below it are expired for every reader
 	incompleteUntil oleanderspool.Millis
 	caughtUpAt      oleanderspool.Millis
 	caughtUp        bool
+	emptyTo         oleanderspool.Offset // head of the last read, if that returned nothing below it
 	ages            ages
 	slots           slotQueue
 	current         map[Key]uint64 // number of the slot of the current claim
@@ -112,8 +115,8 @@
 }
 
 // Fresh reports whether the end of the stream was read less than half the key
-// lifetime ago. A claim that is based on an older state could name no
-// superseded attempt for a key that other readers still hold.
+// lifetime ago. A claim that is based on an older state may turn out to be
+// doubtful once the stream is read.
 func (s *State) Fresh(now oleanderspool.Millis) bool {
 	return s.caughtUp && now-s.caughtUpAt < s.limits.KeyLifetime/2
 }
@@ -133,14 +136,29 @@
 	return Current{Claim: found.claim(), Offset: found.offset, Doubtful: found.doubtful}, true
 }
 
-// CaughtUp notes that the log's last record is at head. The reader calls it
-// after each successful read, whether or not it returned records.
-func (s *State) CaughtUp(head oleanderspool.Offset, now oleanderspool.Millis) {
-	if s.position < head {
-		return
+// EndOfRead ends a successful read from the offset after [State.Position]. The
+// caller has applied the returned records before. head is the offset of the
+// last record of the stream as the read returned it.
+//
+// If retention has taken all records up to the head, no record shows the gap.
+// It is then reported here, after a second read that returned nothing: the
+// head of the first one may have been newer than its records.
+func (s *State) EndOfRead(returned int, head oleanderspool.Offset, now oleanderspool.Millis) *Gap {
+	var gap *Gap
+	switch {
+	case returned > 0 || s.position >= head:
+		s.emptyTo = 0
+	case s.emptyTo == 0:
+		s.emptyTo = head
+	default:
+		gap = s.pass(s.emptyTo, now)
+		s.emptyTo = 0
+	}
+	if s.position >= head {
+		s.caughtUp = true
+		s.caughtUpAt = now
 	}
-	s.caughtUp = true
-	s.caughtUpAt = now
+	return gap
 }
 
 // Apply applies a record of the stream. Records must come in rising order; one
@@ -159,8 +177,10 @@
 	}
 	s.counts.Records++
 	s.expire(min(record.ExpiredBefore, r.Offset))
-	doubtful := s.IncompleteFor(now) > 0
+	incomplete := s.IncompleteFor(now) > 0
 	for _, c := range record.Claims {
+		// A claim from before a gap may have lost to one that was in the gap.
+		doubtful := incomplete || c.BasedOn < s.missed
 		if s.apply(c, r.Offset, doubtful) {
 			applied.Valid++
 		}
@@ -168,15 +188,23 @@
 	return applied
 }
 
-// advance moves the position to offset and returns the gap that it passed.
+// advance moves the position to a record and returns the gap before it.
 func (s *State) advance(offset oleanderspool.Offset, now oleanderspool.Millis) *Gap {
-	first := s.position + 1
+	gap := s.pass(offset-1, now)
 	s.position = offset
 	s.ages.received(offset, now)
-	if offset == first {
+	return gap
+}
+
+// pass moves the position over records that are no longer kept, up to last.
+func (s *State) pass(last oleanderspool.Offset, now oleanderspool.Millis) *Gap {
+	if last <= s.position {
 		return nil
 	}
-	gap := &Gap{First: first, Last: offset - 1, Early: s.isEarly(now)}
+	gap := &Gap{First: s.position + 1, Last: last, Early: s.isEarly(now)}
+	s.position = last
+	s.missed = last
+	s.ages.received(last, now)
 	s.counts.Gaps++
 	if gap.Early {
 		s.counts.EarlyGaps++
@@ -185,7 +213,7 @@
 	}
 	// Retention is at least twice the key lifetime, so everything before the
 	// first kept record has expired.
-	s.expire(offset)
+	s.expire(last + 1)
 	return gap
 }
 
@@ -211,9 +239,13 @@
 
 // apply makes c current if it is valid.
 func (s *State) apply(c Claim, offset oleanderspool.Offset, doubtful bool) bool {
-	if number, ok := s.current[c.Key]; ok && s.slots.at(number).attempt() != c.Supersedes {
-		s.counts.Invalid++
-		return false
+	if number, ok := s.current[c.Key]; ok {
+		current := s.slots.at(number)
+		if current.attempt() != c.Supersedes {
+			s.counts.Invalid++
+			return false
+		}
+		doubtful = doubtful || current.doubtful
 	}
 	// A claim that names a superseded attempt stays valid when that attempt's
 	// claim has expired meanwhile: the attempt was barred, and the key is free.
--- a/internal/claim/state_test.go
+++ b/internal/claim/state_test.go
@@ -18,6 +18,7 @@
 		before oleanderspool.Offset
 		claims []claim.Claim
 		data   string // replaces the claims
+		stale  bool   // the claims were decided before any record was read
 		head   oleanderspool.Offset
 	}
 	one := func(key, attempt, supersedes string) []claim.Claim {
@@ -48,6 +49,18 @@
 			{at: 0, offset: 5, claims: one("k", "a", ""), head: 5},
 			{at: 60000, offset: 9, claims: one("k", "b", ""), head: 9},
 		}},
+		{"retention_of_everything", []step{
+			{at: 0, offset: 5, claims: one("k", "a", ""), head: 5},
+			{at: 60000, head: 9},
+			{at: 60001, head: 12},
+			{at: 60002, head: 12},
+			{at: 60003, offset: 12, claims: one("k", "b", ""), head: 12},
+		}},
+		{"claim_from_before_a_gap", []step{
+			{at: 0, offset: 5, claims: one("k", "a", ""), head: 5},
+			{at: 60000, offset: 9, claims: one("k", "b", ""), head: 9, stale: true},
+			{at: 60001, offset: 10, claims: one("k", "c", "b"), head: 10},
+		}},
 		{"early_gap", []step{
 			{at: 0, offset: 1, claims: one("k", "a", ""), head: 1},
 			{at: 59999, offset: 3, claims: one("k", "b", "a")},
@@ -69,6 +82,11 @@
 				line := fmt.Sprintf("%6d", p.at)
 				if p.offset > 0 {
 					data := []byte(p.data)
+					for i := range p.claims {
+						if !p.stale {
+							p.claims[i].BasedOn = p.offset - 1
+						}
+					}
 					if p.data == "" {
 						data = encode(p.before, p.claims...)
 					}
@@ -78,7 +96,9 @@
 						line += fmt.Sprintf(", gap %+v", *applied.Gap)
 					}
 				}
-				s.CaughtUp(max(p.head, p.offset), p.at)
+				if gap := s.EndOfRead(min(1, int(p.offset)), max(p.head, p.offset), p.at); gap != nil {
+					line += fmt.Sprintf("  end of read: gap %+v", *gap)
+				}
 				current, ok := s.Current(newClaim("k", "", "").Key, p.at)
 				lines = append(lines, line, fmt.Sprintf("        k: %t %q at %d, doubtful %t; expired before %d, incomplete for %d, %d claims",
 					ok, current.Claim.Attempt, current.Offset, current.Doubtful, s.ExpiredBefore(p.at), s.IncompleteFor(p.at), s.Claims()))
