--- a/internal/claim/fuzz_test.go
+++ b/internal/claim/fuzz_test.go
@@ -63,7 +63,6 @@
 	print    int
 	entry    *entry
 	resolver *claim.Resolver
-	claims   []claim.Claim
 	asked    claim.Claim // claim that the last message to an agent was about
 	at       oleanderspool.Millis
 	refused  bool
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -47,7 +47,6 @@
 	times   []oleanderspool.Millis // of the records
 	kept    int                    // index of the first kept record
 	late    [][]byte
-	lateAt  []oleanderspool.Millis
 	outage  bool
 	entries [3]*entry
 	agents  [2]*agent
