State what the key lifetime assumes of the log's retention

A process that starts sees only the first kept offset, so it cannot tell whether retention was shorter than agreed; only a running reader notices.

--- a/internal/claim/state.go
+++ b/internal/claim/state.go
@@ -7,7 +7,8 @@
 // Limits bounds a [State].
 type Limits struct {
 	// KeyLifetime is the span for which a key is valid, at most half of the
-	// log's retention.
+	// log's retention. A reader that starts cannot see whether the log kept
+	// less, so a shorter retention lets a key run again.
 	KeyLifetime oleanderspool.Millis
 	// MaxClaims is the number of claims above which no key is claimed anew.
 	// Claims that other processes have in flight still come on top, because
