Say not run for a key only after a fresh read of the log

A keyed refusal now says not_run only if a read of the log after the decision, of at most 500 ms, shows no claim of an earlier submission; else may_have_run with the time to come back, since the key makes a resend safe.

--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -27,11 +27,12 @@
 	outage     bool // as the resolver was last told
 	complete   bool
 	refusal    *oleanderspool.Refusal
+	own        map[oleanderspool.AttemptID]bool // attempts that were claimed here
 }
 
 // runClaimed runs a request that must run at most once.
 func (x *exchange) runClaimed(ctx context.Context) *oleanderspool.Refusal {
-	c := &claimed{exchange: x, resolver: claim.NewResolver(claim.Submission{
+	c := &claimed{exchange: x, own: make(map[oleanderspool.AttemptID]bool), resolver: claim.NewResolver(claim.Submission{
 		Key:         claim.Key{Account: x.request.Account, Key: x.request.Key},
 		Fingerprint: x.request.Fingerprint,
 		Request:     x.request.ID,
@@ -46,11 +47,25 @@
 			return nil
 		}
 		if c.refusal != nil {
-			return c.refusal
+			return c.confirm(ctx)
 		}
 	}
 }
 
+// confirm says "not run" only if the log, read after the refusal was decided,
+// shows no claim by an earlier submission of the key. An entry that cannot read
+// the log does not know what was claimed through the others.
+func (c *claimed) confirm(ctx context.Context) *oleanderspool.Refusal {
+	if c.refusal.Execution != oleanderspool.NotRun {
+		return c.refusal
+	}
+	key := claim.Key{Account: c.request.Account, Key: c.request.Key}
+	if c.entry.claims.unclaimed(ctx, key, c.own) {
+		return c.refusal
+	}
+	return c.refusal.WithExecution(oleanderspool.MayHaveRun)
+}
+
 // act carries out a decision and returns the event that follows.
 func (c *claimed) act(ctx context.Context, decision claim.Decision, changed <-chan struct{}) claim.Event {
 	switch d := decision.(type) {
@@ -87,6 +102,7 @@
 
 // append appends a claim and waits for the outcome.
 func (c *claimed) append(ctx context.Context, cl claim.Claim) claim.Event {
+	c.own[cl.Attempt] = true
 	settled := c.entry.claims.add(cl)
 	if settled == nil {
 		return claim.AppendRefused{}
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -17,6 +17,9 @@
 	claimReadLimit = 1000
 	claimReadWait  = 5 * oleanderspool.Second
 	claimReadRetry = 200 * oleanderspool.Millis(1)
+	// confirmBound is the longest that a refusal waits for the log to say "not
+	// run".
+	confirmBound = 500 * oleanderspool.Millis(1)
 )
 
 // claims reads the claim stream and appends batches of claims to it.
@@ -50,31 +53,58 @@
 // read applies the claim stream until ctx ends.
 func (c *claims) read(ctx context.Context) {
 	for ctx.Err() == nil {
-		c.mu.Lock()
-		from := c.state.Position() + 1
 		wait := claimReadWait
-		if c.outage {
+		if c.unavailable() {
 			wait = 0 // a long poll would keep the end of an outage unknown
 		}
-		c.mu.Unlock()
-		records, head, err := c.log.Read(ctx, oleanderspool.StreamClaim, from, claimReadLimit, wait)
-		c.mu.Lock()
-		now := c.clock.Now()
-		c.setOutage(err != nil)
-		if err == nil {
-			for _, r := range records {
-				c.state.Apply(r, now)
-			}
-			c.state.CaughtUp(head, now)
-			c.changed.Notify()
-		}
-		c.mu.Unlock()
-		if err != nil {
+		if !c.readOnce(ctx, wait) {
 			sleep(ctx, claimReadRetry)
 		}
 	}
 }
 
+// readOnce reads from the position of the state on and applies what it gets.
+// It reports whether the read succeeded.
+func (c *claims) readOnce(ctx context.Context, wait oleanderspool.Millis) bool {
+	c.mu.Lock()
+	from := c.state.Position() + 1
+	c.mu.Unlock()
+	records, head, err := c.log.Read(ctx, oleanderspool.StreamClaim, from, claimReadLimit, wait)
+	if ctx.Err() != nil {
+		return false // says nothing about the log
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	c.setOutage(err != nil)
+	if err != nil {
+		return false
+	}
+	// Another read may have applied some of the records in the meantime; the
+	// state ignores those.
+	for _, r := range records {
+		c.state.Apply(r, now)
+	}
+	c.state.EndOfRead(len(records), head, now)
+	c.changed.Notify()
+	return true
+}
+
+// unclaimed reports whether the log, read after the call, has no claim of a
+// key but those of the given attempts. It returns false when the log cannot
+// be read within confirmBound.
+func (c *claims) unclaimed(ctx context.Context, key claim.Key, own map[oleanderspool.AttemptID]bool) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmBound.Duration())
+	defer cancel()
+	if !c.readOnce(ctx, 0) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	current, ok := c.state.Current(key, c.clock.Now())
+	return !ok || own[current.Claim.Attempt]
+}
+
 func (c *claims) setOutage(outage bool) {
 	if c.outage == outage {
 		return
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -22,6 +23,11 @@
 	// would make every request in flight there wait for a trial.
 	commonLossSpan    = 10 * oleanderspool.Second
 	commonLossServers = 3
+	// lossMemory is how long the loss of a server with a request in flight is
+	// remembered.
+	lossMemory = 10 * oleanderspool.Minute
+	// maxLost bounds the remembered losses.
+	maxLost = 20_000
 )
 
 // suspects reads the stream of suspects and appends to it.
@@ -34,6 +40,7 @@
 	state   *suspect.State
 	changed broadcast.Signal
 	losses  []oleanderspool.Millis // instants at which servers were lost
+	lost    map[oleanderspool.Fingerprint]oleanderspool.Millis
 	running map[oleanderspool.Fingerprint]map[oleanderspool.AttemptID]context.CancelFunc
 	wake    chan struct{}
 }
@@ -44,6 +51,7 @@
 		clock:   e.clock,
 		report:  e.metrics.Changed,
 		state:   suspect.New(string(e.instance)+"/"+unique(), e.clock.Now()),
+		lost:    make(map[oleanderspool.Fingerprint]oleanderspool.Millis),
 		running: make(map[oleanderspool.Fingerprint]map[oleanderspool.AttemptID]context.CancelFunc),
 		wake:    make(chan struct{}, 1),
 	}
@@ -154,10 +162,13 @@
 	s.hasten()
 }
 
-// vanished takes the loss of a server with a request of this entry in flight,
-// unless several servers were lost at once.
+// vanished takes the loss of a server with a request of this entry in flight.
+// It reports whether the request is a suspect now. As a rule only the agent or
+// the instance failed, so a first loss does not make the request wait for a
+// trial; a second one within lossMemory does, unless several servers were lost
+// at once.
 func (s *suspects) vanished(server oleanderspool.BackendServer, f oleanderspool.Fingerprint) bool {
-	if s.commonLoss() {
+	if s.commonLoss() || !s.lostBefore(f) {
 		return false
 	}
 	s.crashed(peer.Crash{
@@ -167,6 +178,21 @@
 	return true
 }
 
+// lostBefore notes a loss and reports whether there was one before.
+func (s *suspects) lostBefore(f oleanderspool.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	before, ok := s.lost[f]
+	if len(s.lost) >= maxLost {
+		maps.DeleteFunc(s.lost, func(_ oleanderspool.Fingerprint, at oleanderspool.Millis) bool { return now-at > lossMemory })
+	}
+	if ok || len(s.lost) < maxLost {
+		s.lost[f] = now
+	}
+	return ok && now-before <= lossMemory
+}
+
 func (s *suspects) commonLoss() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
