Add engine orders derived from configuration

An agent must bring its engine to what configuration wants, although answers are lost, reports lag and name no versions, engines restart and some ignore fencing numbers. Planner gives one order at a time: loads under a permit of the weight store, then the role, then unloads of what no request uses.

A fencing number is the revision followed by a count of 20 bits. A refused number doubles the count, since an earlier agent at the same revision may have used it; when all counts are refused, the planner waits for a newer revision. Ruled out: a number from the clock, which may step; and raising refused numbers without bound, because an agent at an old revision could outbid a new one.

Ruled out as well: asking for a permit before a model that the engine already has is served again. After a restart of the agent such a model is served with an unknown version, also while the weight store is down.

Fuzzing found these faults, each with a test now: an unload without a version took a wanted adapter away; an adapter found without a version was never unloaded; an unload whose first copy had its effect was repeated for ever; a lost answer to a change of role hid that the former role was gone; an artefact counted as loaded after an unanswered unload; loads and unanswered unloads around a restart of the engine were forgotten.

--- /dev/null
+++ b/internal/order/planner_test.go
@@ -0,0 +1,283 @@
+package order
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/pkg/configuration"
+)
+
+// shop returns a configuration in which instance "i" serves a model with an
+// adapter in the given version.
+func shop(version oleanderspool.VersionID) configuration.Configuration {
+	c, err := configuration.New(
+		configuration.WithServerSets(configuration.ServerSet{ID: "s", EngineRole: "mixed"}.WithInstances("i")),
+		configuration.WithModels(configuration.Model{ID: "stock", Version: version, Set: "s", MaxPromptTokens: 1}),
+		configuration.WithVersions(
+			configuration.Version{ID: "v1", Model: "stock", Artefact: "stock/1"},
+			configuration.Version{ID: "v2", Model: "stock", Artefact: "stock/2"},
+		),
+		configuration.WithAdapters(configuration.Adapter{ID: "pegs", Model: "stock", Artefact: "pegs/1"}),
+	)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+func describe(a Action) string {
+	switch a.Kind {
+	case ActionReserve:
+		return "reserve " + a.Source
+	case ActionOrder:
+		o := a.Order
+		return fmt.Sprintf("%s model=%s version=%s adapter=%s role=%s fencing=%d+%d", o.Kind, o.Model, o.Version, o.Adapter, o.Role, o.Fencing>>countBits, o.Fencing&maxCount)
+	}
+	return fmt.Sprintf("none until %d", a.At)
+}
+
+// Guards against changes of the order in which an upgrade of a model is
+// carried out.
+var _ = Describe("A session", func() {
+	It("upgrades a model that a request uses", func() {
+		var out strings.Builder
+		p := NewPlanner("i")
+		now := oleanderspool.Millis(0)
+		step := func(err error) {
+			now += oleanderspool.Second
+			a := p.Next(now)
+			fmt.Fprintf(&out, "%d: %s\n", now, describe(a))
+			switch a.Kind {
+			case ActionReserve:
+				p.Reserved(0, now)
+			case ActionOrder:
+				p.Answered(err, now)
+				fmt.Fprintf(&out, "   answer: %v, serving %v\n", err, p.Serving())
+			}
+		}
+		steps := func(n int) {
+			for range n {
+				step(nil)
+			}
+		}
+		steps(1)
+		p.Configure(shop("v1"), 3)
+		steps(1)
+		p.Report(oleanderspool.EngineReport{Started: "a"}, now)
+		steps(6)
+		use, served := p.Acquire("stock", "pegs")
+		fmt.Fprintf(&out, "acquired %v %v\n", use, served)
+		p.Configure(shop("v2"), 7)
+		steps(1)
+		step(oleanderspool.ErrUncertain.New("answer lost"))
+		step(oleanderspool.ErrFenced.New("stale"))
+		steps(6)
+		p.Release(use)
+		out.WriteString("released\n")
+		steps(3)
+		p.Report(oleanderspool.EngineReport{Started: "b"}, now)
+		out.WriteString("engine restarted\n")
+		steps(6)
+		if *update {
+			Expect(os.WriteFile("testdata/upgrade.golden", []byte(out.String()), 0o644)).To(Succeed())
+		}
+		want, err := os.ReadFile("testdata/upgrade.golden")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out.String()).To(Equal(string(want)))
+	})
+})
+
+var _ = Describe("Planner", func() {
+	loadAll := func(p *Planner, now oleanderspool.Millis) {
+		for range 10 {
+			switch p.Next(now).Kind {
+			case ActionReserve:
+				p.Reserved(0, now)
+			case ActionOrder:
+				p.Answered(nil, now)
+			}
+		}
+	}
+
+	// Guards against a change of role whose answer was lost and that counts as
+	// not done when the former role is wanted again.
+	It("orders the former role again after an uncertain change", func() {
+		p := NewPlanner("i")
+		p.Configure(shop("v1"), 1)
+		p.Report(oleanderspool.EngineReport{Started: "a"}, 0)
+		loadAll(p, 0)
+		set, _ := shop("v1").ServerSet("s")
+		changed, err := shop("v1").With(configuration.WithServerSets(set.WithEngineRole("decode")))
+		Expect(err).NotTo(HaveOccurred())
+		p.Configure(changed, 2)
+		Expect(p.Next(1).Order.Role).To(Equal("decode"))
+		p.Answered(oleanderspool.ErrUncertain.New("answer lost"), 1)
+		p.Configure(shop("v1"), 3)
+		Expect(p.Next(2).Order.Role).To(Equal("mixed"))
+	})
+
+	// Guards against an unanswered unload of what is wanted again: what it
+	// replaces must not be unloaded on the strength of the earlier load.
+	It("does not count an artefact as loaded after an uncertain unload", func() {
+		p := NewPlanner("i")
+		p.Configure(shop("v1"), 1)
+		p.Report(oleanderspool.EngineReport{Started: "a"}, 0)
+		loadAll(p, 0)
+		h := p.holding(Artefact{Model: "stock", Version: "v1"})
+		p.unknown(h, oleanderspool.OrderUnload, 0)
+		Expect(p.Serving()).To(BeEmpty())
+		Expect(p.replaced(Artefact{Model: "stock", Version: "v2"})).To(BeFalse())
+	})
+
+	// orders carries out all actions but fails orders with the given kind, and
+	// returns the orders to unload.
+	orders := func(p *Planner, now oleanderspool.Millis, fail oleanderspool.OrderKind, err error) []Artefact {
+		var unloads []Artefact
+		for range 20 {
+			switch a := p.Next(now); a.Kind {
+			case ActionReserve:
+				p.Reserved(0, now)
+			case ActionOrder:
+				if a.Order.Kind == oleanderspool.OrderUnload {
+					unloads = append(unloads, Artefact{Model: a.Order.Model, Version: a.Order.Version, Adapter: a.Order.Adapter})
+				}
+				if a.Order.Kind == fail {
+					p.Answered(err, now)
+				} else {
+					p.Answered(nil, now)
+				}
+			}
+		}
+		return unloads
+	}
+	v1, v2 := Artefact{Model: "stock", Version: "v1"}, Artefact{Model: "stock", Version: "v2"}
+	pegs1, pegs2 := Artefact{Model: "stock", Version: "v1", Adapter: "pegs"}, Artefact{Model: "stock", Version: "v2", Adapter: "pegs"}
+
+	// Guards against an order to unload an adapter without a version, which
+	// would take the wanted one away, and against one that is never unloaded
+	// because its version was unknown when it was found.
+	It("unloads the other versions of what an earlier agent loaded", func() {
+		p := NewPlanner("i")
+		bare, err := shop("v2").Without(configuration.Ref{Kind: configuration.KindAdapter, ID: "pegs"})
+		Expect(err).NotTo(HaveOccurred())
+		p.Configure(bare, 1)
+		p.Report(oleanderspool.EngineReport{Started: "a", Models: []oleanderspool.ModelID{"stock"}, Adapters: []oleanderspool.AdapterID{"pegs"}}, 0)
+		p.Configure(shop("v2"), 2)
+		Expect(orders(p, 0, "", nil)).To(ConsistOf(v1, pegs1))
+	})
+
+	// Guards against an unload that is repeated for ever because its first copy
+	// had its effect.
+	It("takes a refused unload of what is not there as done", func() {
+		p := NewPlanner("i")
+		p.Configure(shop("v1"), 1)
+		p.Report(oleanderspool.EngineReport{Started: "a"}, 0)
+		loadAll(p, 0)
+		p.Configure(shop("v2"), 2)
+		Expect(orders(p, 1, oleanderspool.OrderUnload, oleanderspool.ErrUncertain.New("answer lost"))).To(Equal([]Artefact{pegs1}))
+		Expect(orders(p, lastRetry, oleanderspool.OrderUnload, oleanderspool.ErrInvalid.New("not loaded"))).To(Equal([]Artefact{pegs1, v1}))
+		Expect(orders(p, 2*lastRetry, "", nil)).To(BeEmpty())
+	})
+
+	// Guards against an artefact that a new run of the engine holds unnoticed:
+	// it was loaded after the state that the last report of the old run shows,
+	// or its unload was not answered, and reports do not name versions.
+	It("unloads what may have reached the new run of the engine", func() {
+		cases := []struct {
+			name string
+			act  func(p *Planner)
+			want []Artefact
+		}{
+			{"loads answered after the last report", func(p *Planner) { loadAll(p, lastRetry) }, []Artefact{pegs1, v1}},
+			{"an unload without an answer", func(p *Planner) {
+				loadAll(p, lastRetry)
+				p.Report(oleanderspool.EngineReport{Started: "a", Models: []oleanderspool.ModelID{"stock"}, Adapters: []oleanderspool.AdapterID{"pegs"}}, 2*lastRetry)
+				p.Configure(shop("v2"), 2)
+				orders(p, 2*lastRetry, oleanderspool.OrderUnload, oleanderspool.ErrUncertain.New("answer lost"))
+			}, []Artefact{pegs1}},
+		}
+		for _, c := range cases {
+			p := NewPlanner("i")
+			p.Configure(shop("v1"), 1)
+			p.Report(oleanderspool.EngineReport{Started: "a"}, 0)
+			c.act(p)
+			p.Configure(shop("v2"), 3)
+			now := 3 * lastRetry
+			p.Report(oleanderspool.EngineReport{Started: "b"}, now)
+			Expect(orders(p, now+lastRetry, "", nil)).To(ContainElements(c.want), c.name)
+			Expect(p.usable(v2) && p.usable(pegs2)).To(BeTrue(), c.name)
+		}
+	})
+
+	// Guards against an agent that serves nothing while the weight store is
+	// down, though its engine has had the model all along.
+	It("serves what the engine has while the weight store is down", func() {
+		p := NewPlanner("i")
+		p.Configure(shop("v1"), 1)
+		p.Report(oleanderspool.EngineReport{Started: "a", Models: []oleanderspool.ModelID{"stock"}}, 0)
+		Expect(p.Next(0).Kind).To(Equal(ActionReserve))
+		p.ReserveFailed(0)
+		Expect(p.Serving()).To(Equal([]oleanderspool.ModelID{"stock"}))
+		a, served := p.Acquire("stock", "")
+		Expect(served).To(BeTrue())
+		Expect(a).To(Equal(Artefact{Model: "stock"}))
+	})
+
+	// Guards against an unload while requests run that the agent did not start.
+	It("unloads nothing while the engine reports unknown requests", func() {
+		p := NewPlanner("i")
+		p.Configure(shop("v1"), 1)
+		report := oleanderspool.EngineReport{Started: "a", Models: []oleanderspool.ModelID{"other"}, Running: 1}
+		p.Report(report, 0)
+		loadAll(p, 0)
+		Expect(p.Next(0).Kind).To(Equal(ActionNone))
+		report.Running = 0
+		p.Report(report, 1)
+		Expect(p.Next(1).Order).To(Equal(oleanderspool.Order{Kind: oleanderspool.OrderUnload, Model: "other", Fencing: 1<<countBits + 4}))
+	})
+
+	// Guards against a load that goes around the weight store's delay.
+	It("waits as long as the weight store asks", func() {
+		p := NewPlanner("i")
+		p.Configure(shop("v1"), 1)
+		p.Report(oleanderspool.EngineReport{Started: "a"}, 0)
+		Expect(p.Next(0).Source).To(Equal("stock/1"))
+		p.Reserved(700, 0)
+		Expect(p.Next(1).Order.Kind).To(Equal(oleanderspool.OrderChangeRole))
+		p.Answered(nil, 1)
+		Expect(p.Next(699)).To(Equal(Action{At: 700}))
+		Expect(p.Next(700).Kind).To(Equal(ActionReserve))
+	})
+
+	// Guards against an agent at an old revision that outbids a newer one, and
+	// against one that gives up on its own earlier numbers.
+	It("raises refused numbers within its revision only", func() {
+		p := NewPlanner("i")
+		p.Configure(shop("v1"), 5)
+		p.Report(oleanderspool.EngineReport{Started: "a"}, 0)
+		now, last := oleanderspool.Millis(0), int64(0)
+		for i := 0; !p.Fenced(); i++ {
+			Expect(i).To(BeNumerically("<", 200))
+			now += lastRetry
+			switch a := p.Next(now); a.Kind {
+			case ActionReserve:
+				p.Reserved(0, now)
+			case ActionOrder:
+				Expect(a.Order.Fencing).To(BeNumerically(">", last))
+				Expect(a.Order.Fencing >> countBits).To(Equal(int64(5)))
+				last = a.Order.Fencing
+				p.Answered(oleanderspool.ErrFenced.New("stale"), now)
+			}
+		}
+		Expect(p.Next(now + lastRetry).Kind).To(Equal(ActionNone))
+		p.Configure(shop("v1"), 4)
+		Expect(p.Fenced()).To(BeTrue())
+		p.Configure(shop("v1"), 6)
+		Expect(p.Next(now + lastRetry).Order.Fencing).To(Equal(int64(6<<countBits + 1)))
+	})
+})
