Build the table of lines only for configurations with findings

Parsing kept a line for every key of every object in a map, also for valid input, whose lines nobody asks for. The table is now built from the syntax tree when the first finding needs it. Ruled out: lines within each object, which would be held for all objects too.

--- a/pkg/configuration/change_set.go
+++ b/pkg/configuration/change_set.go
@@ -200,7 +200,7 @@
 // [oleanderspool.ErrInvalid] with all findings, each with its line and key.
 // Whether the change can be applied is for [Configuration.Apply] to find.
 func ParseChangeSet(file string, data []byte) (ChangeSet, error) {
-	p := &parser{file: file, lines: map[string]int{}}
+	p := &parser{file: file}
 	root, valid := p.root(data)
 	if !valid {
 		return ChangeSet{}, p.err()
--- a/pkg/configuration/fields.go
+++ b/pkg/configuration/fields.go
@@ -22,7 +22,7 @@
 // fieldsOf returns the members of n. It adds a finding and returns no members
 // when n is not an object.
 func fieldsOf(file, place string, n node, findings *oleanderspool.Findings) *fields {
-	f := &fields{file: file, place: place, line: n.line, faulty: map[string]bool{}, findings: findings}
+	f := &fields{file: file, place: place, line: n.line, findings: findings}
 	if n.kind != nodeObject {
 		f.add(n.line, "", "expected an object, found "+article(n.kind))
 		return f
@@ -42,6 +42,9 @@
 
 // fault adds a finding about the value of a key.
 func (f *fields) fault(line int, key, message string) {
+	if f.faulty == nil {
+		f.faulty = map[string]bool{}
+	}
 	f.faulty[key] = true
 	f.add(line, key, message)
 }
--- a/pkg/configuration/parse.go
+++ b/pkg/configuration/parse.go
@@ -13,7 +13,7 @@
 // only. It returns an error of type [oleanderspool.ErrInvalid] with all
 // findings, each with its line and key.
 func Parse(file string, data []byte) (Configuration, error) {
-	p := &parser{file: file, lines: map[string]int{}}
+	p := &parser{file: file}
 	root, valid := p.root(data)
 	if !valid {
 		return Configuration{}, p.err()
@@ -53,7 +53,33 @@
 type parser struct {
 	file     string
 	findings oleanderspool.Findings
-	lines    map[string]int // line by key, as findings of checks name it
+	objects  []locatedObject
+	lines    map[string]int // line by key, as findings of checks name it; see line
+}
+
+// locatedObject keeps what the lines of an object's keys are derived from.
+type locatedObject struct {
+	ref    Ref
+	node   node
+	faulty map[string]bool // keys whose value has a wrong type
+}
+
+// line returns the line of a key, or 0 for one that is missing or whose value
+// has a wrong type. The table of lines is built only for input with findings,
+// since it takes more memory than the configuration.
+func (p *parser) line(place string) int {
+	if p.lines == nil {
+		p.lines = map[string]int{}
+		for _, o := range p.objects {
+			p.remember(placeOf(o.ref, ""), o.node.line)
+			for _, m := range o.node.members {
+				if !o.faulty[m.key] {
+					p.remember(placeOf(o.ref, m.key), m.line)
+				}
+			}
+		}
+	}
+	return p.lines[place]
 }
 
 // root reads the JSON value. It returns false after a syntax error.
@@ -81,7 +107,7 @@
 	}
 }
 
-// object reads an object and remembers the lines of its members. The kind is a
+// object reads an object and keeps what tells the lines of its members. The kind is a
 // member of the objects of a change set only.
 func (p *parser) object(spec *kindSpec, place string, n node, withKind bool) positioned {
 	f := fieldsOf(p.file, place, n, &p.findings)
@@ -91,13 +117,7 @@
 	o := positioned{object: spec.read(f), line: n.line}
 	o.revision = f.revision()
 	f.finish()
-	ref := o.object.Ref()
-	p.remember(placeOf(ref, ""), n.line)
-	for _, m := range n.members {
-		if !f.faulty[m.key] {
-			p.remember(placeOf(ref, m.key), m.line)
-		}
-	}
+	p.objects = append(p.objects, locatedObject{ref: o.object.Ref(), node: n, faulty: f.faulty})
 	return o
 }
 
@@ -113,13 +133,13 @@
 	kept := make([]Object, 0, len(objects))
 	for _, o := range objects {
 		ref := o.object.Ref()
-		if ref.ID == "" && p.lines[placeOf(ref, "id")] == 0 {
+		if ref.ID == "" && p.line(placeOf(ref, "id")) == 0 {
 			continue // the id is missing, which is reported already
 		}
 		if seen[ref] {
 			p.findings.Add(oleanderspool.Finding{
 				File: p.file, Line: o.line, Key: placeOf(ref, ""),
-				Message: fmt.Sprintf("is given twice, first at line %d", p.lines[placeOf(ref, "")]),
+				Message: fmt.Sprintf("is given twice, first at line %d", p.line(placeOf(ref, ""))),
 			})
 			continue
 		}
@@ -135,7 +155,7 @@
 func (p *parser) locate(findings []oleanderspool.Finding) {
 	for _, f := range findings {
 		f.File = p.file
-		f.Line = p.lines[f.Key]
+		f.Line = p.line(f.Key)
 		if f.Line == 0 {
 			continue
 		}
