Count the credit of short work in time and test the queue with fuzzing

Cause: the fuzz test of the ageing bound failed. Short work that overtakes due longer work drew on a credit in tokens that the observed rate refilled, so an observed rate above the true one gave all capacity to short work. The credit is now counted in time: short work may overtake for at most the part of the time that is not the share of long work.

Nothing is lost or served twice, memory and trials are respected, an engine with waiting items never idles, an item whose ageing bound has passed is served at its share.

--- a/internal/queue/next.go
+++ b/internal/queue/next.go
@@ -19,8 +19,7 @@
 // be used now, in tokens. It is to be called after each event and at least
 // every 50 ms while items wait; the caller then hands over all started items.
 func (q *Queue) Next(room int64, now oleanderspool.Millis) Decision {
-	q.running.advance(q.rate.perMilli(), now)
-	q.refillCredit(now)
+	q.advance(now)
 	d := Decision{Refused: q.expire(now)}
 	for q.alone == "" {
 		w := q.choose(room, now)
@@ -59,24 +58,32 @@
 
 // start moves an item into the engine.
 func (q *Queue) start(w *waitingItem, now oleanderspool.Millis) Dispatch {
-	if q.overtakes(w) {
-		q.credit -= float64(w.PromptTokens)
-	}
+	overtakes := q.overtakes(w)
 	if len(q.running.prefill) == 0 {
 		q.progressAt = now
 	}
-	q.running.add(w, now)
+	q.running.add(w, now).overtakes = overtakes
 	if w.Alone {
 		q.alone = w.Attempt
 	}
 	return Dispatch{Item: w.Item, EnginePriority: enginePriority(w.class), Waited: now - w.arrived}
 }
 
-// refillCredit gives shorter work the capacity beyond the share of long work.
-func (q *Queue) refillCredit(now oleanderspool.Millis) {
-	earned := (1 - q.settings.longShare) * q.rate.perMilli() * float64(now-q.creditAt)
-	q.creditAt = max(q.creditAt, now)
-	q.credit = min(q.credit+max(0, earned), float64(q.settings.creditSteps*q.settings.stepTokens))
+// advance brings the estimates and the credit of shorter work up to date. The
+// credit is counted in time: the engine serves shorter work first, so due
+// longer work progresses only while nothing that overtakes it is in prefill.
+// Counting tokens at the observed rate would take the share from long work
+// whenever that rate is too high.
+func (q *Queue) advance(now oleanderspool.Millis) {
+	span := float64(now - q.running.advanced)
+	if span > 0 {
+		q.credit += (1 - q.settings.longShare) * span
+		if q.running.overtaken() {
+			q.credit -= span
+		}
+		q.credit = min(q.credit, float64(q.settings.creditSpan))
+	}
+	q.running.advance(q.rate.perMilli(), now)
 }
 
 // overtakes reports whether w would run before longer work that is due
--- a/internal/queue/options.go
+++ b/internal/queue/options.go
@@ -23,9 +23,10 @@
 	// DefaultSlackMargin is how long before the last possible start an item
 	// becomes due.
 	DefaultSlackMargin = 2 * oleanderspool.Second
-	// DefaultCreditSteps is how many steps of shorter work may run in one
-	// burst at the expense of longer work that is due.
-	DefaultCreditSteps = 4
+	// DefaultCreditSpan bounds the credit on which shorter work overtakes longer
+	// work that is due. The credit is refilled while it is used, so one burst
+	// lasts up to this span divided by the share of long work.
+	DefaultCreditSpan = oleanderspool.Second / 2
 	// DefaultBypassBound is how long smaller items may pass one that does not
 	// fit into memory.
 	DefaultBypassBound = 10 * oleanderspool.Second
@@ -66,7 +67,7 @@
 	fairness     float64
 	priorityStep oleanderspool.Millis
 	slackMargin  oleanderspool.Millis
-	creditSteps  int64
+	creditSpan   oleanderspool.Millis
 	bypassBound  oleanderspool.Millis
 	prefillRate  float64
 	reference    float64
@@ -86,7 +87,7 @@
 		fairness:     DefaultFairness,
 		priorityStep: DefaultPriorityStep,
 		slackMargin:  DefaultSlackMargin,
-		creditSteps:  DefaultCreditSteps,
+		creditSpan:   DefaultCreditSpan,
 		bypassBound:  DefaultBypassBound,
 		reserve:      DefaultMemoryReserve,
 		prefillRate:  DefaultPrefillRate,
@@ -162,10 +163,10 @@
 	return func(s *settings) { s.slackMargin = span }
 }
 
-// WithCreditSteps sets how many steps of shorter work may run in one burst at
-// the expense of longer work that is due.
-func WithCreditSteps(steps int) Option {
-	return func(s *settings) { s.creditSteps = int64(max(1, steps)) }
+// WithCreditSpan bounds the credit on which shorter work overtakes longer work
+// that is due.
+func WithCreditSpan(span oleanderspool.Millis) Option {
+	return func(s *settings) { s.creditSpan = max(1, span) }
 }
 
 // WithBypassBound sets how long smaller items may pass one that does not fit
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -25,8 +25,7 @@
 	arrivals arrivals
 	sequence uint64
 
-	credit   float64 // tokens of shorter work that may overtake due longer work
-	creditAt oleanderspool.Millis
+	credit float64 // milliseconds for which shorter work may overtake due longer work
 
 	alone oleanderspool.AttemptID // attempt that runs alone
 
@@ -46,7 +45,7 @@
 		accounts: make(accounts),
 		running:  newRunning(s.stepTokens),
 		rate:     newRate(s.prefillRate, s.reference),
-		credit:   float64(s.creditSteps * s.stepTokens),
+		credit:   float64(s.creditSpan),
 	}
 }
 
@@ -63,7 +62,7 @@
 	if err := q.checkCapacity(i); err != nil {
 		return err
 	}
-	q.running.advance(q.rate.perMilli(), now)
+	q.advance(now)
 	w := q.newWaiting(i, now)
 	if refusal := q.checkLimit(w, now); refusal != nil {
 		return refusal
@@ -133,7 +132,7 @@
 
 // FirstToken records that the engine has finished the prefill of an attempt.
 func (q *Queue) FirstToken(attempt oleanderspool.AttemptID, now oleanderspool.Millis) {
-	q.running.advance(q.rate.perMilli(), now)
+	q.advance(now)
 	x := q.running.firstToken(attempt, now)
 	if x == nil {
 		return
@@ -144,6 +143,7 @@
 
 // Finished records that an attempt has left the engine, for whatever reason.
 func (q *Queue) Finished(attempt oleanderspool.AttemptID, now oleanderspool.Millis) {
+	q.advance(now)
 	if q.running.remove(attempt) == nil {
 		return
 	}
@@ -165,7 +165,7 @@
 // Load returns the queue's account of the waiting and running work. Memory is
 // left to the ledger.
 func (q *Queue) Load(now oleanderspool.Millis) oleanderspool.Load {
-	q.running.advance(q.rate.perMilli(), now)
+	q.advance(now)
 	return oleanderspool.Load{
 		QueuedTokens:  q.queuedTokens(),
 		RunningTokens: q.running.outstanding(classCount - 1),
@@ -179,7 +179,7 @@
 // prompt of the given length would wait for: the work of its class and the
 // smaller ones.
 func (q *Queue) WorkUpTo(promptTokens int64, now oleanderspool.Millis) int64 {
-	q.running.advance(q.rate.perMilli(), now)
+	q.advance(now)
 	class := classOf(promptTokens)
 	total := q.running.outstanding(class)
 	for i := range q.classes[:class+1] {
--- a/internal/queue/refusal.go
+++ b/internal/queue/refusal.go
@@ -86,7 +86,7 @@
 // Predict returns how long an item would wait for its first token, in
 // milliseconds, without adding it to the queue.
 func (q *Queue) Predict(i Item, now oleanderspool.Millis) oleanderspool.Millis {
-	q.running.advance(q.rate.perMilli(), now)
+	q.advance(now)
 	w := q.newWaiting(i, now)
 	return q.wait(w, now) + q.rate.span(float64(i.PromptTokens))
 }
--- a/internal/queue/running.go
+++ b/internal/queue/running.go
@@ -19,6 +19,8 @@
 	// crowded says that longer work was in the engine at the hand-over, so
 	// each step was filled up with chunks of it.
 	crowded bool
+	// overtakes says that longer work was due earlier at the hand-over.
+	overtakes bool
 	// decoding is set at the first token.
 	decoding  bool
 	decodedAt oleanderspool.Millis
@@ -80,7 +82,13 @@
 	})
 }
 
-func (r *running) add(w *waitingItem, now oleanderspool.Millis) {
+// overtaken reports whether work in prefill goes before longer work that is
+// due earlier.
+func (r *running) overtaken() bool {
+	return slices.ContainsFunc(r.prefill, func(x *runningItem) bool { return x.overtakes })
+}
+
+func (r *running) add(w *waitingItem, now oleanderspool.Millis) *runningItem {
 	x := &runningItem{waitingItem: w, handedAt: now, remaining: float64(w.PromptTokens), served: w.PromptTokens}
 	for _, y := range r.prefill {
 		if y.class <= w.class {
@@ -95,6 +103,7 @@
 	})
 	r.prefill = slices.Insert(r.prefill, at, x)
 	r.items[w.Attempt] = x
+	return x
 }
 
 // firstToken ends the prefill of an attempt. It returns nil when the attempt
--- a/internal/queue/suite_test.go
+++ b/internal/queue/suite_test.go
@@ -12,6 +12,8 @@
 // with other seeds: go test ./internal/queue -rapid.seed=N -rapid.checks=N.
 func init() {
 	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "150")
+	_ = flag.Set("rapid.steps", "80")
 }
 
 func TestQueue(t *testing.T) {
