Add golden sessions and the floor of each length class

The queue's and the groups' sessions are replayed and compared with files under testdata, which -update rewrites. The measurement prints the 99th percentile of the requests' own work for each class of lengths, so that a goal below it is seen to be out of reach for any order.

--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -27,6 +27,10 @@
 	Refused       int
 	Failed        int
 	P50, P95, P99 float64
+	// Floor99 is the 99th percentile of the requests' own prefill work on idle
+	// engines without cached prefixes, which no policy can undercut by more
+	// than the prefixes.
+	Floor99 float64
 }
 
 // Row is the result of one policy on one trace.
@@ -79,14 +83,21 @@
 	}
 }
 
+// floor returns the span of the request's own prefill on idle engines.
+func (c *call) floor() float64 {
+	parts := (c.tokens + partTokens - 1) / partTokens
+	return float64(c.tokens/parts) / fullRate
+}
+
 // row summarizes a run.
 func (f *fleet) row() Row {
 	r := Row{Deployment: f.deployment.Name, Trace: f.trace, Policy: f.policy.Name}
-	var times [len(classNames)][]float64
+	var times, floors [len(classNames)][]float64
 	var others, flooding []float64
 	for _, c := range f.calls {
 		class := lengthClass(c.tokens)
 		r.Classes[class].count(c.status)
+		floors[class] = append(floors[class], c.floor())
 		t, ok := c.timeToFirst()
 		if !ok {
 			continue
@@ -102,10 +113,12 @@
 	}
 	for i := range r.Classes {
 		slices.Sort(times[i])
+		slices.Sort(floors[i])
 		r.Classes[i].Name = classNames[i]
 		r.Classes[i].P50 = percentile(times[i], 0.50)
 		r.Classes[i].P95 = percentile(times[i], 0.95)
 		r.Classes[i].P99 = percentile(times[i], 0.99)
+		r.Classes[i].Floor99 = percentile(floors[i], 0.99)
 	}
 	slices.Sort(others)
 	slices.Sort(flooding)
@@ -182,7 +195,7 @@
 	fmt.Fprintf(b, "  %s: short slowdown %.2f (reference p99 %.0f), utilisation %.3f, busy %.3f, fairness %.3f, others p99 %.0f, flooder p99 %.0f\n",
 		r.Policy, r.ShortSlowdown, r.ReferenceP99, r.Utilisation, r.Busy, r.Fairness, r.OthersP99, r.FlooderP99)
 	for _, c := range r.Classes {
-		fmt.Fprintf(b, "    %-7s n %5d  p50 %7.0f  p95 %7.0f  p99 %7.0f  finished %5d  refused %4d  failed %4d\n",
-			c.Name, c.Count, c.P50, c.P95, c.P99, c.Finished, c.Refused, c.Failed)
+		fmt.Fprintf(b, "    %-7s n %5d  p50 %7.0f  p95 %7.0f  p99 %7.0f  floor %6.0f  finished %5d  refused %4d  failed %4d\n",
+			c.Name, c.Count, c.P50, c.P95, c.P99, c.Floor99, c.Finished, c.Refused, c.Failed)
 	}
 }
--- /dev/null
+++ b/internal/memory/golden_test.go
@@ -0,0 +1,104 @@
+package memory_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/memory"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// session plays two rival groups against two members and writes down every
+// message and reply.
+type session struct {
+	text    strings.Builder
+	now     oleanderspool.Millis
+	members map[oleanderspool.InstanceID]*memory.Ledger
+	lost    map[oleanderspool.Millis]bool // instants at which replies are lost
+}
+
+func (s *session) printf(format string, arguments ...any) {
+	fmt.Fprintf(&s.text, "%6d  ", s.now)
+	fmt.Fprintf(&s.text, format+"\n", arguments...)
+}
+
+// send delivers messages at once, and the replies unless they are lost.
+func (s *session) send(g *memory.Group, messages []memory.GroupMessage) {
+	for _, m := range messages {
+		l := s.members[m.Instance]
+		if m.Release {
+			l.ReleaseGroup(m.Group, m.Try, m.Wait, s.now)
+			s.printf("%s release %s try %d wait %v, free %d", m.Instance, m.Group, m.Try, m.Wait, l.Free())
+			g.Released(m)
+			continue
+		}
+		reply := l.ReserveGroup(m.GroupRequest, s.now)
+		s.printf("%s reserve %d for %s try %d age %d: granted %v, free %d", m.Instance, m.Tokens, m.Group, m.Try, m.Age, reply.Granted, reply.Free)
+		switch {
+		case s.lost[s.now]:
+			s.printf("reply lost")
+		case reply.Granted:
+			s.send(g, g.Granted(m, s.now))
+		default:
+			s.send(g, g.Refused(m, s.now))
+		}
+	}
+}
+
+// step advances to the given instant in steps of 100 ms.
+func (s *session) step(until oleanderspool.Millis, groups ...*memory.Group) {
+	for ; s.now < until; s.now += 100 {
+		for _, g := range groups {
+			before := g.State()
+			s.send(g, g.Tick(s.now))
+			if g.State() != before {
+				s.printf("group %v", g.State())
+			}
+		}
+		for _, instance := range []oleanderspool.InstanceID{"a", "b"} {
+			l := s.members[instance]
+			for _, r := range l.Expire(s.now) {
+				s.printf("%s lapsed %s", instance, r.Name)
+			}
+			for _, c := range l.Cancels(s.now) {
+				l.Confirm(c, s.now)
+				s.printf("%s cancelled %s, free %d", instance, c.Name, l.Free())
+			}
+		}
+	}
+}
+
+// Guards against unintended changes of the messages of rival groups.
+var _ = Describe("golden session", func() {
+	It("replays rival groups", func() {
+		s := &session{
+			members: map[oleanderspool.InstanceID]*memory.Ledger{"a": memory.NewLedger(1000), "b": memory.NewLedger(1000)},
+			lost:    map[oleanderspool.Millis]bool{200: true},
+		}
+		parts := []memory.GroupMember{{Instance: "b", Tokens: 700}, {Instance: "a", Tokens: 600}}
+		first := memory.NewGroup("first", parts, 60_000, s.now)
+		s.step(200, first)
+		second := memory.NewGroup("second", parts, 60_000, s.now)
+		s.step(6000, first, second)
+		s.send(first, first.End(s.now))
+		s.step(9000, first, second)
+		s.send(second, second.MemberDied("a", s.now))
+		s.step(10_000, first, second)
+
+		golden := filepath.Join("testdata", "rivals.golden")
+		if *update {
+			Expect(os.WriteFile(golden, []byte(s.text.String()), 0o600)).To(Succeed())
+		}
+		want, err := os.ReadFile(filepath.Clean(golden))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.text.String()).To(Equal(string(want)))
+	})
+})
--- /dev/null
+++ b/internal/queue/golden_test.go
@@ -0,0 +1,109 @@
+package queue_test
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/queue"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// playSession plays a session file and returns it with the queue's decisions
+// after each line. A line is an instant, an event and its arguments:
+// "push attempt account priority tokens output limit alone", "next room",
+// "cancel attempt", "first attempt", "finished attempt" or "lost".
+func playSession(q *queue.Queue, session string) string {
+	var b strings.Builder
+	lines := bufio.NewScanner(strings.NewReader(session))
+	for lines.Scan() {
+		line := lines.Text()
+		fmt.Fprintln(&b, line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		var now oleanderspool.Millis
+		var event string
+		_, err := fmt.Sscan(line, &now, &event)
+		Expect(err).NotTo(HaveOccurred(), line)
+		arguments := strings.Join(strings.Fields(line)[2:], " ")
+		attempt := oleanderspool.AttemptID(arguments)
+		switch event {
+		case "push":
+			pushLine(&b, q, arguments, now)
+		case "next":
+			nextLine(&b, q, arguments, now)
+		case "cancel":
+			fmt.Fprintln(&b, "  was waiting:", q.Cancel(attempt))
+		case "first":
+			q.FirstToken(attempt, now)
+		case "finished":
+			q.Finished(attempt, now)
+		case "lost":
+			q.EngineLost(now)
+		default:
+			Fail("unknown event: " + line)
+		}
+		l := q.Load(now)
+		fmt.Fprintf(&b, "  queued %d (%d tokens), running %d (%d tokens), %.1f tokens/ms, slow %v\n",
+			l.Queued, l.QueuedTokens, l.Running, l.RunningTokens, l.PrefillRate, q.Slow(now))
+	}
+	return b.String()
+}
+
+func pushLine(b *strings.Builder, q *queue.Queue, arguments string, now oleanderspool.Millis) {
+	var i queue.Item
+	var limit oleanderspool.Millis
+	_, err := fmt.Sscan(arguments, &i.Attempt, &i.Account, &i.Priority, &i.PromptTokens, &i.OutputTokens, &limit, &i.Alone)
+	Expect(err).NotTo(HaveOccurred(), arguments)
+	i.MemoryTokens = i.PromptTokens + i.OutputTokens
+	if limit > 0 {
+		i.Deadline = now + limit
+	}
+	if err := q.Push(i, now); err != nil {
+		fmt.Fprintf(b, "  %T %v\n", err, err)
+	}
+}
+
+func nextLine(b *strings.Builder, q *queue.Queue, arguments string, now oleanderspool.Millis) {
+	var free int64
+	_, err := fmt.Sscan(arguments, &free)
+	Expect(err).NotTo(HaveOccurred(), arguments)
+	d := q.Next(free, now)
+	for _, s := range d.Start {
+		fmt.Fprintf(b, "  start %s, engine priority %d, waited %d\n", s.Attempt, s.EnginePriority, s.Waited)
+	}
+	for _, r := range d.Refused {
+		fmt.Fprintf(b, "  refused %s: %v, retry after %d\n", r.Attempt, r.Refusal, r.Refusal.RetryAfter)
+	}
+}
+
+// Guards against unintended changes of whole sessions.
+var _ = Describe("golden sessions", func() {
+	files, err := filepath.Glob("testdata/*.session")
+	if err != nil || len(files) == 0 {
+		panic("no sessions")
+	}
+	for _, file := range files {
+		It("replays "+filepath.Base(file), func() {
+			session, err := os.ReadFile(filepath.Clean(file))
+			Expect(err).NotTo(HaveOccurred())
+			got := playSession(queue.New(queue.WithMemory(200_000), queue.WithCapacity(8)), string(session))
+			golden := strings.TrimSuffix(file, ".session") + ".golden"
+			if *update {
+				Expect(os.WriteFile(golden, []byte(got), 0o600)).To(Succeed())
+			}
+			want, err := os.ReadFile(filepath.Clean(golden))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(got).To(Equal(string(want)))
+		})
+	}
+})
