Route large prompts by free memory

They were sent to servers whose memory a longer prompt held until it had finished, because the scorer saw only prefill work.

A request that does not fit into the reported free memory now also counts the longer work and 10 s of output. Reports count queued work as used memory.

--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -220,6 +220,8 @@
 	if _, plain := s.queue.(*fcfs); plain {
 		load.RunningTokens = s.engine.remaining()
 	}
+	load.SizeTokens = engineMemory
+	load.FreeTokens = engineMemory - s.engine.used - load.QueuedTokens
 	ahead, taken := f.ahead(s), f.now
 	f.after(f.lag(), func() { f.report(s, load, ahead, taken) })
 	f.after(reportInterval, func() { f.tick(s) })
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -188,6 +188,13 @@
 	longerWeightAtZero = 0.026
 )
 
+// The costs of a request that does not fit into memory at present: it waits
+// for the longer work too, and for its output.
+const (
+	memoryReserve = engineMemory * 6 / 100 // left free by long requests, in tokens
+	decodeSpan    = 10_000                 // milliseconds
+)
+
 // expectedDelay scores by the expected delay of the first token: the reported
 // and recently assigned work that goes first, and the request's own work
 // without a cached prefix, at the reported rate.
@@ -210,8 +217,12 @@
 	if e.view.Prefixes[r.Fingerprint][b.Instance] {
 		work -= e.view.PrefixTokens
 	}
-	longer := ahead[last] + assigned[last] - ahead[class] - assigned[class]
-	return (float64(work) + e.longer*float64(longer)) / max(0.1, b.Load.PrefillRate)
+	longer := float64(ahead[last] + assigned[last] - ahead[class] - assigned[class])
+	rate := max(0.1, b.Load.PrefillRate)
+	if need := int64(r.PromptCount) + assigned[last]; need > b.Load.FreeTokens-memoryReserve && need > memoryReserve {
+		return (float64(work)+longer)/rate + decodeSpan
+	}
+	return (float64(work) + e.longer*longer) / rate
 }
 
 // fingerprint returns the fingerprint of a text.
