--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -99,9 +99,7 @@
 		{"two_choices_fcfs", func(_ Deployment, _ *View, r *rand.Rand) Placement {
 			return sampled{scored(leastTokens{}), r, 2}
 		}, firstCome},
-		{"oleanderspool", func(d Deployment, v *View, _ *rand.Rand) Placement {
-			return scored(newExpectedDelay(v, d))
-		}, ordered},
+		{"oleanderspool", func(_ Deployment, v *View, _ *rand.Rand) Placement { return scored(expectedDelay{v}) }, ordered},
 	}
 }
 
@@ -180,12 +178,12 @@
 	return float64(b.Load.QueuedTokens + b.Load.RunningTokens)
 }
 
-// The weight of longer work, which a request does not wait for but delays, at
-// a short_request_weight of 1 and 0. Higher values keep short requests away
-// from servers with long prompts, so they wait for each other more often.
+// The weight of longer work, which a request does not wait for but delays, for
+// short requests and others. Higher values keep requests away from servers
+// with long prompts, so they wait for each other more often.
 const (
-	longerWeightAtOne  = 0.002
-	longerWeightAtZero = 0.026
+	longerWeightShort = 0.002
+	longerWeight      = 0.01
 )
 
 // The costs of a request that does not fit into memory at present: it waits
@@ -199,13 +197,7 @@
 // and recently assigned work that goes first, and the request's own work
 // without a cached prefix, at the reported rate.
 type expectedDelay struct {
-	view   *View
-	longer float64 // weight of longer work
-}
-
-func newExpectedDelay(v *View, d Deployment) expectedDelay {
-	w := d.ShortRequestWeight
-	return expectedDelay{v, longerWeightAtZero + w*(longerWeightAtOne-longerWeightAtZero)}
+	view *View
 }
 
 // Cost returns the expected delay in milliseconds.
@@ -222,7 +214,11 @@
 	if need := int64(r.PromptCount) + assigned[last]; need > b.Load.FreeTokens-memoryReserve && need > memoryReserve {
 		return (float64(work)+longer)/rate + decodeSpan
 	}
-	return (float64(work) + e.longer*longer) / rate
+	weight := longerWeight
+	if class == 0 {
+		weight = longerWeightShort
+	}
+	return (float64(work) + weight*longer) / rate
 }
 
 // fingerprint returns the fingerprint of a text.
