Rank an account beyond its allowance as longer work

Cause: in the flood trace the flooding account kept a 99th percentile of 388 ms for its short requests while others' long prompts waited for the flood, because short work always went first. Changing the delay by the account's backlog (0, 4 or 32) made no difference, since a flood of short requests has hardly any backlog.

An account that has lately used more than twice its fair share of the prefill capacity with work of a class or below now has its items ranked as longer by the excess. The report shows the figures of the other accounts by class.

--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -27,6 +27,9 @@
 	Refused       int
 	Failed        int
 	P50, P95, P99 float64
+	// OthersP99 is the 99th percentile of the accounts other than the one that
+	// floods.
+	OthersP99 float64
 	// Floor99 is the 99th percentile of the requests' own prefill work on idle
 	// engines without cached prefixes, which no policy can undercut by more
 	// than the prefixes.
@@ -51,9 +54,9 @@
 	// Fairness is Jain's index of the accounts' mean slowdown of short
 	// requests against an idle engine; 1 means that all are treated alike.
 	Fairness float64
-	// OthersP99 and FlooderP99 are the 99th percentiles of short requests of
-	// the accounts other than the one that floods, and of that account.
-	OthersP99, FlooderP99 float64
+	// FlooderP99 is the 99th percentile of short requests of the account that
+	// floods.
+	FlooderP99 float64
 }
 
 // classBounds are the upper bounds of the classes but the last, in tokens.
@@ -92,8 +95,8 @@
 // row summarizes a run.
 func (f *fleet) row() Row {
 	r := Row{Deployment: f.deployment.Name, Trace: f.trace, Policy: f.policy.Name}
-	var times, floors [len(classNames)][]float64
-	var others, flooding []float64
+	var times, others, floors [len(classNames)][]float64
+	var flooding []float64
 	for _, c := range f.calls {
 		class := lengthClass(c.tokens)
 		r.Classes[class].count(c.status)
@@ -104,25 +107,25 @@
 		}
 		times[class] = append(times[class], t)
 		switch {
-		case class != 0:
-		case c.account == flooder:
+		case c.account != flooder:
+			others[class] = append(others[class], t)
+		case class == 0:
 			flooding = append(flooding, t)
-		default:
-			others = append(others, t)
 		}
 	}
 	for i := range r.Classes {
 		slices.Sort(times[i])
+		slices.Sort(others[i])
 		slices.Sort(floors[i])
 		r.Classes[i].Name = classNames[i]
 		r.Classes[i].P50 = percentile(times[i], 0.50)
 		r.Classes[i].P95 = percentile(times[i], 0.95)
 		r.Classes[i].P99 = percentile(times[i], 0.99)
+		r.Classes[i].OthersP99 = percentile(others[i], 0.99)
 		r.Classes[i].Floor99 = percentile(floors[i], 0.99)
 	}
-	slices.Sort(others)
 	slices.Sort(flooding)
-	r.OthersP99, r.FlooderP99 = percentile(others, 0.99), percentile(flooding, 0.99)
+	r.FlooderP99 = percentile(flooding, 0.99)
 	r.Fairness = f.fairness()
 	span := float64(f.setup.duration)
 	r.Utilisation = f.work / (f.setup.capacity() * span)
@@ -192,10 +195,10 @@
 }
 
 func (r Row) write(b *strings.Builder) {
-	fmt.Fprintf(b, "  %s: short slowdown %.2f (reference p99 %.0f), utilisation %.3f, busy %.3f, fairness %.3f, others p99 %.0f, flooder p99 %.0f\n",
-		r.Policy, r.ShortSlowdown, r.ReferenceP99, r.Utilisation, r.Busy, r.Fairness, r.OthersP99, r.FlooderP99)
+	fmt.Fprintf(b, "  %s: short slowdown %.2f (reference p99 %.0f), utilisation %.3f, busy %.3f, fairness %.3f, flooder p99 %.0f\n",
+		r.Policy, r.ShortSlowdown, r.ReferenceP99, r.Utilisation, r.Busy, r.Fairness, r.FlooderP99)
 	for _, c := range r.Classes {
-		fmt.Fprintf(b, "    %-7s n %5d  p50 %7.0f  p95 %7.0f  p99 %7.0f  floor %6.0f  finished %5d  refused %4d  failed %4d\n",
-			c.Name, c.Count, c.P50, c.P95, c.P99, c.Floor99, c.Finished, c.Refused, c.Failed)
+		fmt.Fprintf(b, "    %-7s n %5d  p50 %7.0f  p95 %7.0f  p99 %7.0f  others p99 %7.0f  floor %6.0f  finished %5d  refused %4d  failed %4d\n",
+			c.Name, c.Count, c.P50, c.P95, c.P99, c.OthersP99, c.Floor99, c.Finished, c.Refused, c.Failed)
 	}
 }
--- a/internal/queue/options.go
+++ b/internal/queue/options.go
@@ -18,6 +18,10 @@
 	// already has waiting. It must exceed the inverse of the capacity that is
 	// left to a flooding account, or others wait behind its backlog.
 	DefaultFairness = 4.0
+	// DefaultAllowance is how many times its fair share of the prefill capacity
+	// an account may use before its items rank as longer work. Large accounts
+	// get a larger share by their weight.
+	DefaultAllowance = 2.0
 	// DefaultPriorityStep is the head start of one level of priority.
 	DefaultPriorityStep = 5 * oleanderspool.Second
 	// DefaultSlackMargin is how long before the last possible start an item
@@ -65,6 +69,7 @@
 	stretch      float64 // 0 means by shortWeight
 	longShare    float64 // 0 means by shortWeight
 	fairness     float64
+	allowance    float64
 	priorityStep oleanderspool.Millis
 	slackMargin  oleanderspool.Millis
 	creditSpan   oleanderspool.Millis
@@ -85,6 +90,7 @@
 		windowSteps:  DefaultWindowSteps,
 		shortWeight:  DefaultShortRequestWeight,
 		fairness:     DefaultFairness,
+		allowance:    DefaultAllowance,
 		priorityStep: DefaultPriorityStep,
 		slackMargin:  DefaultSlackMargin,
 		creditSpan:   DefaultCreditSpan,
@@ -152,6 +158,12 @@
 	return func(s *settings) { s.fairness = max(0, delay) }
 }
 
+// WithAllowance sets how many times its fair share of the prefill capacity an
+// account may use before its items rank as longer work. 0 means no bound.
+func WithAllowance(factor float64) Option {
+	return func(s *settings) { s.allowance = factor }
+}
+
 // WithPriorityStep sets the head start of one level of priority.
 func WithPriorityStep(span oleanderspool.Millis) Option {
 	return func(s *settings) { s.priorityStep = span }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -42,7 +42,7 @@
 	return &Queue{
 		settings: s,
 		items:    make(map[oleanderspool.AttemptID]*waitingItem),
-		accounts: make(accounts),
+		accounts: newAccounts(),
 		running:  newRunning(s.stepTokens),
 		rate:     newRate(s.prefillRate, s.reference),
 		credit:   float64(s.creditSpan),
@@ -70,7 +70,7 @@
 	q.sequence++
 	q.items[i.Attempt] = w
 	q.classes[w.class].insert(w)
-	q.accounts.add(w)
+	q.accounts.add(w, now)
 	q.arrivals.add(w.class, i.PromptTokens, now)
 	if i.Deadline != 0 {
 		heap.Push(&q.limits, limit{i.Deadline - q.service(i), w})
@@ -78,30 +78,40 @@
 	return nil
 }
 
-// newWaiting returns an item with its due instant.
+// newWaiting returns an item with its class and due instant. Beyond the
+// allowance of its account, an item ranks as if it were longer by the excess.
 func (q *Queue) newWaiting(i Item, now oleanderspool.Millis) *waitingItem {
-	w := &waitingItem{Item: i, class: classOf(i.PromptTokens), arrived: now - i.Age, sequence: q.sequence}
-	unfair := q.unfairness(w)
-	w.due = w.arrived + unfair + q.stretched(w) - oleanderspool.Millis(i.Priority)*q.settings.priorityStep
+	a := q.accounts.get(i, now)
+	rank := i.PromptTokens + q.excess(a, classOf(i.PromptTokens), now)
+	w := &waitingItem{Item: i, class: classOf(rank), arrived: now - i.Age, sequence: q.sequence}
+	unfair := q.unfairness(a, w)
+	w.due = w.arrived + unfair + q.stretched(rank) - oleanderspool.Millis(i.Priority)*q.settings.priorityStep
 	if i.Deadline != 0 {
 		w.due = min(w.due, q.lastStart(w)+unfair)
 	}
 	return w
 }
 
-// stretched returns the delay for the item's own work.
-func (q *Queue) stretched(w *waitingItem) oleanderspool.Millis {
-	return oleanderspool.Millis(q.settings.stretch * float64(w.PromptTokens) / q.rate.perMilli())
+// excess returns the account's recent use of a class and the smaller ones
+// beyond its allowance, in tokens.
+func (q *Queue) excess(a *account, class int, now oleanderspool.Millis) int64 {
+	if q.settings.allowance <= 0 {
+		return 0
+	}
+	capacity := q.rate.perMilli() * float64(usageMemory)
+	allowed := q.settings.allowance * capacity * q.accounts.fairPart(a)
+	return int64(max(0, a.usage(class, now)-allowed))
+}
+
+// stretched returns the delay for an item's rank in tokens.
+func (q *Queue) stretched(rank int64) oleanderspool.Millis {
+	return oleanderspool.Millis(q.settings.stretch * float64(rank) / q.rate.perMilli())
 }
 
 // unfairness returns the delay for the work that the account has waiting.
-func (q *Queue) unfairness(w *waitingItem) oleanderspool.Millis {
-	a := q.accounts[w.Account]
-	if a == nil {
-		return 0
-	}
+func (q *Queue) unfairness(a *account, w *waitingItem) oleanderspool.Millis {
 	backlog := float64(a.backlog(w.class)) / q.rate.perMilli()
-	return oleanderspool.Millis(q.settings.fairness * backlog / w.weight())
+	return oleanderspool.Millis(q.settings.fairness * backlog / a.weight)
 }
 
 // lastStart returns the instant at which an item must become due to meet its
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -94,6 +94,30 @@
 	}
 })
 
+// Guards against an account that floods at the expense of others' long work.
+var _ = Describe("allowance", func() {
+	It("ranks the items of an account beyond its allowance as longer work, until it is idle again", func() {
+		q := queue.New(queue.WithPrefillRate(10), queue.WithReferenceRate(10), queue.WithAllowance(1))
+		serve := func(attempt, account string, now oleanderspool.Millis) int {
+			i := item(attempt, 2000)
+			i.Account = oleanderspool.ClientAccountID(account)
+			Expect(q.Push(i, now)).To(Succeed())
+			d := q.Next(room, now)
+			Expect(d.Start).To(HaveLen(1))
+			q.FirstToken(i.Attempt, now+200)
+			q.Finished(i.Attempt, now+200)
+			return d.Start[0].EnginePriority
+		}
+		usual := serve("other", "o", 0)
+		for n := range 140 {
+			serve(fmt.Sprint(n), "f", oleanderspool.Millis(n*200+200))
+		}
+		Expect(serve("flood", "f", 29_000)).To(BeNumerically("<", usual))
+		Expect(serve("other again", "o", 29_200)).To(Equal(usual))
+		Expect(serve("flood later", "f", 120_000)).To(Equal(usual))
+	})
+})
+
 // Guards against an engine that idles, or that is given so much that the order
 // of the queue no longer matters.
 var _ = Describe("window", func() {
--- a/internal/queue/refusal.go
+++ b/internal/queue/refusal.go
@@ -29,7 +29,7 @@
 func (q *Queue) checkCapacity(i Item) error {
 	free := q.settings.capacity - len(q.items)
 	held := 0
-	if a := q.accounts[i.Account]; a != nil {
+	if a := q.accounts.known[i.Account]; a != nil {
 		held = a.items
 	}
 	if free > 0 && float64(held) <= float64(free)*i.weight() {
