Forget silent groups at their members

Cause: found by review. A member remembered a group for ever when its reservation had lapsed without a release, because it was still marked as held; the table grew with each group whose entry had died. The memory itself was given back.

A group is now forgotten a minute after its last message, or after its expiry if that is longer, and a release acts on the reservation's name, so it works for a forgotten group too. The first test fails with the former condition.

--- a/internal/memory/group_test.go
+++ b/internal/memory/group_test.go
@@ -125,4 +125,20 @@
 		Expect(l.Expire(6900)).To(HaveLen(1))
 		Expect(l.ReserveGroup(ask("g", 1, 100), 6901).Granted).To(BeFalse())
 	})
+
+	// Guards against a table that grows with each group whose entry has died.
+	It("forgets a group that held memory and fell silent", func() {
+		Expect(l.ReserveGroup(ask("dead", 1, 100), 5000).Granted).To(BeTrue())
+		Expect(l.Expire(6000)).To(HaveLen(1))
+		l.ReserveGroup(ask("other", 1, 1), 70_000)
+		Expect(l.Groups()).To(Equal(1))
+	})
+
+	It("releases a group that it has forgotten", func() {
+		Expect(l.ReserveGroup(ask("quiet", 1, 100), 5000).Granted).To(BeTrue())
+		Expect(l.Transfer("quiet#1", memory.OwnerAttempt, 0)).To(Succeed())
+		l.ReserveGroup(ask("other", 1, 1), 70_000)
+		l.ReleaseGroup("quiet", 1, false, 70_001)
+		Expect(l.Owned(memory.OwnerReclaim)).To(Equal(int64(100)))
+	})
 })
--- a/internal/memory/waiting.go
+++ b/internal/memory/waiting.go
@@ -30,7 +30,7 @@
 	return group + "#" + strconv.FormatInt(try, 10)
 }
 
-// endedSpan is how long a member remembers the last try that has ended, in
+// endedSpan is how long a member remembers a group after its last message, in
 // milliseconds. A request that is delayed for longer is granted by mistake and
 // lapses.
 const endedSpan = oleanderspool.Minute
@@ -106,7 +106,7 @@
 	// the best estimate of the first try.
 	m.since = min(m.since, now-r.Age)
 	m.tokens = r.Tokens
-	m.forget = now + endedSpan
+	m.forget = now + max(endedSpan, r.Expiry)
 	return m
 }
 
@@ -122,12 +122,15 @@
 		}
 	}
 	for group, m := range w.members {
-		if m.held == 0 && m.forget <= now {
+		if m.forget <= now {
 			delete(w.members, group)
 		}
 	}
 }
 
+// Groups returns the number of groups that the ledger remembers.
+func (l *Ledger) Groups() int { return len(l.waiting.members) }
+
 // ReserveGroup handles a group's request. A repeated request of a held try
 // extends it. A refused group is remembered, and freed memory is kept for the
 // oldest one until the wait expiry.
@@ -177,6 +180,7 @@
 // those tries.
 func (l *Ledger) ReleaseGroup(group string, try int64, wait bool, now oleanderspool.Millis) {
 	l.waiting.expire(now)
+	l.Release(GroupName(group, try), now)
 	m := l.waiting.members[group]
 	if m == nil {
 		// Remembered although unknown, so that a request which this release
@@ -186,7 +190,6 @@
 	}
 	m.forget = now + endedSpan
 	if try < m.ended || (try == m.ended && wait) {
-		l.Release(GroupName(group, try), now)
 		return
 	}
 	l.endTry(group, m, try, now)
