--- a/internal/queue/options.go
+++ b/internal/queue/options.go
@@ -18,14 +18,19 @@
 	// already has waiting. It must exceed the inverse of the capacity that is
 	// left to a flooding account, or others wait behind its backlog.
 	DefaultFairness = 4.0
+	// DefaultAllowance is how many times its fair share of the prefill capacity
+	// an account may use before its items rank as longer work. Large accounts
+	// get a larger share by their weight.
+	DefaultAllowance = 2.0
 	// DefaultPriorityStep is the head start of one level of priority.
 	DefaultPriorityStep = 5 * oleanderspool.Second
 	// DefaultSlackMargin is how long before the last possible start an item
 	// becomes due.
 	DefaultSlackMargin = 2 * oleanderspool.Second
-	// DefaultCreditSteps is how many steps of shorter work may run in one
-	// burst at the expense of longer work that is due.
-	DefaultCreditSteps = 4
+	// DefaultCreditSpan bounds the credit on which shorter work overtakes longer
+	// work that is due. The credit is refilled while it is used, so one burst
+	// lasts up to this span divided by the share of long work.
+	DefaultCreditSpan = oleanderspool.Second / 2
 	// DefaultBypassBound is how long smaller items may pass one that does not
 	// fit into memory.
 	DefaultBypassBound = 10 * oleanderspool.Second
@@ -64,9 +69,10 @@
 	stretch      float64 // 0 means by shortWeight
 	longShare    float64 // 0 means by shortWeight
 	fairness     float64
+	allowance    float64
 	priorityStep oleanderspool.Millis
 	slackMargin  oleanderspool.Millis
-	creditSteps  int64
+	creditSpan   oleanderspool.Millis
 	bypassBound  oleanderspool.Millis
 	prefillRate  float64
 	reference    float64
@@ -84,9 +90,10 @@
 		windowSteps:  DefaultWindowSteps,
 		shortWeight:  DefaultShortRequestWeight,
 		fairness:     DefaultFairness,
+		allowance:    DefaultAllowance,
 		priorityStep: DefaultPriorityStep,
 		slackMargin:  DefaultSlackMargin,
-		creditSteps:  DefaultCreditSteps,
+		creditSpan:   DefaultCreditSpan,
 		bypassBound:  DefaultBypassBound,
 		reserve:      DefaultMemoryReserve,
 		prefillRate:  DefaultPrefillRate,
@@ -151,6 +158,12 @@
 	return func(s *settings) { s.fairness = max(0, delay) }
 }
 
+// WithAllowance sets how many times its fair share of the prefill capacity an
+// account may use before its items rank as longer work. 0 means no bound.
+func WithAllowance(factor float64) Option {
+	return func(s *settings) { s.allowance = factor }
+}
+
 // WithPriorityStep sets the head start of one level of priority.
 func WithPriorityStep(span oleanderspool.Millis) Option {
 	return func(s *settings) { s.priorityStep = span }
@@ -162,10 +175,10 @@
 	return func(s *settings) { s.slackMargin = span }
 }
 
-// WithCreditSteps sets how many steps of shorter work may run in one burst at
-// the expense of longer work that is due.
-func WithCreditSteps(steps int) Option {
-	return func(s *settings) { s.creditSteps = int64(max(1, steps)) }
+// WithCreditSpan bounds the credit on which shorter work overtakes longer work
+// that is due.
+func WithCreditSpan(span oleanderspool.Millis) Option {
+	return func(s *settings) { s.creditSpan = max(1, span) }
 }
 
 // WithBypassBound sets how long smaller items may pass one that does not fit
--- a/internal/queue/refusal.go
+++ b/internal/queue/refusal.go
@@ -29,7 +29,7 @@
 func (q *Queue) checkCapacity(i Item) error {
 	free := q.settings.capacity - len(q.items)
 	held := 0
-	if a := q.accounts[i.Account]; a != nil {
+	if a := q.accounts.known[i.Account]; a != nil {
 		held = a.items
 	}
 	if free > 0 && float64(held) <= float64(free)*i.weight() {
@@ -86,7 +86,7 @@
 // Predict returns how long an item would wait for its first token, in
 // milliseconds, without adding it to the queue.
 func (q *Queue) Predict(i Item, now oleanderspool.Millis) oleanderspool.Millis {
-	q.running.advance(q.rate.perMilli(), now)
+	q.advance(now)
 	w := q.newWaiting(i, now)
 	return q.wait(w, now) + q.rate.span(float64(i.PromptTokens))
 }
