Give engine orders from configuration

The agent asks the planner for orders: a permit of the weight store before each load, loads before unloads, and no unload of what a request uses. What the agent serves is what the planner says, no longer what the engine reports, so that a model about to be unloaded gets no new work.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/memory"
 	"github.com/oleanderspool/oleanderspool/internal/observe"
+	"github.com/oleanderspool/oleanderspool/internal/order"
 	"github.com/oleanderspool/oleanderspool/internal/peer"
 	"github.com/oleanderspool/oleanderspool/internal/queue"
 	"github.com/oleanderspool/oleanderspool/internal/replica"
@@ -62,6 +63,8 @@
 	attempts      *attempt.Table
 	queue         *queue.Queue
 	ledger        *memory.Ledger
+	planner       *order.Planner
+	uses          map[oleanderspool.AttemptID]order.Artefact
 	calls         map[oleanderspool.AttemptID]peer.RunCall
 	cancels       map[oleanderspool.AttemptID]context.CancelFunc
 	running       int // attempts that have not ended
@@ -75,6 +78,7 @@
 	configuration *replica.Replica
 	base          context.Context // ends when the process gives up all work
 	wake          chan struct{}
+	reorder       chan struct{}
 }
 
 // Option configures an [Agent].
@@ -157,6 +161,10 @@
 		cancels:     make(map[oleanderspool.AttemptID]context.CancelFunc),
 		feeds:       make(map[oleanderspool.AttemptID]*feed),
 		wake:        make(chan struct{}, 1),
+		reorder:     make(chan struct{}, 1),
+		artefacts:   alwaysPermit{},
+		uses:        make(map[oleanderspool.AttemptID]order.Artefact),
+		planner:     order.NewPlanner(instance),
 	}
 	for _, o := range options {
 		o(a)
@@ -198,6 +206,7 @@
 	group.Go(func() error { a.loop(serving, a.reportEvery, nil, a.tick); return nil })
 	if a.engine != nil {
 		group.Go(func() error { a.loop(serving, a.reportEvery, nil, func() { a.observeEngine(serving) }); return nil })
+		group.Go(func() error { a.runOrders(serving); return nil })
 	}
 	a.logger.Info("agent started", "instance", a.identity.Instance, "incarnation", a.incarnation)
 	select {
@@ -275,6 +284,10 @@
 		return
 	}
 	delete(a.calls, id)
+	if used, ok := a.uses[id]; ok {
+		a.planner.Release(used)
+		delete(a.uses, id)
+	}
 	a.running--
 	a.metrics.Ended()
 	a.notify(id)
--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -84,7 +84,9 @@
 		a.metrics.Changed("engine_restarted")
 		a.logger.Warn("engine restarted", "instance", a.identity.Instance)
 	}
-	if len(a.report.Models) != len(report.Models) {
+	serving := len(a.planner.Serving())
+	a.planner.Report(report, a.clock.Now())
+	if len(a.planner.Serving()) != serving {
 		a.changed.Notify()
 	}
 	a.report = report
--- a/internal/agent/follower.go
+++ b/internal/agent/follower.go
@@ -9,10 +9,15 @@
 )
 
 // configured is called for each newer configuration.
-func (a *Agent) configured(configuration.Configuration, oleanderspool.Revision) {
+func (a *Agent) configured(c configuration.Configuration, revision oleanderspool.Revision) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.planner.Configure(c, revision)
 	a.changed.Notify()
+	select {
+	case a.reorder <- struct{}{}:
+	default:
+	}
 }
 
 // Configuration returns what the caller lacks of the configuration stream.
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -211,7 +211,7 @@
 		return b
 	}
 	if a.engineUp {
-		b.Models = a.report.Models
+		b.Models = a.planner.Serving()
 	}
 	b.Load = a.queue.Load(now)
 	b.Load.FreeTokens = a.ledger.Available(now)
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -68,6 +68,12 @@
 		return oleanderspool.Refuse(oleanderspool.RefusalNoBackendServer, "the engine is not available").
 			WithRetry(oleanderspool.RetryConnectFailed)
 	}
+	used, ok := a.planner.Acquire(call.Request.Model, call.Request.Adapter)
+	if !ok {
+		return oleanderspool.Refuse(oleanderspool.RefusalNoBackendServer, "the engine does not serve the model or adapter").
+			WithRetry(oleanderspool.RetryBehindConfiguration)
+	}
+	a.uses[call.Attempt] = used
 	err := a.queue.Push(itemOf(call), now)
 	var full *queue.FullError
 	var refusal *oleanderspool.Refusal
