--- a/internal/revision/publisher.go
+++ b/internal/revision/publisher.go
@@ -43,7 +43,8 @@
 	StatusInForce
 	// StatusRejected says that the change was rejected.
 	StatusRejected
-	// StatusNotAppended says that the change is not in the log and never will be.
+	// StatusNotAppended says that no append of this publisher had an effect or
+	// ever will. An earlier run under the same id may still have appended it.
 	StatusNotAppended
 	// StatusUnknown says that the change may be in the log or may still arrive
 	// there. Publishing it again with the same id is safe.
