Test engine orders under load and tell versions apart in the stand-in

Cause: the test that changes a model's version under streams saw cut streams. The engine stand-in knew models by name only, so the unload of the old version removed the new one too; the engine client took the reported name of an adapter, model:adapter, for its id, so the planner unloaded every adapter after each report.

The fleet in one process now starts engines without models, which the agents load by orders.

--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -34,6 +34,11 @@
 	fleetSet   = "runners"
 )
 
+const (
+	fleetLoadRate = 50                            // loads per second of the weight store
+	fleetLoadTime = 100 * oleanderspool.Millis(1) // of an order
+)
+
 // fleetSize tells how large a fleet in one process is.
 type fleetSize struct {
 	entries  int
@@ -44,6 +49,8 @@
 // fleet is an entry, agents and stand-ins in one process on loopback.
 type fleet struct {
 	platform        *standplatform.Platform
+	platformAddress netip.AddrPort
+	list            []oleanderspool.InstanceState
 	engines         []*engine.Engine
 	services        []*service.Service
 	entries         []string // base addresses for callers
@@ -56,12 +63,13 @@
 
 // newFleet starts a fleet and returns once it serves.
 func newFleet(env environment, size fleetSize, engines ...engine.Option) (*fleet, error) {
-	f := &fleet{platform: standplatform.New(standplatform.WithInstanceLag(0)), engineOptions: engines}
+	f := &fleet{platform: standplatform.New(standplatform.WithInstanceLag(0), standplatform.WithWeightRate(fleetLoadRate)), engineOptions: engines}
 	ctx, stop := context.WithCancel(env.ctx)
 	f.stop = stop
 	f.group, ctx = errgroup.WithContext(ctx)
 	env.ctx = ctx
 	address := f.serve(f.platform)
+	f.platformAddress = address
 	var list []oleanderspool.InstanceState
 	for i := range size.runners {
 		state, err := f.startRunner(env, address, i)
@@ -84,6 +92,7 @@
 		}
 		list = append(list, state)
 	}
+	f.list = list
 	f.platform.SetInstances(list)
 	if err := publishFleet(ctx, address, list); err != nil {
 		return f, err
@@ -110,7 +119,8 @@
 var quietLog = settings.Log{Level: slog.LevelError, Format: "text"}
 
 func (f *fleet) startRunner(env environment, platform netip.AddrPort, i int) (oleanderspool.InstanceState, error) {
-	options := append([]engine.Option{engine.WithModels(fleetModel), engine.WithDownTime(oleanderspool.Second)}, f.engineOptions...)
+	// Engines start without models; the agents load what configuration wants.
+	options := append([]engine.Option{engine.WithLoadTime(fleetLoadTime), engine.WithDownTime(oleanderspool.Second)}, f.engineOptions...)
 	e := engine.New(options...)
 	f.engines = append(f.engines, e)
 	s := fleetAgent(platform, fmt.Sprintf("runner-%d", i+1), i)
--- a/internal/engine/codec.go
+++ b/internal/engine/codec.go
@@ -186,7 +186,8 @@
 		r.Models = append(r.Models, oleanderspool.ModelID(m))
 	}
 	for _, a := range b.Adapters {
-		r.Adapters = append(r.Adapters, oleanderspool.AdapterID(a))
+		_, adapter := openai.SplitModelName(a)
+		r.Adapters = append(r.Adapters, adapter)
 	}
 	return r, nil
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -32,10 +32,8 @@
 
 import (
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -114,8 +112,8 @@
 	running   []*sequence // in order of service
 	sequences map[string]*sequence
 	imported  map[string]int64
-	models    map[string]bool
-	adapters  map[string]bool
+	models    loaded
+	adapters  loaded
 	role      string
 	fence     int64
 	report    report
@@ -245,22 +243,8 @@
 	e.waiting, e.running = nil, nil
 	e.sequences = map[string]*sequence{}
 	e.imported = map[string]int64{}
-	e.models = setOf(e.initialModels)
-	e.adapters = setOf(e.initialAdapters)
+	e.models = newLoaded(e.initialModels)
+	e.adapters = newLoaded(e.initialAdapters)
 	e.fence = 0
 	e.report = e.currentReport()
 }
-
-func setOf(names []string) map[string]bool {
-	set := map[string]bool{}
-	for _, n := range names {
-		set[n] = true
-	}
-	return set
-}
-
-func sortedNames(set map[string]bool) []string {
-	names := slices.AppendSeq(make([]string, 0, len(set)), maps.Keys(set))
-	slices.Sort(names)
-	return names
-}
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -103,7 +103,7 @@
 // the lock.
 func (e *Engine) serves(name string) bool {
 	model, _, adapted := strings.Cut(name, ":")
-	return e.models[model] && (!adapted || e.adapters[name])
+	return e.models.has(model) && (!adapted || e.adapters.has(name))
 }
 
 // follow writes the answer of a sequence as it grows. It returns false when the
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -93,8 +93,8 @@
 		FreeTokens: e.memory.free(),
 		Running:    len(e.running),
 		Waiting:    len(e.waiting),
-		Models:     sortedNames(e.models),
-		Adapters:   sortedNames(e.adapters),
+		Models:     e.models.names(),
+		Adapters:   e.adapters.names(),
 		Role:       e.role,
 		Started:    e.started,
 	}
@@ -273,9 +273,9 @@
 	}
 	switch oleanderspool.OrderKind(b.Kind) {
 	case oleanderspool.OrderLoad:
-		set[name] = true
+		set.load(name, b.Version)
 	case oleanderspool.OrderUnload:
-		delete(set, name)
+		set.unload(name, b.Version)
 		e.failUnloaded()
 	case oleanderspool.OrderChangeRole:
 		e.role = b.Role
