Test streams over silent, cut and delayed links

The entry and the agent had no test in which an open connection goes silent. The tests run real entries and agents in one process, with a relay on each link and the stand-ins behind it.

Planted faults on which they failed first: a move elsewhere instead of Attach (two runs on the engines instead of one); no silence bound (the answer came only with the time limit, as a refusal); the assembler without its check for duplicates, and with pieces of other attempts accepted; dropped pieces not counted.

--- /dev/null
+++ b/internal/entry/pieces_test.go
@@ -0,0 +1,107 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/peer"
+	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
+)
+
+// script answers the runs of an agent. It may send pieces in any order.
+type script func(call peer.RunCall, send func(peer.Event))
+
+// scripted is an agent that follows a script.
+type scripted struct {
+	peerpb.DRPCAgentUnimplementedServer
+	peerpb.DRPCPeerUnimplementedServer
+	instance oleanderspool.InstanceID
+	run      script
+}
+
+// Watch reports an idle engine that has every configuration.
+func (s *scripted) Watch(_ *peerpb.WatchRequest, stream peerpb.DRPCAgent_WatchStream) error {
+	for now := oleanderspool.Millis(0); ; now += 200 {
+		err := stream.Send(peer.EncodeState(oleanderspool.BackendServer{
+			Instance: s.instance, DataCentre: "dc-a", Incarnation: "only", Models: []oleanderspool.ModelID{model},
+			Revision: 1 << 30, Instant: now, Load: oleanderspool.Load{FreeTokens: 100_000, SizeTokens: 100_000},
+		}))
+		if err != nil {
+			return err
+		}
+		select {
+		case <-stream.Context().Done():
+			return nil
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+// Run follows the script.
+func (s *scripted) Run(m *peerpb.RunRequest, stream peerpb.DRPCAgent_RunStream) error {
+	s.run(peer.DecodeRun(m, 0), func(e peer.Event) { _ = stream.Send(peer.EncodeEvent(e, 0)) })
+	return nil
+}
+
+// startScript starts an agent that follows a script.
+func (w *world) startScript(run script) {
+	l := listen()
+	id := oleanderspool.InstanceID(fmt.Sprintf("runner-%d", len(w.runners)+1))
+	ctx, stop := context.WithCancel(context.Background())
+	DeferCleanup(stop)
+	server := &scripted{instance: id, run: run}
+	go func() { _ = peer.Serve(ctx, l, server, server) }()
+	w.runners = append(w.runners, &runner{id: id})
+	w.list = append(w.list, oleanderspool.InstanceState{Instance: id, DataCentre: "dc-a", Address: l.Addr().String(), Role: "model"})
+}
+
+// Guards against pieces that arrive late, twice, out of order or at the wrong
+// request becoming part of an answer, or vanishing from the counters (P3).
+var _ = Describe("Pieces of an answer", func() {
+	It("are passed on once and in order, and counted when they are dropped", func() {
+		var first oleanderspool.AttemptID
+		run := func(call peer.RunCall, send func(peer.Event)) {
+			piece := func(request oleanderspool.RequestID, id oleanderspool.AttemptID, sequence int64, text string) {
+				send(peer.Event{Piece: &oleanderspool.Piece{
+					Request: request, Attempt: id, Sequence: sequence, Text: text, Tokens: 1,
+					Final: text == "end", Finish: map[bool]string{true: "stop"}[text == "end"],
+				}})
+			}
+			r, id := call.Request.ID, call.Attempt
+			if call.Request.Continued == "" {
+				first = id
+				piece(r, id, 1, "one ")
+				piece(r, id, 1, "one ")
+				refusal := oleanderspool.Refuse(oleanderspool.RefusalBackendServerFailed, "").
+					WithExecution(oleanderspool.MayHaveRun).WithRetry(oleanderspool.RetryEngineDied)
+				send(peer.Event{Failure: &peer.Failure{Attempt: id, State: "failed", Refusal: *refusal}})
+				return
+			}
+			piece(r, first, 2, "late ")
+			piece("r-other", id, 1, "misdirected ")
+			piece(r, id, 2, "three ")
+			piece(r, id, 1, "two ")
+			piece(r, id, 1, "two ")
+			piece(r, id, 2, "three ")
+			piece(r, id, 3, "end")
+		}
+		w := newWorld(plan{scripts: []script{run, run}})
+		Eventually(func() float64 {
+			return sample(w.metrics, "state_changes_total", "backend_server_started")
+		}, settle, poll).Should(BeEquivalentTo(2))
+		var a answer
+		Eventually(func() *oleanderspool.Refusal {
+			a = w.send(w.question(prompt, 10))
+			return a.refusal
+		}, settle, poll).Should(BeNil())
+		Expect(a.text).To(Equal("one two three end"))
+		for cause, pieces := range map[string]int{"duplicate": 3, "late": 1, "misdirected": 1} {
+			Expect(sample(w.metrics, "pieces_dropped_total", cause)).To(BeEquivalentTo(pieces), cause)
+		}
+	})
+})
--- /dev/null
+++ b/internal/entry/silence_test.go
@@ -0,0 +1,109 @@
+package entry_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	standengine "github.com/oleanderspool/oleanderspool/internal/standin/engine"
+	"github.com/oleanderspool/oleanderspool/internal/standin/link"
+)
+
+const (
+	// silenceBound is the span of section 6.4 after which a silent stream is
+	// replaced.
+	silenceBound = 3 * time.Second
+	// firstEventBound is the span in which an agent confirms a call.
+	firstEventBound = time.Second
+	// slack covers the scheduling of a busy machine.
+	slack = 700 * time.Millisecond
+)
+
+// answerSlack is how late a refusal at the time limit may be.
+const answerSlack = 300 * time.Millisecond
+
+const prompt = "how many pegs, stakes and ratchet straps are left in Temuco?"
+
+// whole checks that an answer is complete, in order and free of repetitions.
+func whole(a answer, prompt string, tokens int) {
+	GinkgoHelper()
+	Expect(a.refusal).To(BeNil())
+	Expect(a.text).To(Equal(standengine.Text(prompt, 0, tokens)))
+}
+
+// holder returns the runner that runs the only request.
+func (w *world) holder() *runner {
+	GinkgoHelper()
+	var found *runner
+	Eventually(func() bool {
+		for _, r := range w.runners {
+			if r.running() > 0 {
+				found = r
+			}
+		}
+		return found != nil
+	}, settle, poll).Should(BeTrue())
+	return found
+}
+
+var _ = Describe("A stream over a link that fails", func() {
+	const tokens = 150
+
+	// Guards against a stream that hangs or runs again when its connection goes
+	// silent for good while new connections work (P1, P3).
+	It("resumes over a new connection without a second run", func() {
+		w := newWorld(plan{engines: 2})
+		s := w.open(w.question(prompt, tokens))
+		s.received(20)
+		w.holder().front.BlackHole()
+		a := s.wait()
+		whole(a, prompt, tokens)
+		Expect(w.requests()).To(HaveLen(1))
+		Expect(a.gaps).To(BeNumerically("<", silenceBound+firstEventBound+slack))
+		AddReportEntry("longest gap", a.gaps)
+	})
+
+	// Guards against a torn or lost answer when packets are lost in one
+	// direction only, or arrive after the stream was given up. The cases run at
+	// the same time.
+	It("gives the whole answer", func() {
+		const gone = silenceBound + 2*firstEventBound + slack
+		cases := []struct {
+			name  string
+			fault func(l *link.Relay)
+			runs  int // on the engines
+			gap   time.Duration
+		}{
+			{"calls cut", func(l *link.Relay) { l.Cut(link.Forward) }, 1, firstEventBound},
+			{"answers cut", func(l *link.Relay) { l.Cut(link.Backward) }, 2, gone},
+			{"both directions cut", cutBoth, 2, gone},
+			{"delay beyond the silence bound", func(l *link.Relay) { l.Delay(3500) }, 2, gone},
+			{"delay below the silence bound", func(l *link.Relay) { l.Delay(900) }, 1, silenceBound},
+		}
+		worlds := make([]*world, len(cases))
+		holders := make([]*runner, len(cases))
+		streams := make([]*stream, len(cases))
+		for i, c := range cases {
+			worlds[i] = newWorld(plan{engines: 2})
+			streams[i] = worlds[i].open(worlds[i].question(prompt, tokens))
+			streams[i].received(20)
+			holders[i] = worlds[i].holder()
+			c.fault(holders[i].front)
+		}
+		for i, c := range cases {
+			By(c.name)
+			a := streams[i].wait()
+			whole(a, prompt, tokens)
+			Expect(worlds[i].requests()).To(HaveLen(c.runs))
+			Expect(a.gaps).To(BeNumerically("<", c.gap))
+			AddReportEntry("longest gap, "+c.name, a.gaps)
+			Eventually(holders[i].running, settle, poll).Should(BeZero())
+		}
+	})
+})
+
+func cutBoth(l *link.Relay) {
+	l.Cut(link.Forward)
+	l.Cut(link.Backward)
+}
