Bar an attempt that its agent does not know, and allow its server again

Cause: after a message that started an attempt was lost on a pooled connection that had gone silent, the agent answers the attach with the state "unknown". The entry took this for a final refusal, because the check for refusals stood before the check for the state, and answered may_have_run for a request that never reached the agent. Barred attempts also excluded their server, so that a fleet with one server for the request still refused it.

Ruled out: closing pooled connections after a shorter idle time, which only makes the case rarer; leaving the server out of History.Tried in the retry policy, whose test says that a barred server is not chosen again. The entry names no server in the failure instead.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -139,13 +139,13 @@
 		if ctx.Err() != nil {
 			return true, x.abandon(ctx, server, id)
 		}
-		if end.refusal != nil && end.failure.Reason == "" {
-			return true, x.worsen(end.refusal)
-		}
 		if end.state == attempt.StateUnknown {
 			end = x.bar(ctx, server, id)
 			continue
 		}
+		if end.refusal != nil && end.failure.Reason == "" {
+			return true, x.worsen(end.refusal)
+		}
 		decision := x.decide(server, end)
 		switch decision.Action {
 		case retry.Refuse:
@@ -184,7 +184,7 @@
 func (x *exchange) decide(server oleanderspool.BackendServer, end ending) retry.Decision {
 	e := x.entry
 	now := e.clock.Now()
-	untried := x.untried(server.Instance)
+	untried := x.untried(end.failure.Instance)
 	if end.progress {
 		x.history.Attaches = 0
 	}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -164,6 +164,9 @@
 	}}
 	if state == attempt.StateBarred {
 		end.failure.Execution = oleanderspool.NotRun
+		// The server answered, and only a connection to it was lost, so it may
+		// be chosen again.
+		end.failure.Instance = ""
 	}
 	if state == attempt.StateRunning || state == attempt.StateFinished {
 		end.failure.Reason = oleanderspool.RetryStreamSilent
