Let a reader of an attempt count only until its lease ends

Cause: the agent noticed that a reader had gone only by the end of its connection. Sending on a connection that has gone silent does not fail, so idempotent work ran on to its end for nobody when the cancel was lost too, and held engine memory.

The agent now ends each stream after half of the reader timeout with the state "running", and the entry attaches again. Work that is not attached to again ends one reader timeout after its last attach. A blocked send does not prolong the lease, because a timer ends it.

Ruled out: TCP_USER_TIMEOUT, which does not see a paused entry, whose kernel still acknowledges; messages from the entry on the same stream, which change the generated protocol.

A link that loses only the entry's calls for longer than a lease now moves the stream elsewhere, where it earlier ran on: the agent cannot tell this from a reader that has gone.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -85,9 +85,12 @@
 }
 
 // stream sends pieces from a sequence number on, and heartbeats in between,
-// until the attempt ends or the reader goes away.
+// until the attempt ends, the reader goes away or its lease ends. Sending does
+// not fail on a connection that has gone silent, so a reader counts only until
+// its lease ends and then attaches again.
 func (a *Agent) stream(s eventStream, id oleanderspool.AttemptID, from int64) error {
-	defer a.detach(id)
+	lapsed, release := a.lease(id)
+	defer release()
 	a.mu.Lock()
 	f := a.subscribe(id)
 	a.mu.Unlock()
@@ -121,12 +124,34 @@
 			if err := a.send(s, peer.Event{}); err != nil {
 				return err
 			}
+		case <-lapsed:
+			return a.send(s, peer.Event{Failure: failureOf(id, reply)})
 		case <-s.Context().Done():
 			return s.Context().Err()
 		}
 	}
 }
 
+// lease counts the reader of a new stream for half of the reader timeout, so
+// that the other half is left for its next attach and work ends within the
+// timeout after its reader has last been heard of. The channel is closed when
+// the lease ends; release ends it early.
+func (a *Agent) lease(id oleanderspool.AttemptID) (lapsed <-chan struct{}, release func()) {
+	heard := a.clock.Now()
+	ended := make(chan struct{})
+	timer := time.AfterFunc((a.limits.ReaderTimeout / 2).Duration(), func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.attempts.Detach(id, heard)
+		close(ended)
+	})
+	return ended, func() {
+		if timer.Stop() {
+			a.detach(id)
+		}
+	}
+}
+
 func (a *Agent) detach(id oleanderspool.AttemptID) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
