Never run a call again because its agent cannot be reached any more

Cause: when the connection of a call without a key broke and the attach then found nobody listening, the failed dial counted as a call that was never sent. A failed dial now says "not run" only for the message that starts the attempt; for an attach or a bar it says that the agent has died, so that idempotent work still moves without drawing on the retry budget.

Ruled out: a fault of the retry policy, whose History cannot know that an earlier message was sent; keyed calls, which the resolver follows and never moved.

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -43,6 +43,10 @@
 	end := x.follow(ctx, server, firstEventBound, func(ctx context.Context) (eventReceiver, error) {
 		return x.entry.peers.Agent(server.Address).Run(ctx, peer.EncodeRun(call, x.entry.clock.Now()))
 	})
+	if end.notSent {
+		end.failure.Reason = oleanderspool.RetryConnectFailed
+		end.failure.Execution = oleanderspool.NotRun
+	}
 	if end.state == attempt.StateOtherIncarnation {
 		// This call alone carried the attempt, and another run of the agent
 		// answered it, so the one that the attempt was made for has ended
@@ -131,20 +135,20 @@
 	}
 }
 
-// broken describes a stream that ended without a word of the agent.
+// broken describes a stream that ended without a word of the agent. That its
+// process cannot be reached says nothing about an attempt that was sent before.
 func broken(server oleanderspool.BackendServer, err error) ending {
-	var dial *peer.DialError
-	if errors.As(err, &dial) {
-		return ending{notSent: true, failure: retry.Failure{
-			Reason:   oleanderspool.RetryConnectFailed,
-			Instance: server.Instance,
-		}}
-	}
-	return ending{failure: retry.Failure{
+	end := ending{failure: retry.Failure{
 		Reason:    oleanderspool.RetryStreamSilent,
 		Instance:  server.Instance,
 		Execution: oleanderspool.MayHaveRun,
 	}}
+	var dial *peer.DialError
+	if errors.As(err, &dial) {
+		end.notSent = true
+		end.failure.Reason = oleanderspool.RetryAgentDied
+	}
+	return end
 }
 
 // failed describes a stream that the agent ended with a failure.
