--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -155,16 +155,16 @@
 			return true, x.abandon(ctx, server, id)
 		}
 		if running.Err() != nil {
-			x.cancel(server, id)
+			go x.cancel(server, id)
 			return false, nil // runs again as a trial
 		}
-		if end.refusal != nil && end.failure.Reason == "" {
-			return true, x.worsen(end.refusal)
-		}
 		if end.state == attempt.StateUnknown {
 			end = x.bar(running, server, id)
 			continue
 		}
+		if end.refusal != nil && end.failure.Reason == "" {
+			return true, x.worsen(end.refusal)
+		}
 		crashed = x.noteCrash(a, id, &end)
 		decision := x.decide(server, end)
 		if decision.Action == retry.Attach {
@@ -205,7 +205,7 @@
 func (x *exchange) decide(server oleanderspool.BackendServer, end ending) retry.Decision {
 	e := x.entry
 	now := e.clock.Now()
-	untried := x.untried(server.Instance)
+	untried := x.untried(end.failure.Instance)
 	if end.progress {
 		x.history.Attaches = 0
 	}
@@ -272,7 +272,8 @@
 // abandon ends an attempt whose caller has gone or whose time has passed.
 func (x *exchange) abandon(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID) *oleanderspool.Refusal {
 	if x.request.Idempotent {
-		x.cancel(server, id)
+		// The refusal does not wait for an agent that may be silent.
+		go x.cancel(server, id)
 	}
 	return x.ended(ctx)
 }
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -41,9 +41,13 @@
 
 // open starts an attempt and follows it.
 func (x *exchange) open(ctx context.Context, server oleanderspool.BackendServer, call peer.RunCall) ending {
-	end := x.follow(ctx, server, func(ctx context.Context) (eventReceiver, error) {
+	end := x.follow(ctx, server, firstEventBound, func(ctx context.Context) (eventReceiver, error) {
 		return x.entry.peers.Agent(server.Address).Run(ctx, peer.EncodeRun(call, x.entry.clock.Now()))
 	})
+	if end.notSent {
+		end.failure.Reason = oleanderspool.RetryConnectFailed
+		end.failure.Execution = oleanderspool.NotRun
+	}
 	if end.state == attempt.StateOtherIncarnation {
 		// This call alone carried the attempt, and another run of the agent
 		// answered it, so the one that the attempt was made for has ended
@@ -51,15 +55,33 @@
 		end.notSent = true
 		end.failure.Execution = oleanderspool.NotRun
 	}
-	return end
+	return x.renew(ctx, server, call.Attempt, end)
 }
 
 // attach follows an attempt from the first missing piece on, over a new
 // connection.
 func (x *exchange) attach(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID) ending {
-	from, _ := x.assembler.Missing()
 	x.entry.peers.Discard(server.Address)
-	return sent(x.follow(ctx, server, func(ctx context.Context) (eventReceiver, error) {
+	return x.renew(ctx, server, id, x.resume(ctx, server, id, firstEventBound))
+}
+
+// renew attaches again whenever the agent ends a stream to see that it still
+// has a reader. The agent has just answered, so that the first event may take
+// as long as any other.
+func (x *exchange) renew(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID, end ending) ending {
+	for end.state == attempt.StateRunning && ctx.Err() == nil {
+		progress := end.progress
+		end = x.resume(ctx, server, id, silenceBound)
+		end.progress = end.progress || progress
+	}
+	return end
+}
+
+// resume follows an attempt that was sent before from the first missing piece
+// on.
+func (x *exchange) resume(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID, first oleanderspool.Millis) ending {
+	from, _ := x.assembler.Missing()
+	return sent(x.follow(ctx, server, first, func(ctx context.Context) (eventReceiver, error) {
 		return x.entry.peers.Agent(server.Address).Attach(ctx, &peerpb.AttachRequest{
 			Revision:    int64(x.entry.configuration.Revision()),
 			Incarnation: string(server.Incarnation),
@@ -73,21 +95,18 @@
 // this call did not reach the agent says nothing about the attempt.
 func sent(end ending) ending {
 	if end.notSent {
-		end.notSent = false
-		end.away = true
-		end.failure.Reason = oleanderspool.RetryAgentDied
-		end.failure.Execution = oleanderspool.MayHaveRun
+		end.notSent, end.away = false, true
 	}
 	return end
 }
 
 // follow passes the pieces of a stream on until it ends, breaks or goes
-// silent.
-func (x *exchange) follow(ctx context.Context, server oleanderspool.BackendServer, dial func(context.Context) (eventReceiver, error)) ending {
+// silent. first bounds the wait for the first event.
+func (x *exchange) follow(ctx context.Context, server oleanderspool.BackendServer, first oleanderspool.Millis, dial func(context.Context) (eventReceiver, error)) ending {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// Cancelling the context closes the connection, which ends Recv.
-	silence := time.AfterFunc(firstEventBound.Duration(), cancel)
+	silence := time.AfterFunc(first.Duration(), cancel)
 	defer silence.Stop()
 	stream, err := dial(ctx)
 	if err != nil {
@@ -106,7 +125,9 @@
 		event := peer.DecodeEvent(m)
 		switch {
 		case event.Failure != nil:
-			return failed(server, event.Failure)
+			end := failed(server, event.Failure)
+			end.progress = progress
+			return end
 		case event.Piece != nil:
 			pieces, verdict := x.assembler.Accept(*event.Piece)
 			if verdict != attempt.Accepted {
@@ -124,20 +145,20 @@
 	}
 }
 
-// broken describes a stream that ended without a word of the agent.
+// broken describes a stream that ended without a word of the agent. That its
+// process cannot be reached says nothing about an attempt that was sent before.
 func broken(server oleanderspool.BackendServer, err error) ending {
-	var dial *peer.DialError
-	if errors.As(err, &dial) {
-		return ending{notSent: true, failure: retry.Failure{
-			Reason:   oleanderspool.RetryConnectFailed,
-			Instance: server.Instance,
-		}}
-	}
-	return ending{failure: retry.Failure{
+	end := ending{failure: retry.Failure{
 		Reason:    oleanderspool.RetryStreamSilent,
 		Instance:  server.Instance,
 		Execution: oleanderspool.MayHaveRun,
 	}}
+	var dial *peer.DialError
+	if errors.As(err, &dial) {
+		end.notSent = true
+		end.failure.Reason = oleanderspool.RetryAgentDied
+	}
+	return end
 }
 
 // failed describes a stream that the agent ended with a failure.
@@ -177,6 +198,9 @@
 	}}
 	if state == attempt.StateBarred {
 		end.failure.Execution = oleanderspool.NotRun
+		// The server answered, and only a connection to it was lost, so it may
+		// be chosen again.
+		end.failure.Instance = ""
 	}
 	if state == attempt.StateRunning || state == attempt.StateFinished {
 		end.failure.Reason = oleanderspool.RetryStreamSilent
