Resume a running prompt when its caller sends it again

Cause: when an entry died, its callers sent their prompts again and the agents ran them a second time while the first run still held the engine. An agent now names a running attempt of the same fingerprint that nobody reads, and the entry attaches to it from the first piece.

Ruled out: giving the running attempt a second name in the agent's table, which would double its pieces and its lease.

The test kills an entry in the middle of a long answer and sends the prompt through the other one: whole answer, one run on the engines; without the change two runs.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -66,6 +66,7 @@
 	planner       *order.Planner
 	uses          map[oleanderspool.AttemptID]order.Artefact
 	calls         map[oleanderspool.AttemptID]peer.RunCall
+	same          map[oleanderspool.Fingerprint]oleanderspool.AttemptID // running prompts
 	cancels       map[oleanderspool.AttemptID]context.CancelFunc
 	running       int // attempts that have not ended
 	inCall        int // calls of the plain service in progress
@@ -158,6 +159,7 @@
 		maxCalls:    DefaultMaxServiceCalls,
 		peers:       peer.NewClient(),
 		calls:       make(map[oleanderspool.AttemptID]peer.RunCall),
+		same:        make(map[oleanderspool.Fingerprint]oleanderspool.AttemptID),
 		cancels:     make(map[oleanderspool.AttemptID]context.CancelFunc),
 		feeds:       make(map[oleanderspool.AttemptID]*feed),
 		wake:        make(chan struct{}, 1),
@@ -280,10 +282,14 @@
 
 // ended notes that an attempt has ended and tells its readers.
 func (a *Agent) ended(id oleanderspool.AttemptID) {
-	if _, ok := a.calls[id]; !ok {
+	call, ok := a.calls[id]
+	if !ok {
 		return
 	}
 	delete(a.calls, id)
+	if a.same[call.Request.Fingerprint] == id {
+		delete(a.same, call.Request.Fingerprint)
+	}
 	if used, ok := a.uses[id]; ok {
 		a.planner.Release(used)
 		delete(a.uses, id)
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -27,6 +27,9 @@
 		return a.decline(call, oleanderspool.Refuse(oleanderspool.RefusalNoBackendServer, "the agent's configuration is behind").
 			WithRetry(oleanderspool.RetryBehindConfiguration))
 	}
+	if id, ok := a.unread(call); ok {
+		return a.redirect(call, id)
+	}
 	state, ok := a.attempts.Start(attempt.Start{
 		Attempt:     call.Attempt,
 		Request:     call.Request.ID,
@@ -38,6 +41,9 @@
 		return failureOf(call.Attempt, attempt.Reply{State: state})
 	}
 	a.calls[call.Attempt] = call
+	if resumable(call) {
+		a.same[call.Request.Fingerprint] = call.Attempt
+	}
 	a.running++
 	a.metrics.Admitted(call.Request.Kind)
 	if refusal := a.begin(call, now); refusal != nil {
@@ -48,6 +54,40 @@
 	return nil
 }
 
+// unread returns an attempt that runs the same prompt and that nobody reads,
+// because the entry of its caller died. A caller that sends its prompt again
+// then gets the running answer instead of a second run.
+func (a *Agent) unread(call peer.RunCall) (oleanderspool.AttemptID, bool) {
+	id, ok := a.same[call.Request.Fingerprint]
+	if !ok || !resumable(call) || a.calls[id].Request.MaxTokens != call.Request.MaxTokens {
+		return "", false
+	}
+	_, read := a.feeds[id]
+	return id, !read
+}
+
+// resumable reports whether the attempt generates the whole answer of a prompt.
+func resumable(call peer.RunCall) bool {
+	r := call.Request
+	return r.Kind == oleanderspool.KindModel && r.Idempotent && r.Continued == "" && !call.Trial && call.Group == ""
+}
+
+// redirect names a running attempt instead of starting the one of the call.
+func (a *Agent) redirect(call peer.RunCall, id oleanderspool.AttemptID) *peer.Failure {
+	a.attempts.Bar(call.Attempt, call.Incarnation, a.clock.Now())
+	a.metrics.Changed("attempt_resumed")
+	return &peer.Failure{
+		Attempt: id,
+		Request: a.calls[id].Request.ID,
+		State:   attempt.StateRunning.String(),
+		Refusal: oleanderspool.Refusal{
+			Reason:    oleanderspool.RefusalBackendServerFailed,
+			Execution: oleanderspool.MayHaveRun,
+			Message:   "another attempt runs the request",
+		},
+	}
+}
+
 // decline refuses an attempt for good, so that a repeated message does not run
 // it later.
 func (a *Agent) decline(call peer.RunCall, refusal *oleanderspool.Refusal) *peer.Failure {
--- a/internal/command/deployment_test.go
+++ b/internal/command/deployment_test.go
@@ -221,6 +221,24 @@
 	return report.Free
 }
 
+// longRuns returns how many requests of at least the given prompt length an
+// engine took that a prompt of that length alone accounts for.
+func (d *deployment) longRuns(address string, tokens int64) int {
+	var answer struct {
+		Requests []struct {
+			PromptTokens int64 `json:"prompt_tokens"`
+		} `json:"requests"`
+	}
+	Expect(json.Unmarshal(d.control(http.MethodGet, address, "/control/requests", nil), &answer)).To(Succeed())
+	runs := 0
+	for _, r := range answer.Requests {
+		if r.PromptTokens >= tokens && r.PromptTokens < 2*tokens {
+			runs++
+		}
+	}
+	return runs
+}
+
 // question returns a chat request to an entry.
 func (d *deployment) question(entry int, prompt string, tokens int) callerRequest {
 	return callerRequest{
--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"strings"
 	"sync"
 	"syscall"
@@ -9,6 +10,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/openai"
@@ -71,6 +73,30 @@
 		d.surviveLoss("pause", func(instance string) { d.signal(instance, syscall.SIGSTOP) })
 	})
 
+	// Guards against long work that is lost, or done twice, when the entry of its
+	// caller dies and the caller sends it again (P3).
+	It("resumes a running answer through another entry", func() {
+		prompt := "ledger of the second quarter " + strings.Repeat("peg ", 20_000)
+		go func() { _, _, _ = ask(d.question(1, prompt, 200)) }()
+		time.Sleep(2500 * time.Millisecond)
+		d.signal("entry-2", syscall.SIGKILL)
+		Eventually(d.sessions["entry-2"], stopWait).Should(gexec.Exit())
+		text, result, err := ask(d.question(0, prompt, 200))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.refusal).To(BeNil())
+		Expect(text).To(Equal(expectedAnswer(prompt, 200)))
+		runs := 0
+		for _, address := range d.engines {
+			runs += d.longRuns(address, 20_000)
+		}
+		Expect(runs).To(Equal(1))
+		d.restart("entry-2", "entry")
+		Eventually(func() error {
+			_, result, err := ask(d.question(1, "back?", 1))
+			return errors.Join(err, refusalError(result.refusal))
+		}, startBound, 100*time.Millisecond).Should(Succeed())
+	})
+
 	// Guards against a planned stop that cuts a request (P7).
 	It("stops an entry and an agent without cutting a stream", func() {
 		var group sync.WaitGroup
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -145,6 +145,12 @@
 	running, stop := x.watchSuspicion(ctx, a, id)
 	defer stop()
 	end := x.open(running, server, call)
+	resumed := end.running != nil
+	if resumed {
+		id = end.running.attempt
+		x.assembler = attempt.NewAssembler(end.running.request, id, true)
+		end = x.attach(running, server, id)
+	}
 	crashed := false
 	defer func() { x.endTrial(a, id, end.complete, crashed) }()
 	for {
@@ -162,6 +168,10 @@
 			end = x.bar(running, server, id)
 			continue
 		}
+		if resumed && end.refusal != nil {
+			x.noteCrash(a, id, &end)
+			return false, nil // its limits were those of the earlier submission
+		}
 		if end.refusal != nil && end.failure.Reason == "" {
 			return true, x.worsen(end.refusal)
 		}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -31,6 +31,13 @@
 	refusal  *oleanderspool.Refusal // the agent's refusal
 	notSent  bool                   // the agent certainly received nothing of the attempt
 	away     bool                   // the agent of a started attempt cannot be reached
+	running  *runningAttempt        // another attempt that runs the same request; nil for none
+}
+
+// runningAttempt is an attempt of an earlier submission of the same request.
+type runningAttempt struct {
+	request oleanderspool.RequestID
+	attempt oleanderspool.AttemptID
 }
 
 // eventReceiver is the stream that Run and Attach return.
@@ -69,7 +76,7 @@
 // has a reader. The agent has just answered, so that the first event may take
 // as long as any other.
 func (x *exchange) renew(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID, end ending) ending {
-	for end.state == attempt.StateRunning && ctx.Err() == nil {
+	for end.state == attempt.StateRunning && end.running == nil && ctx.Err() == nil {
 		progress := end.progress
 		end = x.resume(ctx, server, id, silenceBound)
 		end.progress = end.progress || progress
@@ -164,6 +171,9 @@
 // failed describes a stream that the agent ended with a failure.
 func failed(server oleanderspool.BackendServer, f *peer.Failure) ending {
 	end := ending{state: attempt.ParseState(f.State), refusal: &f.Refusal}
+	if f.Request != "" {
+		end.running = &runningAttempt{request: f.Request, attempt: f.Attempt}
+	}
 	end.failure = retry.Failure{
 		Reason:     f.Refusal.Retry,
 		Instance:   server.Instance,
--- a/internal/peer/mapping.go
+++ b/internal/peer/mapping.go
@@ -88,6 +88,9 @@
 type Failure struct {
 	Attempt oleanderspool.AttemptID
 	State   string // what the agent knows of the attempt, as its state's name
+	// Request is set when Attempt is another one that runs the same request and
+	// that nobody reads; the caller attaches to it.
+	Request oleanderspool.RequestID
 	Refusal oleanderspool.Refusal
 }
 
@@ -166,6 +169,7 @@
 		Message:      f.Refusal.Message,
 		RetryReason:  string(f.Refusal.Retry),
 		State:        f.State,
+		Request:      string(f.Request),
 		Crash:        f.Refusal.Crash,
 	}
 }
@@ -174,6 +178,7 @@
 	return &Failure{
 		Attempt: oleanderspool.AttemptID(m.GetAttempt()),
 		State:   m.GetState(),
+		Request: oleanderspool.RequestID(m.GetRequest()),
 		Refusal: oleanderspool.Refusal{
 			Retry:      oleanderspool.RetryReason(m.GetRetryReason()),
 			Crash:      m.GetCrash(),
