--- a/internal/membership/benchmark_test.go
+++ b/internal/membership/benchmark_test.go
@@ -1,12 +1,15 @@
 package membership_test
 
 import (
+	"cmp"
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/membership"
+	"github.com/oleanderspool/oleanderspool/internal/routing"
 )
 
 var sizes = []int{20, 200, 2000, 12000}
@@ -79,3 +82,132 @@
 		})
 	}
 }
+
+// BenchmarkApplyList measures a poll of the platform's list that changed
+// nothing.
+func BenchmarkApplyList(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) {
+			table, _ := watched(n)
+			instances, _ := fleet(n)
+			b.ReportAllocs()
+			poll := int64(1)
+			for b.Loop() {
+				poll++
+				table.ApplyList(poll, instances, 0)
+			}
+		})
+	}
+}
+
+// BenchmarkWatchCoverage counts the entries that watch an agent when 830
+// entries choose among 12,000 agents in nine data centres. Only the entries of
+// one data centre are computed, since all of them choose within their own. An
+// agent without a watcher gets neither work nor configuration.
+func BenchmarkWatchCoverage(b *testing.B) {
+	const agents, entries = 12_000, 92
+	instances, sets := fleet(agents)
+	table := membership.New()
+	table.ApplyList(1, instances, 0)
+	table.ApplySets(1, sets, 0)
+	for _, limit := range []int{20, 36, 40, 80, 160} {
+		b.Run(fmt.Sprintf("limit=%d", limit), func(b *testing.B) {
+			for b.Loop() {
+				watchers := make(map[oleanderspool.InstanceID]int, agents)
+				most := 0
+				for e := range entries {
+					entry := oleanderspool.InstanceID(fmt.Sprintf("entry-%03d", e))
+					for _, id := range table.ChooseWatches(entry, "dc0", limit).Instances {
+						watchers[id]++
+						most = max(most, watchers[id])
+					}
+				}
+				near := 0
+				for _, i := range instances {
+					if i.DataCentre == "dc0" {
+						near++
+					}
+				}
+				b.ReportMetric(100*float64(near-len(watchers))/float64(near), "%unwatched")
+				b.ReportMetric(float64(most), "most-watchers")
+			}
+		})
+	}
+}
+
+// BenchmarkPrefixAgreement measures how often two entries of one data centre
+// prefer the same agent for a prefix, so that the second finds what the first
+// has cached. Each of ten models has a tenth of the agents.
+func BenchmarkPrefixAgreement(b *testing.B) {
+	const prefixes, entries = 200, 92
+	for _, n := range sizes {
+		instances, sets := fleet(n)
+		table := membership.New()
+		table.ApplyList(1, instances, 0)
+		table.ApplySets(1, sets, 0)
+		setOf := make(map[oleanderspool.InstanceID]int, n)
+		for i, s := range sets {
+			for _, id := range s.Instances {
+				setOf[id] = i
+			}
+		}
+		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				var known [entries][]oleanderspool.InstanceID
+				for e := range known {
+					known[e] = table.ChooseWatches(oleanderspool.InstanceID(fmt.Sprintf("entry-%03d", e)), "dc0", 40).Instances
+				}
+				agreed := 0
+				for p := range prefixes {
+					key, set := routing.Hash(fmt.Sprint("prefix ", p)), p%len(sets)
+					first := preferred(key, set, known[p%entries], setOf)
+					second := preferred(key, set, known[(p*31+7)%entries], setOf)
+					if first == second {
+						agreed++
+					}
+				}
+				b.ReportMetric(100*float64(agreed)/prefixes, "%agreed")
+			}
+		})
+	}
+}
+
+func preferred(key uint64, set int, known []oleanderspool.InstanceID, setOf map[oleanderspool.InstanceID]int) oleanderspool.InstanceID {
+	var best oleanderspool.InstanceID
+	highest := uint64(0)
+	for _, id := range known {
+		if w := routing.Weight(key, routing.Hash(id)); setOf[id] == set && w >= highest {
+			best, highest = id, w
+		}
+	}
+	return best
+}
+
+// BenchmarkWatchersPerAgent is a trial of another choice: each agent is watched
+// by the entries of its data centre with the highest rendezvous weights for
+// it. It reports how many agents the entries then watch.
+func BenchmarkWatchersPerAgent(b *testing.B) {
+	const agents, entries = 1334, 92
+	for _, watchers := range []int{2, 3} {
+		b.Run(fmt.Sprintf("watchers=%d", watchers), func(b *testing.B) {
+			for b.Loop() {
+				var watched [entries]int
+				for a := range agents {
+					agent := routing.Hash(fmt.Sprintf("runner-%05d", a*9))
+					order := make([]int, entries)
+					for e := range order {
+						order[e] = e
+					}
+					slices.SortFunc(order, func(x, y int) int {
+						return cmp.Compare(routing.Weight(routing.Hash(fmt.Sprintf("entry-%03d", y)), agent), routing.Weight(routing.Hash(fmt.Sprintf("entry-%03d", x)), agent))
+					})
+					for _, e := range order[:watchers] {
+						watched[e]++
+					}
+				}
+				b.ReportMetric(float64(slices.Min(watched[:])), "fewest-watched")
+				b.ReportMetric(float64(slices.Max(watched[:])), "most-watched")
+			}
+		})
+	}
+}
