--- /dev/null
+++ b/internal/replica/benchmark_test.go
@@ -0,0 +1,63 @@
+package replica_test
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/observe"
+	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
+	"github.com/oleanderspool/oleanderspool/internal/replica"
+	"github.com/oleanderspool/oleanderspool/pkg/configuration"
+)
+
+// BenchmarkOffer measures how an agent applies an offer of one changed account,
+// and what the entry does to make it, by the number of accounts.
+func BenchmarkOffer(b *testing.B) {
+	for _, n := range []int{20, 200, 2000, 20_000} {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			entry, agent := newReplica(), newReplica()
+			objects := []configuration.Put{{Object: configuration.Priority{ID: "crew", Level: 1}}}
+			for i := range n {
+				objects = append(objects, configuration.Put{Object: account(i, 1)})
+			}
+			offer(b, entry, record(b, "first", 1, objects...))
+			offer(b, agent, entry.Message(0))
+			at := int64(1)
+			b.ReportAllocs()
+			for b.Loop() {
+				put := configuration.Put{Object: account(0, at+1), Revision: oleanderspool.Revision(at)}
+				at++
+				offer(b, entry, record(b, fmt.Sprintf("change-%08d", at), at, put))
+				offer(b, agent, entry.Message(oleanderspool.Offset(at-1)))
+			}
+		})
+	}
+}
+
+func newReplica() *replica.Replica {
+	return replica.New(slog.New(slog.DiscardHandler), observe.New(), func(configuration.Configuration, oleanderspool.Revision) {})
+}
+
+func account(i int, burst int64) configuration.ClientAccount {
+	return configuration.ClientAccount{
+		ID: oleanderspool.ClientAccountID(fmt.Sprintf("account-%05d", i)), KeyHash: configuration.HashKey(fmt.Sprint(i)),
+		Priority: "crew", RequestsPerSec: 10, BurstRequests: int(burst), ShareOfCapacity: 0.5,
+	}
+}
+
+func record(b *testing.B, id string, offset int64, puts ...configuration.Put) *peerpb.ConfigurationReply {
+	data, err := configuration.ChangeSet{ID: id, Puts: puts}.Print()
+	if err != nil {
+		b.Fatal(err)
+	}
+	return &peerpb.ConfigurationReply{Revision: offset, Records: []*peerpb.LogRecord{{Offset: offset, Data: data}}}
+}
+
+func offer(b *testing.B, r *replica.Replica, m *peerpb.ConfigurationReply) {
+	before := r.Revision()
+	if reply := r.Offer(m); oleanderspool.Revision(reply.GetRevision()) <= before {
+		b.Fatal("the offer was not applied")
+	}
+}
--- /dev/null
+++ b/pkg/configuration/benchmark_test.go
@@ -0,0 +1,119 @@
+package configuration_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/pkg/configuration"
+)
+
+var benchmarkSizes = []struct{ runners, accounts int }{{20, 10}, {200, 200}, {2000, 2000}, {12_000, 20_000}}
+
+// fleetOf returns a configuration with ten models, each served by a tenth of
+// the runners.
+func fleetOf(runners, accounts int) configuration.Configuration {
+	var objects []configuration.Object
+	objects = append(objects, configuration.Priority{ID: "crew", Level: 10})
+	const models = 10
+	instances := make([][]oleanderspool.InstanceID, models)
+	for i := range runners {
+		instances[i%models] = append(instances[i%models], oleanderspool.InstanceID(fmt.Sprintf("runner-%05d", i)))
+	}
+	for i := range models {
+		model := oleanderspool.ModelID(fmt.Sprintf("model-%d", i))
+		version := oleanderspool.VersionID(fmt.Sprintf("model-%d-v1", i))
+		set := oleanderspool.ServerSetID(fmt.Sprintf("set-%d", i))
+		objects = append(objects,
+			configuration.Model{ID: model, Version: version, Set: set, MaxPromptTokens: 1_000_000},
+			configuration.Version{ID: version, Model: model, Artefact: "weights/" + string(version)},
+			configuration.ServerSet{ID: set}.WithInstances(instances[i]...))
+	}
+	for i := range accounts {
+		objects = append(objects, configuration.ClientAccount{
+			ID: oleanderspool.ClientAccountID(fmt.Sprintf("account-%05d", i)), KeyHash: configuration.HashKey(fmt.Sprint(i)),
+			Priority: "crew", RequestsPerSec: 10, BurstRequests: 20, ShareOfCapacity: 0.5,
+		})
+	}
+	c, err := configuration.New(configuration.WithObjects(objects...))
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// BenchmarkMemory measures the memory and the printed size of a configuration.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range benchmarkSizes {
+		b.Run(fmt.Sprintf("runners=%d/accounts=%d", n.runners, n.accounts), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				c := fleetOf(n.runners, n.accounts)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "held-B")
+				b.ReportMetric(float64(len(c.Print())), "printed-B")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
+
+// BenchmarkParse measures what a process does with a snapshot when it starts.
+func BenchmarkParse(b *testing.B) {
+	for _, n := range benchmarkSizes {
+		b.Run(fmt.Sprintf("runners=%d/accounts=%d", n.runners, n.accounts), func(b *testing.B) {
+			data := fleetOf(n.runners, n.accounts).Print()
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := configuration.Parse("", data); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkChange measures two changes against a configuration, from the
+// record to the new configuration: the priority of an account, and a runner
+// that is replaced in its set.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range benchmarkSizes {
+		base := fleetOf(n.runners, n.accounts)
+		account, _ := base.ClientAccount("account-00001")
+		set, _ := base.ServerSet("set-1")
+		replaced := append([]oleanderspool.InstanceID{"runner-99999"}, set.Instances[1:]...)
+		for _, c := range []struct {
+			name   string
+			object configuration.Object
+		}{
+			{"account", account.WithRate(11, 22)},
+			{"set", set.WithInstances(replaced...)},
+		} {
+			b.Run(fmt.Sprintf("%s/runners=%d", c.name, n.runners), func(b *testing.B) {
+				changed, err := base.With(configuration.WithObjects(c.object))
+				if err != nil {
+					b.Fatal(err)
+				}
+				data, err := configuration.Diff(base, changed).WithID("change-00000001").Print()
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					change, err := configuration.ParseChangeSet("", data)
+					if err != nil {
+						b.Fatal(err)
+					}
+					if _, err := base.Apply(change, 2); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric(float64(len(data)), "record-B")
+			})
+		}
+	}
+}
