command: measure the data path with several requests at a time

With one request at a time each piece wakes both processes alone, which is the worst case and not the usual one.

--- a/internal/command/footprint_test.go
+++ b/internal/command/footprint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +18,7 @@
 	"time"
 
 	"github.com/onsi/gomega/gexec"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/platform"
@@ -234,27 +236,32 @@
 }
 
 // BenchmarkDataPath measures the processor time of the entry's and the agents'
-// processes per request, by the length of the answer and of the prompt. Run it
-// with -benchtime 1x.
+// processes per request, by the length of the answer and of the prompt and the
+// number of requests at a time. Run it with -benchtime 1x.
 func BenchmarkDataPath(b *testing.B) {
 	f, entry := startFootprint(b, 2, 2)
-	for _, c := range []struct{ requests, tokens, promptBytes int }{
-		{300, 1, 4000}, {60, 100, 4000}, {20, 500, 4000}, {40, 1, 400_000}, {8, 1, 2_000_000},
+	for _, c := range []struct{ streams, requests, tokens, promptBytes int }{
+		{1, 300, 1, 4000}, {1, 60, 100, 4000}, {4, 80, 100, 4000}, {16, 160, 100, 4000}, {1, 20, 500, 4000}, {1, 40, 1, 400_000}, {1, 8, 1, 2_000_000},
 	} {
-		b.Run(fmt.Sprintf("tokens=%d/prompt=%d", c.tokens, c.promptBytes), func(b *testing.B) {
+		b.Run(fmt.Sprintf("streams=%d/tokens=%d/prompt=%d", c.streams, c.tokens, c.promptBytes), func(b *testing.B) {
 			filler := strings.Repeat("a line of a manifest with pegs. ", c.promptBytes/32)
 			for b.Loop() {
 				before := f.processor("entry")
 				beforeAgents := f.agents(func(name string) float64 { return f.processor(name).Seconds() })
+				var group errgroup.Group
+				group.SetLimit(c.streams)
 				for i := range c.requests {
-					request := callerRequest{
-						entry: entry, apiKey: fleetKey, model: fleetModel, tokens: c.tokens, timeout: 60 * oleanderspool.Second,
-						prompt: fmt.Sprintf("%d %d %s", time.Now().UnixNano(), i, filler),
-					}
-					result, err := request.send(context.Background(), http.DefaultClient, io.Discard)
-					if err != nil || result.refusal != nil {
-						b.Fatal(err, result.refusal)
-					}
+					group.Go(func() error {
+						request := callerRequest{
+							entry: entry, apiKey: fleetKey, model: fleetModel, tokens: c.tokens, timeout: 60 * oleanderspool.Second,
+							prompt: fmt.Sprintf("%d %d %s", time.Now().UnixNano(), i, filler),
+						}
+						result, err := request.send(context.Background(), http.DefaultClient, io.Discard)
+						return errors.Join(err, refusalError(result.refusal))
+					})
+				}
+				if err := group.Wait(); err != nil {
+					b.Fatal(err)
 				}
 				perRequest := 1e6 / float64(c.requests)
 				b.ReportMetric((f.processor("entry")-before).Seconds()*perRequest, "entry-µs/request")
