--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -212,3 +212,20 @@
 		})
 	}
 }
+
+// BenchmarkApplyAccounts measures what each change of the configuration costs
+// an entry, since all accounts are applied again.
+func BenchmarkApplyAccounts(b *testing.B) {
+	for _, n := range accountCounts {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			c := admission.New()
+			list := accounts(n)
+			b.ReportAllocs()
+			revision := oleanderspool.Revision(0)
+			for b.Loop() {
+				revision++
+				c.ApplyAccounts(revision, list, 0)
+			}
+		})
+	}
+}
--- a/internal/membership/benchmark_test.go
+++ b/internal/membership/benchmark_test.go
@@ -211,3 +211,20 @@
 		})
 	}
 }
+
+// BenchmarkApplySets measures what each change of the configuration costs an
+// entry, since all sets are applied again.
+func BenchmarkApplySets(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) {
+			table, _ := watched(n)
+			_, sets := fleet(n)
+			b.ReportAllocs()
+			revision := oleanderspool.Revision(1)
+			for b.Loop() {
+				revision++
+				table.ApplySets(revision, sets, 0)
+			}
+		})
+	}
+}
--- a/pkg/configuration/benchmark_test.go
+++ b/pkg/configuration/benchmark_test.go
@@ -117,3 +117,19 @@
 		}
 	}
 }
+
+// BenchmarkList measures the lists that an entry takes of each new
+// configuration.
+func BenchmarkList(b *testing.B) {
+	for _, n := range benchmarkSizes {
+		c := fleetOf(n.runners, n.accounts)
+		b.Run(fmt.Sprintf("runners=%d/accounts=%d", n.runners, n.accounts), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if len(c.ClientAccounts()) != n.accounts || len(c.ServerSets()) == 0 {
+					b.Fatal("the list is incomplete")
+				}
+			}
+		})
+	}
+}
