--- a/internal/revision/benchmark_test.go
+++ b/internal/revision/benchmark_test.go
@@ -78,9 +78,9 @@
 	}
 }
 
-// BenchmarkSnapshot reports the bytes of a snapshot, and the memory that a
+// BenchmarkRestoredMemory reports the bytes of a snapshot, and the memory that a
 // state restored from it holds.
-func BenchmarkSnapshot(b *testing.B) {
+func BenchmarkRestoredMemory(b *testing.B) {
 	for _, size := range benchmarkSizes {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			data := benchmarkState(b, size).Snapshot().Data
