Take an agent's refusal as leaving as its report

Cause: the entry learned that an agent leaves only from the Watch stream. When that stream had gone silent, requests were sent to the leaving agent until it was suspected. Each was refused at once as not run and drew on the retry budget, until the budget was spent and callers were refused.

Ruled out: no charge to the budget for a retry of the reason leaving, which keeps sending the requests there. membership.ObserveLeaving existed and was not called.

The long stream on the stopping agent ran once but for the cut answers, where it moves.

Other planted fault on which the test failed: an agent that does not drain (the long stream ran twice).

--- /dev/null
+++ b/internal/entry/leaving_test.go
@@ -0,0 +1,111 @@
+package entry_test
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool/internal/standin/link"
+)
+
+// leavingBound is the span of P6.
+const leavingBound = 3 * time.Second
+
+// departure is an agent that stops under load.
+type departure struct {
+	w       *world
+	holder  *runner
+	long    *stream
+	end     chan struct{}
+	load    sync.WaitGroup
+	refused atomic.Int64
+	last    time.Duration // when a new request was last sent to the agent
+}
+
+// depart stops the agent of a long stream while short requests arrive.
+func depart(fault func(l *link.Relay), tokens int) *departure {
+	d := &departure{w: newWorld(plan{engines: 2}), end: make(chan struct{})}
+	d.long = d.w.open(d.w.question(prompt, tokens))
+	d.long.received(10)
+	d.holder = d.w.holder()
+	for worker := range 4 {
+		d.load.Go(func() {
+			for i := 0; !closed(d.end); i++ {
+				if d.w.send(d.w.question(fmt.Sprintf("short question %d of worker %d", i, worker), 1)).refusal != nil {
+					d.refused.Add(1)
+				}
+			}
+		})
+	}
+	Eventually(d.w.requests, settle, poll).Should(ContainElement(HaveField("PromptTokens", BeNumerically("<", 10))))
+	fault(d.holder.front)
+	d.holder.stop()
+	d.load.Go(d.watch)
+	return d
+}
+
+// watch notes when the agent last refused a new request because it leaves.
+func (d *departure) watch() {
+	left := time.Now()
+	seen := 0.0
+	for !closed(d.end) {
+		if now := sample(d.holder.metrics, "refusals_total", "stopping"); now > seen {
+			seen, d.last = now, time.Since(left)
+		}
+		time.Sleep(poll)
+	}
+}
+
+func closed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// Guards against work that is routed to an agent that has said that it leaves,
+// while the platform's list shows it as live, and against a stop that cuts what
+// is in progress (P6, P7). The cases run at the same time.
+var _ = Describe("An agent that stops", func() {
+	It("gets no new work after the bound and finishes what it has", func() {
+		const tokens = 250
+		cases := []struct {
+			name  string
+			fault func(l *link.Relay)
+			runs  int // of the long stream on the engines
+		}{
+			{"healthy link", func(*link.Relay) {}, 1},
+			{"link that has gone silent", (*link.Relay).BlackHole, 1},
+			{"delayed link", func(l *link.Relay) { l.Delay(300) }, 1},
+			{"answers cut", func(l *link.Relay) { l.Cut(link.Backward) }, 2},
+		}
+		departures := make([]*departure, len(cases))
+		for i, c := range cases {
+			departures[i] = depart(c.fault, tokens)
+		}
+		for i, c := range cases {
+			By(c.name)
+			d := departures[i]
+			whole(d.long.wait(), prompt, tokens)
+			Eventually(d.holder.stopped, settle, poll).Should(BeClosed())
+			close(d.end)
+			d.load.Wait()
+			Expect(d.last).To(BeNumerically("<", leavingBound))
+			Expect(d.refused.Load()).To(BeZero())
+			runs := 0
+			for _, q := range d.w.requests() {
+				if q.PromptTokens > 10 {
+					runs++
+				}
+			}
+			Expect(runs).To(Equal(c.runs))
+			AddReportEntry("last sent after, "+c.name, fmt.Sprintf("%v; %d short requests refused", d.last, d.refused.Load()))
+		}
+	})
+})
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -203,6 +203,14 @@
 	}, m.entry.clock.Now()))
 }
 
+// leaving notes that an agent refused work because it leaves, which may arrive
+// before its report does.
+func (m *members) leaving(b oleanderspool.BackendServer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.handle(m.table.ObserveLeaving(b.Instance, b.Incarnation, m.entry.clock.Now()))
+}
+
 // handle counts and logs changes.
 func (m *members) handle(changes []membership.Change) {
 	for _, c := range changes {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -115,6 +115,9 @@
 		event := peer.DecodeEvent(m)
 		switch {
 		case event.Failure != nil:
+			if event.Failure.Refusal.Retry == oleanderspool.RetryLeaving {
+				x.entry.members.leaving(server)
+			}
 			end := failed(server, event.Failure)
 			end.progress = progress
 			return end
