Let a new entry be ready only when its agents have reported

Cause: a new entry answered /readyz with 200 as soon as it had a configuration, up to one membership tick (200 ms) before it could choose a backend server. Requests that the balancer sent in between were refused with no_backend_server.

Ruled out: readiness that depends on a server for good, which would take every entry out of the balancer when a fleet fails, and with it the refusals that tell the truth. An entry is ready once every watched agent has reported, or after 2.5 s.

Before: the first request after readiness was refused. After: three new entries in a row answer it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -218,10 +218,10 @@
 	return requests
 }
 
-// Ready reports whether the entry can serve: it has a configuration and does
-// not stop.
+// Ready reports whether the entry can serve: it has a configuration, its agents
+// have reported or had the time to, and it does not stop.
 func (e *Entry) Ready() bool {
-	return !e.stopping.Load() && e.configuration.Revision() > 0
+	return !e.stopping.Load() && e.configuration.Revision() > 0 && e.members.warm.Load()
 }
 
 // setOf names the set of backend servers that serves a request.
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -109,3 +109,17 @@
 		}
 	})
 })
+
+// Guards against requests that a balancer sends to a new entry which does not
+// know its agents yet.
+var _ = Describe("An entry that starts", func() {
+	It("is ready only when it can route", func() {
+		w := newWorld(plan{engines: 1, services: 1})
+		for range 3 {
+			w.startEntry()
+			Eventually(w.entry.Ready, settle, time.Millisecond).Should(BeTrue())
+			Expect(w.send(w.question(prompt, 1)).refusal).To(BeNil())
+			Expect(w.send(w.reservation("new", "")).refusal).To(BeNil())
+		}
+	})
+})
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oleanderspool/oleanderspool"
@@ -20,7 +21,8 @@
 	table     *membership.Table
 	addresses map[oleanderspool.InstanceID]string
 	watches   map[oleanderspool.InstanceID]context.CancelFunc
-	listed    bool // a list was received
+	listed    bool        // a list was received
+	warm      atomic.Bool // the agents have reported, or had the time to
 }
 
 // rewatchDelay is the span between two connections to an agent that does not
@@ -39,6 +41,7 @@
 // run polls the list and ticks the table until ctx ends.
 func (m *members) run(ctx context.Context) {
 	go m.poll(ctx)
+	began := m.entry.clock.Now()
 	ticker := time.NewTicker(membershipTick.Duration())
 	defer ticker.Stop()
 	for {
@@ -48,7 +51,12 @@
 		case <-ticker.C:
 		}
 		m.mu.Lock()
-		m.handle(m.table.Tick(m.entry.clock.Now()))
+		now := m.entry.clock.Now()
+		m.handle(m.table.Tick(now))
+		known := m.listed && len(m.table.Snapshot()) >= len(m.watches)
+		if known || now-began > membership.DefaultSuspectAfter {
+			m.warm.Store(true)
+		}
 		m.mu.Unlock()
 		m.forecast()
 	}
