State units and errors in the comments of the root package and pkg

Several fields had no unit, and the interfaces Engine, Log, InstanceList and WeightStore did not say what their errors leave certain, which implementers and callers of an at-most-once system need. Comments only.

--- a/clock.go
+++ b/clock.go
@@ -7,7 +7,7 @@
 // process; messages carry remaining spans instead.
 type Millis int64
 
-// Second and Minute are spans.
+// Second, Minute and Hour are spans.
 const (
 	Second Millis = 1000
 	Minute        = 60 * Second
--- a/engine.go
+++ b/engine.go
@@ -9,8 +9,8 @@
 	Adapter   AdapterID
 	Prompt    string
 	Continued string // generated text to continue from
-	MaxTokens int
-	Priority  int
+	MaxTokens int    // upper bound of generated tokens
+	Priority  int    // higher is served first
 	Remaining Millis // span until the answer is due
 	// Group names the memory that was reserved on several engines for the
 	// prompt; empty when this engine serves it alone.
@@ -22,7 +22,7 @@
 type EngineReport struct {
 	SizeTokens int64 // memory, in tokens
 	FreeTokens int64 // free memory, in tokens
-	Running    int
+	Running    int   // requests in the engine
 	Models     []ModelID
 	Adapters   []AdapterID
 	// Started identifies the run of the engine process. A changed value means
@@ -33,7 +33,7 @@
 // EngineEntry is memory that an engine holds for an owner.
 type EngineEntry struct {
 	Owner  string // attempt or group that the memory was reserved for
-	Tokens int64
+	Tokens int64  // memory, in tokens
 }
 
 // OrderKind tells what an order asks for.
@@ -61,26 +61,33 @@
 type CacheEvent struct {
 	Sequence int64
 	Prefix   Fingerprint
-	Tokens   int64
-	Evicted  bool
+	Tokens   int64 // length of the prefix, in tokens
+	Evicted  bool  // the prefix left the cache; else it entered
 }
 
 // Engine is the model engine beside an agent. Errors of type [ErrNotSent]
 // say that the engine did not receive the call.
 type Engine interface {
 	// Generate runs a request and calls emit for each part of the answer, in
-	// order, from one goroutine. It returns when the answer ended or failed.
+	// order, from one goroutine; tokens is the number of tokens in text, and
+	// finish is set on the last part only. It returns when the answer ended or
+	// failed. An error of type [ErrUnavailable] or [ErrInvalid] says that the
+	// engine refused the request; after any other but [ErrNotSent] it may have
+	// generated a part.
 	Generate(ctx context.Context, request GenerateRequest, emit func(text string, tokens int, finish string)) error
 	// Cancel ends an attempt and frees its memory. Cancelling an unknown
-	// attempt is no error.
+	// attempt is no error. After an error the memory may still be held.
 	Cancel(ctx context.Context, owner string) error
 	// Report returns the engine's account of itself.
 	Report(ctx context.Context) (EngineReport, error)
 	// Entries lists the memory that the engine holds.
 	Entries(ctx context.Context) ([]EngineEntry, error)
-	// Apply carries out an order and returns once it is in force.
+	// Apply carries out an order and returns once it is in force. An error of
+	// type [ErrFenced] says that the engine refused the fencing number; after
+	// other errors the order may have been carried out or may still be.
 	Apply(ctx context.Context, order Order) error
-	// Reserve holds memory for an owner before work starts.
+	// Reserve holds memory, in tokens, for an owner before work starts. An
+	// error of type [ErrUnavailable] says that there is not enough.
 	Reserve(ctx context.Context, owner string, tokens int64) error
 	// Export returns the KV cache of an attempt.
 	Export(ctx context.Context, owner string) ([]byte, error)
@@ -94,17 +101,17 @@
 type ServiceRequest struct {
 	Attempt    AttemptID
 	Route      RouteID
-	Method     string
-	Path       string
-	Body       []byte
+	Method     string // HTTP method
+	Path       string // path with the route and the query
+	Body       []byte // not to be modified
 	Idempotent bool
-	Remaining  Millis
+	Remaining  Millis // span until the answer is due
 }
 
 // ServiceAnswer is the answer of a plain service.
 type ServiceAnswer struct {
-	Status int
-	Type   string
+	Status int    // HTTP status
+	Type   string // content type
 	Body   []byte
 }
 
--- a/pkg/configuration/change_set.go
+++ b/pkg/configuration/change_set.go
@@ -26,7 +26,7 @@
 // whole. Its id is chosen by the operator and names it in the log, so a change
 // set that is appended twice is applied once.
 type ChangeSet struct {
-	ID      string
+	ID      string   // empty until it is set; must not be empty when printed
 	Puts    []Put    // not to be modified
 	Deletes []Delete // not to be modified
 }
--- a/pkg/configuration/json_node.go
+++ b/pkg/configuration/json_node.go
@@ -46,6 +46,7 @@
 	message string
 }
 
+// Error returns the line, from 1, and the message.
 func (e *syntaxError) Error() string {
 	return fmt.Sprintf("line %d: %s", e.line, e.message)
 }
--- a/pkg/configuration/objects.go
+++ b/pkg/configuration/objects.go
@@ -73,7 +73,7 @@
 	return c
 }
 
-// WithShare returns a copy with the given share of capacity.
+// WithShare returns a copy with the given share of prefill capacity, in (0, 1].
 func (c ClientAccount) WithShare(share float64) ClientAccount {
 	c.ShareOfCapacity = share
 	return c
@@ -111,7 +111,7 @@
 type ServiceRoute struct {
 	ID         oleanderspool.RouteID
 	Set        oleanderspool.ServerSetID
-	Idempotent bool
+	Idempotent bool // whether a call may be repeated
 }
 
 // WithSet returns a copy that is served by the given set.
--- a/platform.go
+++ b/platform.go
@@ -29,7 +29,8 @@
 	// Read returns up to limit records from the given offset on. When none is
 	// there it waits up to wait milliseconds. An offset before the first kept
 	// record starts at the first kept one, so the caller sees the gap in the
-	// offsets. head is the offset of the last record of the stream.
+	// offsets. head is the offset of the last record of the stream. After an
+	// error nothing is known; the read may be repeated.
 	Read(ctx context.Context, stream Stream, from Offset, limit int, wait Millis) (records []Record, head Offset, err error)
 }
 
@@ -44,7 +45,8 @@
 
 // InstanceList is the platform's lagging list of instances.
 type InstanceList interface {
-	// Instances returns the list as the platform knows it.
+	// Instances returns the list as the platform knows it. After an error the
+	// last list stays valid.
 	Instances(ctx context.Context) ([]InstanceState, error)
 }
 
@@ -52,6 +54,8 @@
 type WeightStore interface {
 	// Reserve asks to start loading an artefact of the given version or
 	// adapter. It returns how long the caller must wait before it asks again;
-	// 0 means that the load may start now.
+	// 0 means that the load may start now. An error of type [ErrUnavailable]
+	// says that nothing was reserved; after one of type [ErrUncertain] a permit
+	// may have been used up.
 	Reserve(ctx context.Context, artefact string) (Millis, error)
 }
--- a/refusal.go
+++ b/refusal.go
@@ -79,7 +79,7 @@
 	Reason     RefusalReason
 	Execution  Execution
 	RetryAfter Millis // span after which a resend makes sense; 0 when none does
-	Message    string
+	Message    string // for people; not to be parsed
 	// Retry is set when another attempt inside the fleet makes sense.
 	Retry RetryReason
 	// Crash identifies the crash of an engine that ended the attempt; empty
--- a/request.go
+++ b/request.go
@@ -21,7 +21,7 @@
 	Adapter     AdapterID
 	Route       RouteID
 	Method      string // HTTP method of a service call
-	Path        string // path below the route of a service call
+	Path        string // path of a service call, with the route and the query
 	Idempotent  bool
 	Key         IdempotencyKey // empty when the caller gave none
 	Priority    int            // higher is served first
@@ -77,7 +77,7 @@
 type Piece struct {
 	Request  RequestID
 	Attempt  AttemptID
-	Sequence int64
+	Sequence int64  // from 1
 	Text     string // generated text, or the body of a service's answer
 	Tokens   int    // generated tokens in Text
 	Status   int    // HTTP status of a service's answer; 0 for models
--- a/router.go
+++ b/router.go
@@ -78,6 +78,8 @@
 	})
 }
 
+// Route returns the allowed candidate with the lowest sum of costs, the first
+// one of equals.
 func (r *router) Route(q Request, candidates []BackendServer, now Millis) (BackendServer, bool) {
 	best, lowest := -1, 0.0
 	for i := range candidates {
