Give every agent two watchers among the entries of its data centre

Each agent now ranks the entries by rendezvous hashing; an entry prefers the agents for which it ranks first, then second.

The test and the benchmark now list the entries as the platform does.

--- a/internal/membership/benchmark_test.go
+++ b/internal/membership/benchmark_test.go
@@ -108,7 +108,13 @@
 	const agents, entries = 12_000, 92
 	instances, sets := fleet(agents)
 	table := membership.New()
-	table.ApplyList(1, instances, 0)
+	listed := slices.Clone(instances)
+	for e := range entries {
+		listed = append(listed, oleanderspool.InstanceState{
+			Instance: oleanderspool.InstanceID(fmt.Sprintf("entry-%03d", e)), DataCentre: "dc0", Role: "entry",
+		})
+	}
+	table.ApplyList(1, listed, 0)
 	table.ApplySets(1, sets, 0)
 	for _, limit := range []int{20, 36, 40, 80, 160} {
 		b.Run(fmt.Sprintf("limit=%d", limit), func(b *testing.B) {
--- a/internal/membership/coverage_test.go
+++ b/internal/membership/coverage_test.go
@@ -20,6 +20,11 @@
 			near = append(near, i)
 		}
 	}
+	for e := range entries {
+		near = append(near, oleanderspool.InstanceState{
+			Instance: oleanderspool.InstanceID(fmt.Sprintf("entry-%03d", e)), DataCentre: "dc0", Role: "entry",
+		})
+	}
 	table := membership.New()
 	table.ApplyList(1, near, 0)
 	table.ApplySets(1, sets, 0)
@@ -29,7 +34,7 @@
 			watched[id] = true
 		}
 	}
-	if missing := len(near) - len(watched); missing > 0 {
-		t.Errorf("%d of %d agents have no watcher", missing, len(near))
+	if missing := len(near) - entries - len(watched); missing > 0 {
+		t.Errorf("%d of %d agents have no watcher", missing, len(near)-entries)
 	}
 }
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/routing"
 	"github.com/oleanderspool/oleanderspool/pkg/configuration"
 )
 
@@ -14,6 +15,12 @@
 	listedService = "service"
 )
 
+// listedPeer is an entry of the platform's list.
+type listedPeer struct {
+	hash       uint64
+	dataCentre oleanderspool.DataCentreID
+}
+
 // ApplyList merges the platform's list. poll numbers the polls in the order
 // in which they were sent; the answer to an older poll is ignored. Instances
 // other than entries and backend servers are skipped.
@@ -29,10 +36,10 @@
 	t.poll = poll
 	listed := make(map[oleanderspool.InstanceID]bool, len(list))
 	var changes []Change
-	t.entries = 0
+	t.entries = t.entries[:0]
 	for _, s := range list {
 		if s.Role == listedEntry && !s.Leaving {
-			t.entries++
+			t.entries = append(t.entries, listedPeer{routing.Hash(s.Instance), s.DataCentre})
 		}
 		if s.Role != listedModel && s.Role != listedService {
 			continue
@@ -48,7 +55,7 @@
 // Entries returns the number of listed entries that do not leave, at least 1.
 // They share the rates of client accounts.
 func (t *Table) Entries() int {
-	return max(1, t.entries)
+	return max(1, len(t.entries))
 }
 
 func (t *Table) list(s oleanderspool.InstanceState, changes []Change) []Change {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -59,7 +59,7 @@
 	ordered []*agent // by instance
 	sets    map[oleanderspool.InstanceID][]oleanderspool.ServerSetID
 
-	entries     int                    // listed entries that do not leave
+	entries     []listedPeer           // listed entries that do not leave
 	poll        int64                  // number of the last applied list
 	setRevision oleanderspool.Revision // revision of the sets
 	lastStream  Stream
--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -26,11 +26,14 @@
 	Short []WatchGroup
 }
 
-// ChooseWatches returns at most limit agents for an entry to watch. Agents of
-// the entry's own data centre come first, then the order is given by
-// rendezvous hashing over entry and agent. Two agents of each backend server
-// set and role are taken before the others. Replacing an agent changes the
-// choice only where the agent, or its successor, is chosen.
+// ChooseWatches returns at most limit agents for an entry to watch. Every agent
+// has a first and a second watcher among the entries of its data centre, by
+// rendezvous hashing over agent and entry, so that none is left without work
+// and configuration. An entry prefers the agents of which it is the first
+// watcher, then those of which it is the second, then others of its own data
+// centre. Two agents of each backend server set and role are taken before the
+// rest. Replacing an agent changes the choice only where the agent, or its
+// successor, is chosen.
 func (t *Table) ChooseWatches(entry oleanderspool.InstanceID, dataCentre oleanderspool.DataCentreID, limit int) Watches {
 	c := watchChoice{
 		limit:  limit,
@@ -45,6 +48,8 @@
 			c.sizes[g]++
 		}
 	}
+	first, second := t.assigned(ranked, routing.Hash(entry), dataCentre)
+	ranked = slices.Concat(first, second, ranked)
 	for floor := 1; floor <= minimumWatches; floor++ {
 		c.takeBelow(ranked, floor)
 	}
@@ -52,6 +57,44 @@
 	return c.result()
 }
 
+// assigned returns the agents of a data centre of which an entry is the first
+// and the second watcher, in the order in which they are ranked.
+func (t *Table) assigned(ranked []*agent, entry uint64, dataCentre oleanderspool.DataCentreID) (first, second []*agent) {
+	var rivals []uint64
+	for _, p := range t.entries {
+		if p.dataCentre == dataCentre && p.hash != entry {
+			rivals = append(rivals, p.hash)
+		}
+	}
+	for _, a := range ranked {
+		if a.listed.DataCentre != dataCentre {
+			break // agents of the own data centre are ranked first
+		}
+		switch ahead(a.hash, entry, rivals) {
+		case 0:
+			first = append(first, a)
+		case 1:
+			second = append(second, a)
+		}
+	}
+	return first, second
+}
+
+// ahead returns how many rivals rank before an entry for an agent, at most 2.
+func ahead(agent, entry uint64, rivals []uint64) int {
+	own := routing.Weight(agent, entry)
+	n := 0
+	for _, r := range rivals {
+		if routing.Weight(agent, r) > own {
+			n++
+		}
+		if n == 2 {
+			return n
+		}
+	}
+	return n
+}
+
 type rankedAgent struct {
 	agent  *agent
 	far    bool
