--- a/internal/command/footprint_test.go
+++ b/internal/command/footprint_test.go
@@ -106,10 +106,12 @@
 
 func (f *footprint) start(name, text string, args ...string) {
 	file := filepath.Join(f.directory, name+".toml")
+	text += "[log]\nlevel = \"error\"\n"
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		f.b.Fatal(err)
 	}
 	c := exec.Command(f.binary, append(args, "--settings", file)...)
+	c.Stderr = os.Stderr // shows an address that another process took meanwhile
 	if err := c.Start(); err != nil {
 		f.b.Fatal(err)
 	}
