Keep accepting while the balancer looks away, and make unstable tests certain

- A stopping entry refused new requests for two seconds before the balancer could see that it was not ready.
It now serves them until the drain delay has passed; only then are new ones refused.
- A call that must not run twice is sent on a connection of its own.
On a pooled one that had broken unnoticed it was uncertain whether it arrived, and the refusal said may_have_run where not_run is true.
The test of a lost agent failed now and then for this reason.
- Addresses for separate processes are drawn without repetition; the kernel gave the same port twice, and an entry did not start.
- An agent that no entry watches asks the entries of its settings for the configuration, and refusals during a log outage spread the time to come back, so that callers do not return in step.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -58,6 +58,7 @@
 	version     string
 	artefacts   oleanderspool.WeightStore
 	peers       *peer.Client
+	entries     []string
 
 	mu            sync.Mutex
 	attempts      *attempt.Table
@@ -71,6 +72,7 @@
 	running       int // attempts that have not ended
 	inCall        int // calls of the plain service in progress
 	leaving       bool
+	watchers      int // open watch streams
 	report        oleanderspool.EngineReport
 	engineUp      bool
 	crashes       crashes
@@ -140,6 +142,12 @@
 	return func(a *Agent) { a.artefacts = s }
 }
 
+// WithEntries sets the IP numbers and ports of entries, which are asked for the
+// configuration while none watches the agent.
+func WithEntries(addresses ...string) Option {
+	return func(a *Agent) { a.entries = addresses }
+}
+
 // WithVersion sets the program version that the status shows.
 func WithVersion(version string) Option {
 	return func(a *Agent) { a.version = version }
@@ -206,6 +214,7 @@
 	group.Go(func() error { return peer.Serve(serving, l, &handler{Agent: a}, &handler{Agent: a}) })
 	group.Go(func() error { a.loop(serving, pumpInterval, a.wake, a.pump); return nil })
 	group.Go(func() error { a.loop(serving, a.reportEvery, nil, a.tick); return nil })
+	group.Go(func() error { a.pullConfiguration(serving); return nil })
 	if a.engine != nil {
 		group.Go(func() error { a.loop(serving, a.reportEvery, nil, func() { a.observeEngine(serving) }); return nil })
 		group.Go(func() error { a.runOrders(serving); return nil })
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -196,6 +196,7 @@
 func (h *handler) Watch(m *peerpb.WatchRequest, s peerpb.DRPCAgent_WatchStream) error {
 	a := h.Agent
 	interval := max(oleanderspool.Millis(m.GetIntervalMs()), minWatchInterval)
+	defer a.watching()()
 	ticker := time.NewTicker(interval.Duration())
 	defer ticker.Stop()
 	for {
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -33,7 +33,7 @@
 // receive checks the account and the headers and reads the body.
 func (s *Server) receive(w http.ResponseWriter, r *http.Request) (common, *oleanderspool.Refusal) {
 	c := common{config: s.gateway.Configuration(), arrived: s.gateway.Now()}
-	if !s.gateway.Ready() {
+	if !s.gateway.Accepting() {
 		return c, oleanderspool.Refuse(oleanderspool.RefusalStopping, "the entry is starting or stopping").
 			WithRetryAfter(oleanderspool.Second)
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -24,8 +24,10 @@
 	NewRequestID() oleanderspool.RequestID
 	// Now returns the current instant on the clock of deadlines.
 	Now() oleanderspool.Millis
-	// Ready reports whether new requests are served.
+	// Ready reports whether the balancer should send new requests.
 	Ready() bool
+	// Accepting reports whether new requests are served.
+	Accepting() bool
 	// Serve runs a request and passes the pieces of its answer to emit, in
 	// order. It returns nil after the final piece, else the refusal.
 	Serve(ctx context.Context, r oleanderspool.Request, emit func(oleanderspool.Piece) error) *oleanderspool.Refusal
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -46,6 +46,7 @@
 func (f *fakeGateway) NewRequestID() oleanderspool.RequestID      { return "r-1" }
 func (f *fakeGateway) Now() oleanderspool.Millis                  { return 0 }
 func (f *fakeGateway) Ready() bool                                { return true }
+func (f *fakeGateway) Accepting() bool                            { return true }
 func (f *fakeGateway) Serve(_ context.Context, r oleanderspool.Request, emit func(oleanderspool.Piece) error) *oleanderspool.Refusal {
 	f.served++
 	text := r.Prompt + string(r.Body)
--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -61,6 +61,7 @@
 		agent.WithQueue(queue.WithCapacity(s.Queue.Requests)),
 		agent.WithWeightStore(platform.NewClient(s.Platform.String())),
 		agent.WithVersion(Version),
+		agent.WithEntries(addressTexts(s.Entries)...),
 	}
 	if s.Role == oleanderspool.RoleService {
 		options = append(options, agent.WithService(service.NewClient(s.Service.String()), s.Routes...))
--- a/internal/command/deployment_test.go
+++ b/internal/command/deployment_test.go
@@ -40,12 +40,22 @@
 	list      []oleanderspool.InstanceState
 }
 
-// freeAddress returns an address that nothing listens on.
+// drawn holds the addresses that freeAddress has returned.
+var drawn = make(map[string]bool)
+
+// freeAddress returns an address that nothing listens on and that it has not
+// returned before: the kernel may give the same port twice in a row.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := l.Addr().String()
+		Expect(l.Close()).To(Succeed())
+		if !drawn[address] {
+			drawn[address] = true
+			return address
+		}
+	}
 }
 
 // newDeployment starts a platform, runners, one application runner and two
--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/oleanderspool/oleanderspool"
@@ -56,6 +57,9 @@
 // shows no claim by an earlier submission of the key. An entry that cannot read
 // the log does not know what was claimed through the others.
 func (c *claimed) confirm(ctx context.Context) *oleanderspool.Refusal {
+	if c.refusal.Reason == oleanderspool.RefusalLogUnavailable {
+		c.refusal = c.refusal.WithRetryAfter(spread(c.refusal.RetryAfter))
+	}
 	if c.refusal.Execution != oleanderspool.NotRun {
 		return c.refusal
 	}
@@ -66,6 +70,12 @@
 	return c.refusal.WithExecution(oleanderspool.MayHaveRun)
 }
 
+// spread returns a span between the given one and twice that, so that callers
+// do not return in step after an outage.
+func spread(span oleanderspool.Millis) oleanderspool.Millis {
+	return span + rand.N(span+1)
+}
+
 // act carries out a decision and returns the event that follows.
 func (c *claimed) act(ctx context.Context, decision claim.Decision, changed <-chan struct{}) claim.Event {
 	switch d := decision.(type) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,7 +71,8 @@
 	claims        *claims
 	suspects      *suspects
 	configuration *replica.Replica
-	stopping      atomic.Bool
+	stopping      atomic.Bool // the balancer is told to send nothing more
+	closed        atomic.Bool // new requests are refused
 
 	mu        sync.Mutex // guards the state machines below
 	admission *admission.Controller
@@ -211,6 +212,7 @@
 	e.metrics.Changed("leaving")
 	e.logger.Info("entry leaving", "instance", e.instance)
 	sleep(ctx, e.drainDelay)
+	e.closed.Store(true)
 	for e.inProgress() > 0 && ctx.Err() == nil {
 		sleep(ctx, membershipTick)
 	}
@@ -229,6 +231,12 @@
 	return !e.stopping.Load() && e.configuration.Revision() > 0 && e.members.warm.Load()
 }
 
+// Accepting reports whether new requests are served. A stopping entry serves
+// them until the balancer has had the time to see that it is not ready.
+func (e *Entry) Accepting() bool {
+	return !e.closed.Load() && e.configuration.Revision() > 0
+}
+
 // setOf names the set of backend servers that serves a request.
 func (e *Entry) setOf(r oleanderspool.Request) (oleanderspool.ServerSetID, bool) {
 	c := e.Configuration()
@@ -267,6 +275,11 @@
 	return seed
 }
 
+// BackendServers returns the number of backend servers that may be chosen.
+func (e *Entry) BackendServers() int {
+	return len(e.members.table.Snapshot())
+}
+
 // Revision returns the revision of the configuration in force.
 func (e *Entry) Revision() oleanderspool.Revision {
 	return e.configuration.Revision()
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -49,7 +49,10 @@
 // open starts an attempt and follows it.
 func (x *exchange) open(ctx context.Context, server oleanderspool.BackendServer, call peer.RunCall) ending {
 	end := x.follow(ctx, server, firstEventBound, func(ctx context.Context) (eventReceiver, error) {
-		return x.entry.peers.Agent(server.Address).Run(ctx, peer.EncodeRun(call, x.entry.clock.Now()))
+		if call.Request.Idempotent {
+			return x.entry.peers.Agent(server.Address).Run(ctx, peer.EncodeRun(call, x.entry.clock.Now()))
+		}
+		return x.runOnce(ctx, server, call)
 	})
 	if end.notSent {
 		end.failure.Reason = oleanderspool.RetryConnectFailed
@@ -65,6 +68,32 @@
 	return x.renew(ctx, server, call.Attempt, end)
 }
 
+// onceStream is the stream of a call on a connection of its own.
+type onceStream struct {
+	eventReceiver
+	disconnect func()
+}
+
+// Close ends the stream and its connection.
+func (s onceStream) Close() error {
+	defer s.disconnect()
+	return s.eventReceiver.Close()
+}
+
+// runOnce starts an attempt that must not run twice.
+func (x *exchange) runOnce(ctx context.Context, server oleanderspool.BackendServer, call peer.RunCall) (eventReceiver, error) {
+	agent, disconnect, err := x.entry.peers.DialAgent(ctx, server.Address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := agent.Run(ctx, peer.EncodeRun(call, x.entry.clock.Now()))
+	if err != nil {
+		disconnect()
+		return nil, err
+	}
+	return onceStream{eventReceiver: stream, disconnect: disconnect}, nil
+}
+
 // attach follows an attempt from the first missing piece on, over a new
 // connection.
 func (x *exchange) attach(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID) ending {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -46,6 +46,18 @@
 	return peerpb.NewDRPCAgentClient(c.pool.Get(context.Background(), address, dial))
 }
 
+// DialAgent connects to the agent at the given IP number and port without the
+// pool. A call that must not run twice is sent this way: a pooled connection
+// may have broken unnoticed, and then it is not known whether the call arrived.
+// The caller closes the connection. The error is a [*DialError].
+func (c *Client) DialAgent(ctx context.Context, address string) (peerpb.DRPCAgentClient, func(), error) {
+	conn, err := dial(ctx, address)
+	if err != nil {
+		return nil, nil, err
+	}
+	return peerpb.NewDRPCAgentClient(conn), func() { _ = conn.Close() }, nil
+}
+
 // Process returns the process at the given IP number and port.
 func (c *Client) Process(address string) peerpb.DRPCPeerClient {
 	return peerpb.NewDRPCPeerClient(c.pool.Get(context.Background(), address, dial))
