Test a rolling replacement of every process under load

Three model runners, three application runners and two entries are stopped and started again at the same place, one after the other, while five callers stream and three reserve under keys. The callers choose an entry whose /readyz answers 200.

Planted fault on which it failed: an agent that does not drain (a stream was cut). A drain delay of 0 at the entry does not make it fail, because the test's balancer asks before each request.

--- a/internal/command/deployment_test.go
+++ b/internal/command/deployment_test.go
@@ -49,8 +49,9 @@
 }
 
 // newDeployment starts a platform, runners, one application runner and two
-// entries as separate processes and waits until they serve.
-func newDeployment(runners int) *deployment {
+// entries as separate processes and waits until they serve. More processes may
+// be started before the instances are listed.
+func newDeployment(runners int, more ...func(d *deployment)) *deployment {
 	d := &deployment{
 		directory: GinkgoT().TempDir(),
 		admins:    make(map[string]string),
@@ -69,6 +70,9 @@
 	for i := range 2 {
 		d.startEntry(fmt.Sprintf("entry-%d", i+1))
 	}
+	for _, start := range more {
+		start(d)
+	}
 	d.publishInstances()
 	Expect(publishFleet(context.Background(), netip.MustParseAddrPort(d.platform), d.list)).To(Succeed())
 	ctx, cancel := context.WithTimeout(context.Background(), startBound)
@@ -106,6 +110,11 @@
 	d.service = freeAddress()
 	d.start("service", fmt.Sprintf("listen = %q\nroutes = [\"pegs\"]\nlatency_ms = 0\nseed = 1\n", d.service), "standin", "service")
 	d.waitFor(d.service)
+	d.startServiceAgent(instance)
+}
+
+// startServiceAgent starts an application runner beside the plain service.
+func (d *deployment) startServiceAgent(instance string) {
 	d.startAgent(instance, freeAddress(), "service", fmt.Sprintf("service = %q\nroutes = [\"pegs\", \"orders\", \"stock\", \"drafts\"]\n", d.service))
 }
 
