--- a/internal/membership/benchmark_test.go
+++ b/internal/membership/benchmark_test.go
@@ -75,6 +75,14 @@
 	for _, n := range sizes {
 		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) {
 			table, _ := watched(n)
+			instances, _ := fleet(n)
+			for e := range max(1, n*830/12_000) {
+				instances = append(instances, oleanderspool.InstanceState{
+					Instance:   oleanderspool.InstanceID(fmt.Sprintf("entry-%03d", e)),
+					DataCentre: oleanderspool.DataCentreID(fmt.Sprintf("dc%d", e%9)), Role: "entry",
+				})
+			}
+			table.ApplyList(2, instances, 0)
 			b.ReportAllocs()
 			for b.Loop() {
 				table.ChooseWatches("entry-1", "dc1", 256)
