Return the connection of a complete answer to the pool

Cause: the entry closed each stream as soon as the answer was complete, before its end was read, which closed the connection; every request dialed its agent again. The end is now read in the background.

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -139,16 +139,42 @@
 // follow passes the pieces of a stream on until it ends, breaks or goes
 // silent. first bounds the wait for the first event.
 func (x *exchange) follow(ctx context.Context, server oleanderspool.BackendServer, first oleanderspool.Millis, dial func(context.Context) (eventReceiver, error)) ending {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	call, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	// Cancelling the context closes the connection, which ends Recv.
+	unlink := context.AfterFunc(ctx, cancel)
 	silence := time.AfterFunc(first.Duration(), cancel)
-	defer silence.Stop()
-	stream, err := dial(ctx)
+	stream, err := dial(call)
 	if err != nil {
+		unlink()
+		silence.Stop()
+		cancel()
 		return broken(server, err)
 	}
-	defer func() { _ = stream.Close() }()
+	end := x.receive(stream, silence, server)
+	unlink()
+	if end.complete {
+		go finish(stream, silence, cancel)
+		return end
+	}
+	silence.Stop()
+	_ = stream.Close()
+	cancel()
+	return end
+}
+
+// finish reads the end of a stream whose answer is complete, so that its
+// connection goes back to the pool. Closing the stream before its end would
+// close the connection, and the next request would have to dial.
+func finish(stream eventReceiver, silence *time.Timer, cancel context.CancelFunc) {
+	silence.Reset(firstEventBound.Duration())
+	_, _ = stream.Recv()
+	silence.Stop()
+	_ = stream.Close()
+	cancel()
+}
+
+// receive passes the pieces of an open stream on until it ends or breaks.
+func (x *exchange) receive(stream eventReceiver, silence *time.Timer, server oleanderspool.BackendServer) ending {
 	progress := false
 	for {
 		m, err := stream.Recv()
