Run the cases of the entry's link tests at the same time

The package took 68 s with -race, against a bound of 60 s. The cases of a test now run in parallel, each in its own world, and the suite instead of each test waits for agents to stop. No bound or expectation changed.

--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -75,38 +75,34 @@
 var _ = Describe("An agent that stops", func() {
 	It("gets no new work after the bound and finishes what it has", func() {
 		const tokens = 250
-		cases := []struct {
+		type stop struct {
 			name  string
 			fault func(l *link.Relay)
 			runs  int // of the long stream on the engines
-		}{
+		}
+		cases := []stop{
 			{"healthy link", func(*link.Relay) {}, 1},
 			{"link that has gone silent", (*link.Relay).BlackHole, 1},
 			{"delayed link", func(l *link.Relay) { l.Delay(300) }, 1},
 			{"answers cut", func(l *link.Relay) { l.Cut(link.Backward) }, 2},
 		}
-		departures := make([]*departure, len(cases))
-		for i, c := range cases {
-			departures[i] = depart(c.fault, tokens)
-		}
-		for i, c := range cases {
-			By(c.name)
-			d := departures[i]
+		parallel(cases, func(c stop) {
+			d := depart(c.fault, tokens)
 			whole(d.long.wait(), prompt, tokens)
-			Eventually(d.holder.stopped, settle, poll).Should(BeClosed())
+			Eventually(d.holder.stopped, settle, poll).Should(BeClosed(), c.name)
 			close(d.end)
 			d.load.Wait()
-			Expect(d.last).To(BeNumerically("<", leavingBound))
-			Expect(d.refused.Load()).To(BeZero())
+			Expect(d.last).To(BeNumerically("<", leavingBound), c.name)
+			Expect(d.refused.Load()).To(BeZero(), c.name)
 			runs := 0
 			for _, q := range d.w.requests() {
 				if q.PromptTokens > 10 {
 					runs++
 				}
 			}
-			Expect(runs).To(Equal(c.runs))
-			AddReportEntry("last sent after, "+c.name, fmt.Sprintf("%v; %d short requests refused", d.last, d.refused.Load()))
-		}
+			Expect(runs).To(Equal(c.runs), c.name)
+			AddReportEntry("last sent after, "+c.name, d.last)
+		})
 	})
 })
 
--- a/internal/entry/limit_test.go
+++ b/internal/entry/limit_test.go
@@ -26,41 +26,36 @@
 		keyed := func(w *world) oleanderspool.Request { return w.reservation("late", "k") }
 		silent := func(r *runner) { cutBoth(r.front) }
 		hung := func(r *runner) { r.back.Cut(link.Backward) }
-		cases := []struct {
+		type silence struct {
 			name  string
 			build func(w *world) oleanderspool.Request
 			cut   func(r *runner)
-		}{
+		}
+		cases := []silence{
 			{"silent agent of an engine", question, silent},
 			{"silent agent of a service", plain, silent},
 			{"silent agent and a key", keyed, silent},
 			{"hung engine", question, hung},
 			{"hung service", plain, hung},
 		}
-		worlds := make([]*world, len(cases))
-		streams := make([]*stream, len(cases))
-		for i, c := range cases {
-			worlds[i] = newWorld(plan{engines: 1, services: 1})
-			for _, r := range worlds[i].runners {
+		parallel(cases, func(c silence) {
+			w := newWorld(plan{engines: 1, services: 1})
+			for _, r := range w.runners {
 				c.cut(r)
 			}
-			streams[i] = worlds[i].open(c.build(worlds[i]).WithDeadline(worlds[i].entry.Now() + limit))
-		}
-		for i, c := range cases {
-			By(c.name)
-			w, a := worlds[i], streams[i].wait()
-			Expect(a.refusal).NotTo(BeNil())
-			Expect(a.refusal.Execution).To(Equal(oleanderspool.MayHaveRun))
-			Expect(a.took).To(BeNumerically("<", limit.Duration()+answerSlack))
+			a := w.send(c.build(w).WithDeadline(w.entry.Now() + limit))
+			Expect(a.refusal).NotTo(BeNil(), c.name)
+			Expect(a.refusal.Execution).To(Equal(oleanderspool.MayHaveRun), c.name)
+			Expect(a.took).To(BeNumerically("<", limit.Duration()+answerSlack), c.name)
 			AddReportEntry("answered after, "+c.name, a.took)
-			Eventually(func() float64 { return sample(w.metrics, "requests_running", "") }, settle, poll).Should(BeZero())
+			Eventually(func() float64 { return sample(w.metrics, "requests_running", "") }, settle, poll).Should(BeZero(), c.name)
 			for _, r := range w.runners {
 				r.front.Heal()
 				r.back.Heal()
-				Eventually(r.running, settle, poll).Should(BeZero())
+				Eventually(r.running, settle, poll).Should(BeZero(), c.name)
 			}
-			Eventually(w.runners[0].free, settle, poll).Should(BeNumerically("==", standengine.DefaultSizeTokens))
-		}
+			Eventually(w.runners[0].free, settle, poll).Should(BeNumerically("==", standengine.DefaultSizeTokens), c.name)
+		})
 	})
 
 	// Guards against an agent that relies on its caller or its engine to end a
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -69,12 +69,13 @@
 	// the same time.
 	It("gives the whole answer", func() {
 		const gone = silenceBound + 2*firstEventBound + slack
-		cases := []struct {
+		type lossy struct {
 			name  string
 			fault func(l *link.Relay)
 			runs  int // on the engines
 			gap   time.Duration
-		}{
+		}
+		cases := []lossy{
 			{"calls cut for a second", func(l *link.Relay) {
 				l.Cut(link.Forward)
 				time.AfterFunc(time.Second, l.Heal)
@@ -85,25 +86,19 @@
 			{"delay beyond the silence bound", func(l *link.Relay) { l.Delay(3500) }, 2, gone},
 			{"delay below the silence bound", func(l *link.Relay) { l.Delay(900) }, 1, silenceBound},
 		}
-		worlds := make([]*world, len(cases))
-		holders := make([]*runner, len(cases))
-		streams := make([]*stream, len(cases))
-		for i, c := range cases {
-			worlds[i] = newWorld(plan{engines: 2})
-			streams[i] = worlds[i].open(worlds[i].question(prompt, tokens))
-			streams[i].received(20)
-			holders[i] = worlds[i].holder()
-			c.fault(holders[i].front)
-		}
-		for i, c := range cases {
-			By(c.name)
-			a := streams[i].wait()
+		parallel(cases, func(c lossy) {
+			w := newWorld(plan{engines: 2})
+			s := w.open(w.question(prompt, tokens))
+			s.received(20)
+			holder := w.holder()
+			c.fault(holder.front)
+			a := s.wait()
 			whole(a, prompt, tokens)
-			Expect(worlds[i].requests()).To(HaveLen(c.runs))
-			Expect(a.gaps).To(BeNumerically("<", c.gap))
+			Expect(w.requests()).To(HaveLen(c.runs), c.name)
+			Expect(a.gaps).To(BeNumerically("<", c.gap), c.name)
 			AddReportEntry("longest gap, "+c.name, a.gaps)
-			Eventually(holders[i].running, settle, poll).Should(BeZero())
-		}
+			Eventually(holder.running, settle, poll).Should(BeZero(), c.name)
+		})
 	})
 })
 
--- a/internal/entry/unread_test.go
+++ b/internal/entry/unread_test.go
@@ -16,27 +16,22 @@
 	It("is ended though the cancel is lost", func() {
 		const tokens = 1500
 		engines := [][]standengine.Option{nil, {standengine.WithLeak()}}
-		worlds := make([]*world, len(engines))
-		lost := make([]time.Time, len(engines))
-		for i, options := range engines {
+		parallel(engines, func(options []standengine.Option) {
 			w := newWorld(plan{engines: 1, options: options})
-			worlds[i] = w
 			r := w.question(prompt, tokens)
 			s := w.open(r.WithDeadline(w.entry.Now() + oleanderspool.Minute))
 			s.received(5)
 			cutBoth(w.runners[0].front)
-			lost[i] = time.Now()
+			lost := time.Now()
 			s.cancel()
 			Expect(s.wait().refusal.Reason).To(Equal(oleanderspool.RefusalCancelled))
-		}
-		for i, w := range worlds {
 			Eventually(w.runners[0].free, settle, poll).Should(BeNumerically("==", standengine.DefaultSizeTokens))
-			took := time.Since(lost[i])
+			took := time.Since(lost)
 			Expect(w.runners[0].running()).To(BeZero())
 			Expect(w.requests()[0].Generated).To(BeNumerically("<", tokens))
 			// A report interval each to notice it and to confirm the memory.
 			Expect(took).To(BeNumerically("<", readerTimeout.Duration()+time.Second+slack))
 			AddReportEntry("until the memory was free", took)
-		}
+		})
 	})
 })
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/agent"
@@ -40,6 +41,16 @@
 	settle = 15 * time.Second
 )
 
+// processes are the entries and agents of all worlds. A test does not wait for
+// them to stop, which takes each agent 0.2 s; the suite does.
+var processes errgroup.Group
+
+var _ = AfterSuite(func() {
+	stopped := make(chan error, 1)
+	go func() { stopped <- processes.Wait() }()
+	Eventually(stopped, settle).Should(Receive(BeNil()))
+})
+
 // runner is an agent with its backend server and the relays around it.
 type runner struct {
 	id      oleanderspool.InstanceID
@@ -136,15 +147,11 @@
 	r.front = relayTo(l.Addr().String())
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop, r.stopped = stop, make(chan struct{})
-	go func() {
-		defer GinkgoRecover()
+	processes.Go(func() error {
 		defer close(r.stopped)
-		Expect(r.agent.Run(ctx, l)).To(Succeed())
-	}()
-	DeferCleanup(func() {
-		stop()
-		Eventually(r.stopped, settle).Should(BeClosed())
+		return r.agent.Run(ctx, l)
 	})
+	DeferCleanup(stop)
 	w.runners = append(w.runners, r)
 	w.list = append(w.list, oleanderspool.InstanceState{Instance: r.id, DataCentre: "dc-a", Address: r.front.Address(), Role: role})
 }
@@ -152,17 +159,10 @@
 func (w *world) startEntry() {
 	w.entry = entry.New("entry-1", "dc-a", w.client, w.client, entry.WithMetrics(w.metrics), entry.WithDrainDelay(0))
 	ctx, stop := context.WithCancel(context.Background())
-	stopped := make(chan struct{})
 	l := listen()
-	go func() {
-		defer GinkgoRecover()
-		defer close(stopped)
-		Expect(w.entry.Run(ctx, l)).To(Succeed())
-	}()
-	DeferCleanup(func() {
-		stop()
-		Eventually(stopped, settle).Should(BeClosed())
-	})
+	e := w.entry // a test may start another
+	processes.Go(func() error { return e.Run(ctx, l) })
+	DeferCleanup(stop)
 }
 
 func (w *world) publish() {
@@ -387,3 +387,15 @@
 	}
 	return report.FreeTokens
 }
+
+// parallel runs the cases of a test at the same time, each in its own world.
+func parallel[T any](cases []T, run func(c T)) {
+	var group sync.WaitGroup
+	for _, c := range cases {
+		group.Go(func() {
+			defer GinkgoRecover()
+			run(c)
+		})
+	}
+	group.Wait()
+}
