--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -275,11 +275,6 @@
 	return seed
 }
 
-// BackendServers returns the number of backend servers that may be chosen.
-func (e *Entry) BackendServers() int {
-	return len(e.members.table.Snapshot())
-}
-
 // Revision returns the revision of the configuration in force.
 func (e *Entry) Revision() oleanderspool.Revision {
 	return e.configuration.Revision()
--- a/internal/entry/pieces_test.go
+++ b/internal/entry/pieces_test.go
@@ -91,7 +91,7 @@
 			piece(r, id, 3, "end")
 		}
 		w := newWorld(plan{scripts: []script{run, run}})
-		Eventually(w.entry.BackendServers, settle, poll).Should(Equal(2))
+		Eventually(w.entry.Ready, settle, poll).Should(BeTrue())
 		a := w.send(w.question(prompt, 10))
 		Expect(a.refusal).To(BeNil())
 		Expect(a.text).To(Equal("one two three end"))
