Report the work ahead of a prompt by class of lengths

An entry knew only all queued tokens of an agent, although a short prompt waits only for the work that its queue serves first. Reports now carry the prefill work ahead of prompts of up to 4096, 32,000 and 100,000 tokens; longer prompts wait for all work, which is reported already. Free memory excludes what waiting requests need, as the measurement assumes.

A report also gets an upper bound of its age at the entry: the first report of a stream was taken after the stream was opened, and the agent's own clock in later reports tells how much later they were taken. Without it, assignments older than 50 ms are dropped even when no report contains them.

A model runner leaves out its role, the zero value, which saves 7 bytes. Ruled out: absolute values and a float for the rate, which breaks mixed versions.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -214,7 +214,9 @@
 		b.Models = a.planner.Serving()
 	}
 	b.Load = a.queue.Load(now)
-	b.Load.FreeTokens = a.ledger.Available(now)
+	// Memory that waiting requests will take is not free for others. Below 0 a
+	// varint takes ten bytes, and no reader distinguishes such values.
+	b.Load.FreeTokens = max(0, a.ledger.Available(now)-a.queue.WaitingMemory())
 	b.Load.SizeTokens = a.ledger.Size()
 	return b
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -132,6 +132,8 @@
 	defer cancel()
 	silence := time.AfterFunc(membership.DefaultSuspectAfter.Duration(), cancel)
 	defer silence.Stop()
+	opened := m.entry.clock.Now()
+	var first oleanderspool.Millis // the agent's clock in the first report
 	client, err := m.entry.peers.Agent(address).Watch(ctx, &peerpb.WatchRequest{
 		Revision:   int64(m.entry.configuration.Revision()),
 		IntervalMs: int64(m.entry.watchEvery),
@@ -149,7 +151,14 @@
 			return
 		}
 		silence.Reset(membership.DefaultSuspectAfter.Duration())
-		m.report(stream, position, peer.DecodeState(state, address, m.entry.clock.Now()))
+		b := peer.DecodeState(state, address, m.entry.clock.Now())
+		if position == 1 {
+			first = b.Instant
+		}
+		// The first report was taken after the stream was opened, and the agent's
+		// clock says how much later this one was taken.
+		b.ReportAge = max(0, b.ReportedAt-opened-(b.Instant-first))
+		m.report(stream, position, b)
 		for _, c := range peer.DecodeCrashes(state.GetCrashes()) {
 			m.entry.suspects.crashed(c, false)
 		}
@@ -203,6 +212,7 @@
 		Routes:      b.Routes,
 		Load:        b.Load,
 		Instant:     b.Instant,
+		Age:         b.ReportAge,
 	}, m.entry.clock.Now()))
 }
 
--- a/internal/membership/report.go
+++ b/internal/membership/report.go
@@ -25,6 +25,7 @@
 	Routes      []oleanderspool.RouteID // not to be modified
 	Load        oleanderspool.Load
 	Instant     oleanderspool.Millis // the agent's own clock
+	Age         oleanderspool.Millis // upper bound of the span that the report was under way
 }
 
 // OpenStream returns the number of a watch stream that the entry is about to
@@ -111,6 +112,7 @@
 	s.Load = r.Load
 	s.Instant = r.Instant
 	s.ReportedAt = now
+	s.ReportAge = r.Age
 	t.changed = true
 }
 
--- a/internal/peer/mapping.go
+++ b/internal/peer/mapping.go
@@ -238,9 +238,40 @@
 		SizeTokens:    b.Load.SizeTokens,
 		PrefillRate:   b.Load.PrefillRate,
 		InstantMs:     int64(b.Instant),
+		Ahead:         encodeAhead(b.Load.Ahead),
 	}
 }
 
+// encodeAhead returns the increases from class to class without zeros at the
+// end, which take fewer bytes than the values.
+func encodeAhead(a oleanderspool.WorkAhead) []int64 {
+	var list []int64
+	previous := int64(0)
+	for i, tokens := range a {
+		if tokens == previous {
+			continue
+		}
+		list = append(list, make([]int64, i+1-len(list))...)
+		list[i] = tokens - previous
+		previous = tokens
+	}
+	return list
+}
+
+// decodeAhead is the inverse of encodeAhead. Classes that this program does
+// not know are ignored.
+func decodeAhead(list []int64) oleanderspool.WorkAhead {
+	var a oleanderspool.WorkAhead
+	total := int64(0)
+	for i := range a {
+		if i < len(list) {
+			total += list[i]
+		}
+		a[i] = total
+	}
+	return a
+}
+
 // DecodeState maps a message to what an agent says of its backend server.
 // address is where the agent was reached.
 func DecodeState(m *peerpb.AgentState, address string, now oleanderspool.Millis) oleanderspool.BackendServer {
@@ -268,15 +299,18 @@
 			FreeTokens:    m.GetFreeTokens(),
 			SizeTokens:    m.GetSizeTokens(),
 			PrefillRate:   m.GetPrefillRate(),
+			Ahead:         decodeAhead(m.GetAhead()),
 		},
 	}
 }
 
+// roleName returns the name of a role in a report. A model runner, the zero
+// role, has none, which keeps the reports of most backend servers shorter.
 func roleName(r oleanderspool.ServerRole) string {
 	if r == oleanderspool.RoleService {
 		return RoleNameService
 	}
-	return RoleNameModel
+	return ""
 }
 
 func stringsOf[T ~string](ids []T) []string {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -24,6 +24,7 @@
 	rate     rate
 	arrivals arrivals
 	sequence uint64
+	memory   int64 // engine memory that the waiting items need, in tokens
 
 	credit float64 // milliseconds for which shorter work may overtake due longer work
 
@@ -69,6 +70,7 @@
 	}
 	q.sequence++
 	q.items[i.Attempt] = w
+	q.memory += i.MemoryTokens
 	q.classes[w.class].insert(w)
 	q.accounts.add(w, now)
 	q.arrivals.add(w.class, i.PromptTokens, now)
@@ -135,6 +137,7 @@
 
 func (q *Queue) remove(w *waitingItem) {
 	delete(q.items, w.Attempt)
+	q.memory -= w.MemoryTokens
 	q.classes[w.class].remove(w)
 	q.accounts.remove(w)
 	q.limits.compact(len(q.items), func(l limit) bool { return q.items[l.item.Attempt] == l.item })
@@ -182,9 +185,24 @@
 		Queued:        len(q.items),
 		Running:       len(q.running.items),
 		PrefillRate:   q.rate.perMilli(),
+		Ahead:         q.ahead(now),
 	}
 }
 
+// ahead returns the work that goes before a new prompt of each class of
+// lengths. Work that ranks as longer than it is counts where it ranks.
+func (q *Queue) ahead(now oleanderspool.Millis) oleanderspool.WorkAhead {
+	var a oleanderspool.WorkAhead
+	for i, bound := range oleanderspool.WorkClassBounds {
+		a[i] = q.WorkUpTo(bound, now)
+	}
+	return a
+}
+
+// WaitingMemory returns the engine memory that the waiting items need, in
+// tokens.
+func (q *Queue) WaitingMemory() int64 { return q.memory }
+
 // WorkUpTo returns the prefill work, in tokens, that waits or runs and that a
 // prompt of the given length would wait for: the work of its class and the
 // smaller ones.
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -339,3 +339,20 @@
 		Expect(q.Slow(20_000)).To(BeFalse())
 	})
 })
+
+// Guards against reports that count memory of items that have left the queue.
+var _ = Describe("Load", func() {
+	It("tells the work ahead by class of lengths and the memory that waits", func() {
+		q := queue.New(queue.WithPrefillRate(10))
+		for i, tokens := range []int64{1000, 20_000, 90_000, 200_000} {
+			attempt := oleanderspool.AttemptID(fmt.Sprint(i))
+			Expect(q.Push(queue.Item{Attempt: attempt, PromptTokens: tokens, MemoryTokens: tokens + 100}, 0)).To(Succeed())
+		}
+		Expect(q.Load(0).Ahead).To(Equal(oleanderspool.WorkAhead{1000, 21_000, 111_000}))
+		Expect(q.WaitingMemory()).To(Equal(int64(311_400)))
+		for i := range 4 {
+			Expect(q.Cancel(oleanderspool.AttemptID(fmt.Sprint(i)))).To(BeTrue())
+		}
+		Expect(q.WaitingMemory()).To(BeZero())
+	})
+})
