Route and admit by the work ahead of a prompt

The scorers of package routing counted all queued tokens, so that a short prompt avoided servers with long ones that it does not wait for, and joined other short prompts instead. They now count the work that goes first, a small part of the longer work (0.002 for the shortest class, 0.01 for others), and the entry's own assignments by class. A prompt that exceeds the memory reserve of the queues and the free memory costs the longer work and the end of answers; a prompt within the reserve passes the requests that wait for memory.

The forecast of admission guessed a tenth of all work for prompts up to 4000 tokens. It now uses the reported work of the class, so a short request is refused early only for work that goes before it. The guess and its bound are gone.

The fixtures of the tests report queues of short or long prompts in place of queues of unknown lengths.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -14,12 +14,13 @@
 )
 
 // fleetOf returns the forecast for servers of 10 tokens per millisecond with
-// the given queues in tokens.
+// the given queues in tokens, a fiftieth of them in short prompts and the rest in
+// prompts of the longest reported class.
 func fleetOf(queues ...int64) admission.Forecast {
 	servers := make([]oleanderspool.BackendServer, len(queues))
 	for i, q := range queues {
 		servers[i].Models = []oleanderspool.ModelID{"m"}
-		servers[i].Load = oleanderspool.Load{QueuedTokens: q, PrefillRate: 10}
+		servers[i].Load = oleanderspool.Load{QueuedTokens: q, Ahead: oleanderspool.WorkAhead{q / 50, q / 50, q}, PrefillRate: 10}
 	}
 	return admission.NewForecast(servers)
 }
@@ -87,6 +88,7 @@
 		{"a long prompt that must wait too long", 100_000, 15_000, true, 5000},
 		{"a long prompt whose prefill is too long", 100_000, 9_000, true, 0},
 		{"a short prompt that passes long ones", 1000, 1100, false, 0},
+		{"a short prompt behind short ones", 1000, 250, true, 50},
 		{"a request without time", 1000, 0, true, 0},
 	}
 	for _, d := range deadlines {
--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -2,19 +2,9 @@
 
 import "github.com/oleanderspool/oleanderspool"
 
-const (
-	// DefaultPrefillRate is assumed until a server has reported its rate, in
-	// tokens per millisecond. It equals the default of package routing.
-	DefaultPrefillRate = 8.0
-	// DefaultShortPrompt is the longest prompt, in tokens, that the queues of
-	// the agents let pass longer ones.
-	DefaultShortPrompt = 4000
-	// shortWait is the part of a server's work that a short prompt is expected
-	// to wait for. Agents serve short prompts first and tell entries only the
-	// sum of their work, so the forecast must be low: a request that is admitted
-	// in vain is refused by its agent, one that is refused in vain is lost.
-	shortWait = 0.1
-)
+// DefaultPrefillRate is assumed until a server has reported its rate, in
+// tokens per millisecond. It equals the default of package routing.
+const DefaultPrefillRate = 8.0
 
 // Forecast tells how long prompts wait, by model. It is computed once per
 // snapshot of the membership and read for every request.
@@ -23,8 +13,14 @@
 	rate   float64 // prefill rate of all servers, in tokens per millisecond
 }
 
+// classCount is the number of classes of lengths, with the one above all
+// bounds.
+const classCount = len(oleanderspool.WorkClassBounds) + 1
+
 type modelForecast struct {
-	wait float64 // shortest time to finish the work of a server, in milliseconds
+	// wait is the shortest time to finish the work of a server that goes before
+	// a prompt, by class of lengths, in milliseconds.
+	wait [classCount]float64
 	rate float64 // highest prefill rate of a server, in tokens per millisecond
 }
 
@@ -47,17 +43,30 @@
 }
 
 func (f Forecast) add(b *oleanderspool.BackendServer, rate float64) {
-	wait := float64(b.Load.QueuedTokens+b.Load.RunningTokens) / rate
+	wait := waits(b.Load, rate)
 	for _, model := range b.Models {
 		m, known := f.models[model]
-		if !known || wait < m.wait {
-			m.wait = wait
+		for class := range wait {
+			if !known || wait[class] < m.wait[class] {
+				m.wait[class] = wait[class]
+			}
 		}
 		m.rate = max(m.rate, rate)
 		f.models[model] = m
 	}
 }
 
+// waits returns the time to finish the work that goes before a prompt, by class
+// of lengths, in milliseconds.
+func waits(load oleanderspool.Load, rate float64) [classCount]float64 {
+	var wait [classCount]float64
+	for class, tokens := range load.Ahead {
+		wait[class] = float64(tokens) / rate
+	}
+	wait[classCount-1] = float64(load.Work()) / rate
+	return wait
+}
+
 // Rate returns the prefill rate of all model runners in tokens per
 // millisecond.
 func (f Forecast) Rate() float64 {
@@ -65,16 +74,14 @@
 }
 
 // Wait returns the span in milliseconds that the prompt of r is expected to
-// wait on the least busy server, and the span of its own prefill. Both are 0
+// wait for the work that goes first on the least busy server, and the span of
+// its own prefill. Both are 0
 // for services and for models that no server has reported.
 func (f Forecast) Wait(r oleanderspool.Request) (wait, prefill oleanderspool.Millis) {
 	m, known := f.models[r.Model]
 	if r.Kind != oleanderspool.KindModel || !known {
 		return 0, 0
 	}
-	part := 1.0
-	if r.PromptCount <= DefaultShortPrompt {
-		part = shortWait
-	}
-	return roundUp(part * m.wait), roundUp(float64(r.PromptCount) / m.rate)
+	wait = roundUp(m.wait[oleanderspool.WorkClass(int64(r.PromptCount))])
+	return wait, roundUp(float64(r.PromptCount) / m.rate)
 }
--- a/internal/routing/assignments.go
+++ b/internal/routing/assignments.go
@@ -6,10 +6,10 @@
 	"github.com/oleanderspool/oleanderspool"
 )
 
-// reportLag is the time in milliseconds that an assignment needs to reach the
-// agent and to appear in a report. Assignments that are this much older than
-// the last report may be missing in it.
-const reportLag oleanderspool.Millis = 50
+// arrivalSpan is the time in milliseconds that an assignment needs to reach the
+// agent and to appear in its queue. Assignments that were made within this span
+// before the last report was taken may be missing in it.
+const arrivalSpan oleanderspool.Millis = 50
 
 // Assignments holds the requests that this entry has in progress. It adds
 // those that a server's last report cannot contain to the server's load, so
@@ -30,6 +30,7 @@
 	instance    oleanderspool.InstanceID
 	fingerprint oleanderspool.Fingerprint
 	tokens      int64 // prefill work; 0 for a service
+	memory      int64 // engine memory in tokens; 0 for a service
 	service     bool
 	at          oleanderspool.Millis
 }
@@ -60,6 +61,7 @@
 		n.service = true
 	} else {
 		n.tokens = int64(r.PromptCount)
+		n.memory = Need(r)
 	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -149,19 +151,42 @@
 	return attempts
 }
 
-// Cost returns the time that the assignments since the server's last report
-// take, in milliseconds.
-func (a *Assignments) Cost(_ oleanderspool.Request, b oleanderspool.BackendServer, _ oleanderspool.Millis) float64 {
+// recent sums up the assignments that a server's last report may not contain.
+type recent struct {
+	ahead  int64 // prefill work that goes before a given prompt, in tokens
+	longer int64 // longer prefill work, in tokens
+	memory int64 // engine memory, in tokens
+	calls  int   // service calls
+}
+
+// since returns the assignments that the server's last report may not contain,
+// as a prompt of the given length sees them.
+func (a *Assignments) since(b oleanderspool.BackendServer, promptTokens int64) recent {
 	a.mutex.RLock()
 	defer a.mutex.RUnlock()
-	var tokens int64
-	calls := 0
+	var sum recent
+	class := oleanderspool.WorkClass(promptTokens)
+	after := b.ReportedAt - b.ReportAge - arrivalSpan
 	list := a.servers[b.Instance]
-	for i := len(list) - 1; i >= 0 && list[i].at > b.ReportedAt-reportLag; i-- {
-		tokens += list[i].tokens
-		if list[i].service {
-			calls++
+	for i := len(list) - 1; i >= 0 && list[i].at > after; i-- {
+		n := &list[i]
+		sum.memory += n.memory
+		switch {
+		case n.service:
+			sum.calls++
+		case oleanderspool.WorkClass(n.tokens) <= class:
+			sum.ahead += n.tokens
+		default:
+			sum.longer += n.tokens
 		}
 	}
-	return float64(tokens)/prefillRate(b, a.fallback) + float64(calls)*float64(a.callTime)
+	return sum
+}
+
+// Cost returns the time by which the assignments since the server's last report
+// delay r, in milliseconds.
+func (a *Assignments) Cost(r oleanderspool.Request, b oleanderspool.BackendServer, _ oleanderspool.Millis) float64 {
+	tokens := int64(r.PromptCount)
+	sum := a.since(b, tokens)
+	return weighted(tokens, sum.ahead, sum.longer)/prefillRate(b, a.fallback) + float64(sum.calls)*float64(a.callTime)
 }
--- a/internal/routing/decision.go
+++ b/internal/routing/decision.go
@@ -33,7 +33,7 @@
 		oleanderspool.WithScorers(
 			oleanderspool.Prioritize(Queue(r.fallback, r.callTime), PriorityQueue),
 			oleanderspool.Prioritize[oleanderspool.Scorer](d.affinity, PriorityAffinity),
-			oleanderspool.Prioritize(Memory(r.fallback), PriorityMemory),
+			oleanderspool.Prioritize(Memory(r.fallback, r.assignments), PriorityMemory),
 			oleanderspool.Prioritize(Distance(r.distances, DefaultUnknownDistance), PriorityDistance),
 			oleanderspool.Prioritize[oleanderspool.Scorer](r.slowness, PrioritySlowness),
 			oleanderspool.Prioritize[oleanderspool.Scorer](r.assignments, PriorityAssignments),
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -25,7 +25,15 @@
 	return b
 }
 
+// queued returns a change to a queue of the shortest prompts.
 func queued(tokens int64) func(*oleanderspool.BackendServer) {
+	return func(b *oleanderspool.BackendServer) {
+		b.Load.QueuedTokens, b.Load.Ahead = tokens, oleanderspool.WorkAhead{tokens, tokens, tokens}
+	}
+}
+
+// queuedLong returns a change to a queue of prompts above all class bounds.
+func queuedLong(tokens int64) func(*oleanderspool.BackendServer) {
 	return func(b *oleanderspool.BackendServer) { b.Load.QueuedTokens = tokens }
 }
 
@@ -98,6 +106,7 @@
 		event func(r *routing.Router)
 	}{
 		{"queued tokens", queued(60_000), nil},
+		{"longer work between equal servers", queuedLong(60_000), nil},
 		{"the prefill rate", func(b *oleanderspool.BackendServer) { b.Load.PrefillRate = 1 }, nil},
 		{"free memory", func(b *oleanderspool.BackendServer) { b.Load.FreeTokens = 0 }, nil},
 		{"the distance", func(b *oleanderspool.BackendServer) { b.DataCentre = "elsewhere" }, nil},
@@ -136,6 +145,48 @@
 		Expect(a.InProgress("s")).To(BeEmpty())
 	})
 
+	// Guards against assignments that are lost when reports arrive late.
+	It("counts assignments up to the age of a late report", func() {
+		a := routing.NewAssignments(8, 5)
+		a.Start("1", prompt("p"), "s", 100)
+		b := runner("s", nil)
+		b = b.WithLoad(b.Load, 3100)
+		Expect(a.Cost(prompt("p"), b, 3100)).To(BeZero())
+		b.ReportAge = 3000
+		Expect(a.Cost(prompt("p"), b, 3100)).To(Equal(200.0))
+	})
+
+	classes := []struct {
+		name   string
+		tokens int
+		other  func(*oleanderspool.BackendServer)
+		event  int // tokens of an assignment on the other server
+		want   oleanderspool.InstanceID
+	}{
+		{"a short prompt to long work rather than to short work", 2000, queuedLong(90_000), 0, "other"},
+		{"a short prompt to a long assignment rather than to short work", 2000, nil, 90_000, "other"},
+		{"a short prompt past longer requests that wait for memory", 2000, func(b *oleanderspool.BackendServer) { b.Load.FreeTokens = 0 }, 0, "other"},
+		{"a long prompt to short work rather than to a lack of memory", 50_000, func(b *oleanderspool.BackendServer) { b.Load.FreeTokens = 55_000 }, 0, "s"},
+		{"a long prompt to short work rather than to an assignment that takes the memory", 20_000, nil, 80_000, "s"},
+		{"a long prompt to short work rather than to long work", 50_000, func(b *oleanderspool.BackendServer) {
+			queuedLong(90_000)(b)
+			b.Load.Ahead = oleanderspool.WorkAhead{0, 0, 90_000}
+		}, 0, "s"},
+	}
+	for _, c := range classes {
+		// Guards against prompts that avoid work which they do not wait for.
+		It("sends "+c.name, func() {
+			router := newRouter(routing.WithAffinity(0, 0))
+			if c.event > 0 {
+				router.Assignments().Start("1", oleanderspool.Request{PromptCount: c.event}, "other", now)
+			}
+			q := prompt("p")
+			q.PromptCount = c.tokens
+			b, _ := router.Route(q, []oleanderspool.BackendServer{runner("s", queued(3000)), runner("other", c.other)}, now)
+			Expect(b.Instance).To(Equal(c.want))
+		})
+	}
+
 	// Guards against a slow server that is never tried again.
 	It("forgets slowness", func() {
 		s := routing.NewSlowness(8)
@@ -151,7 +202,7 @@
 		It(fmt.Sprintf("sends equal requests to one of %d servers, through any entry", n), func() {
 			list := runners(n)
 			for i := range list {
-				list[i].Load.QueuedTokens = 0
+				queued(0)(&list[i])
 			}
 			for i := range 50 {
 				q := prompt(fmt.Sprintf("prompt %d", i))
@@ -170,7 +221,7 @@
 		router.Assignments().Start("1", prompt("p"), first.Instance, now)
 		for i := range list {
 			if list[i].Instance == first.Instance {
-				list[i].Load.QueuedTokens = 90_000
+				queued(90_000)(&list[i])
 			}
 		}
 		copied, _ := router.Route(prompt("p"), list, now)
@@ -184,7 +235,7 @@
 	It("weighs a cached prefix against the queue up to its bound", func() {
 		list := runners(20)
 		for i := range list {
-			list[i].Load.QueuedTokens = 0
+			queued(0)(&list[i])
 		}
 		home, _ := newRouter().Route(prompt("p"), list, now)
 		counts := []struct {
@@ -194,7 +245,7 @@
 		for _, c := range counts {
 			for i := range list {
 				if list[i].Instance == home.Instance {
-					list[i].Load.QueuedTokens = c.queue
+					queued(c.queue)(&list[i])
 				}
 			}
 			b, _ := newRouter().Route(prompt("p"), list, now)
--- a/internal/routing/scorers.go
+++ b/internal/routing/scorers.go
@@ -19,8 +19,33 @@
 	return fallback
 }
 
-// Queue costs the time that the queued and accepted prefill work and the
-// request's own prefill take. fallback is the prefill rate of a server that
+// The weights of longer work, which a request does not wait for but delays, for
+// prompts of the shortest class and for others. Higher values keep requests away
+// from servers with long prompts, so they wait for each other more often.
+const (
+	longerWeightShort = 0.002
+	longerWeight      = 0.01
+)
+
+// weighted returns the work that delays a prompt, in tokens: all that goes
+// first, and a small part of the longer work.
+func weighted(promptTokens, ahead, longer int64) float64 {
+	if oleanderspool.WorkClass(promptTokens) == 0 {
+		return float64(ahead) + longerWeightShort*float64(longer)
+	}
+	return float64(ahead) + longerWeight*float64(longer)
+}
+
+// queueSpan returns the time in milliseconds that the work ahead of the prompt
+// and its own prefill take.
+func queueSpan(r oleanderspool.Request, b oleanderspool.BackendServer, fallback float64) float64 {
+	tokens := int64(r.PromptCount)
+	ahead, longer := b.Load.WorkFor(tokens)
+	return (weighted(tokens, ahead, longer) + float64(tokens)) / prefillRate(b, fallback)
+}
+
+// Queue costs the time that the prefill work that goes before the request and
+// the request's own prefill take, and a small part of the longer work. fallback is the prefill rate of a server that
 // reported none, in tokens per millisecond. A service has no tokens: its
 // requests in progress cost callTime milliseconds each.
 func Queue(fallback float64, callTime oleanderspool.Millis) oleanderspool.Scorer {
@@ -28,27 +53,41 @@
 		if r.Kind == oleanderspool.KindService {
 			return float64(b.Load.Queued+b.Load.Running) * float64(callTime)
 		}
-		work := b.Load.QueuedTokens + b.Load.RunningTokens + int64(r.PromptCount)
-		return float64(work) / prefillRate(b, fallback)
+		return queueSpan(r, b, fallback)
 	})
 }
 
-// releaseFactor relates the time in which an engine frees memory to the time
-// in which it prefills as many tokens. Memory is freed only when answers end,
-// which takes longer. The factor is an assumption until it is measured with
-// the engine stand-in.
-const releaseFactor = 4
+const (
+	// memoryReserve is the part of an engine's memory that its queue keeps free
+	// of larger requests. It equals queue.DefaultMemoryReserve.
+	memoryReserve = 0.06
+	// decodeSpan is the time in milliseconds until answers end and free memory.
+	decodeSpan = 10_000
+)
 
-// Memory costs the time until an engine that has too little free memory for
-// the request has freed the rest. A server that has not reported its memory
-// costs nothing.
-func Memory(fallback float64) oleanderspool.Scorer {
+// Memory costs a request that does not fit into the free memory of an engine
+// the time until memory is freed: it waits for the longer work too, and for the
+// answers. A request that fits into the reserve does not wait for the memory of
+// larger ones; for it a lack of memory decides only between equal servers. A
+// server that has not reported its memory costs nothing. assigned tells what the
+// last report cannot contain.
+func Memory(fallback float64, assigned *Assignments) oleanderspool.Scorer {
 	return ScorerFunc(func(r oleanderspool.Request, b oleanderspool.BackendServer, _ oleanderspool.Millis) float64 {
 		if r.Kind != oleanderspool.KindModel || b.Load.SizeTokens == 0 {
 			return 0
 		}
-		missing := max(0, Need(r)-b.Load.FreeTokens)
-		return releaseFactor * float64(missing) / prefillRate(b, fallback)
+		recent := assigned.since(b, int64(r.PromptCount))
+		need, free := Need(r)+recent.memory, b.Load.FreeTokens
+		reserve := int64(memoryReserve * float64(b.Load.SizeTokens))
+		rate := prefillRate(b, fallback)
+		if need <= reserve {
+			return longerWeight * float64(max(0, need-free)) / rate
+		}
+		if need+reserve <= free {
+			return 0
+		}
+		_, longer := b.Load.WorkFor(int64(r.PromptCount))
+		return float64(longer+recent.longer)/rate + decodeSpan
 	})
 }
 
--- a/internal/routing/slowness.go
+++ b/internal/routing/slowness.go
@@ -88,7 +88,5 @@
 	if excess <= 0 {
 		return 0
 	}
-	work := b.Load.QueuedTokens + b.Load.RunningTokens + int64(r.PromptCount)
-	expected := float64(work) / prefillRate(b, s.fallback)
-	return excess * max(expected, float64(leastExpected))
+	return excess * max(queueSpan(r, b, s.fallback), float64(leastExpected))
 }
