Measure with the router and the admission control of the entry

The measurement routed with a scorer of its own, so its figures said nothing about the product. It now routes with routing.NewRouter, its assignments and its slowness, and has one more policy that also asks the admission control. Reports keep their lag of 200 ms or 3 s. Prompts carry the text that the affinity hashes: a shared prefix and a unique rest.

The new subcommand measure prints the report.

--- a/internal/command/registrations.go
+++ b/internal/command/registrations.go
@@ -35,6 +35,10 @@
 			"load", "Generate load", "Sends seeded requests with short and long prompts and prints time to first token by prompt length and the slowdown of short requests.",
 			&loadCommand{},
 		},
+		{
+			"measure", "Measure the policy under load", "Compares the routing, admission and queue order of this program with three simple policies on seeded traces, with a virtual clock and a fake engine, and prints time to first token by prompt length and the slowdown of short requests. docs/policy.md explains the report. All traces take about a minute.",
+			&measureCommand{},
+		},
 		{
 			"standin", "Run a stand-in", "Runs a stand-in for an outside system: platform, engine or service.",
 			&standinCommand{},
--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -32,6 +32,8 @@
 	prefilled,
 	gone bool
 	generated int64
+	sentAt,
+	expected oleanderspool.Millis // to the first token, by the router
 }
 
 // memory returns the memory that the part needs on its engine.
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/admission"
 	"github.com/oleanderspool/oleanderspool/internal/queue"
 )
 
@@ -18,9 +20,11 @@
 	reportInterval = 100
 	reportLag      = 200
 	staleLag       = 3000
-	detectionSpan  = 1000 // until entries notice a dead server
-	maxRetries     = 2
-	slowFactor     = 0.33
+	// forecastInterval equals the tick of the entry's membership table.
+	forecastInterval = 200
+	detectionSpan    = 1000 // until entries notice a dead server
+	maxRetries       = 2
+	slowFactor       = 0.33
 	// faultServer is the server that is slow or killed.
 	faultServer = 5
 	// partTokens is the largest part of a prompt on one engine. It leaves
@@ -28,6 +32,12 @@
 	partTokens = engineMemory * 9 / 10
 )
 
+// All servers are in one data centre and serve one model.
+const (
+	dataCentre oleanderspool.DataCentreID = "dc"
+	model      oleanderspool.ModelID      = "m"
+)
+
 type status int
 
 const (
@@ -48,6 +58,7 @@
 	ended   bool
 	firstAt oleanderspool.Millis
 	status  status
+	ticket  *admission.Ticket // nil without admission control
 }
 
 func (c *call) deadline() oleanderspool.Millis { return c.at + c.kind.Limit }
@@ -61,11 +72,23 @@
 		ID:          oleanderspool.RequestID(fmt.Sprint(c.number)),
 		Account:     account(c.account),
 		Idempotent:  true,
+		Model:       model,
+		Prompt:      c.prompt(),
 		PromptCount: int(c.tokens),
 		MaxTokens:   int(c.output),
 		Deadline:    c.deadline(),
-		Fingerprint: oleanderspool.Fingerprint(c.prefix),
+		Fingerprint: oleanderspool.Fingerprint(c.number + 1),
+	}
+}
+
+// prompt returns a text whose first tokens, of four bytes, are those that
+// requests with the same prefix share, followed by a unique rest.
+func (c *call) prompt() string {
+	unique := fmt.Sprintf("%016d", c.number)
+	if c.prefix == 0 {
+		return unique
 	}
+	return strings.Repeat(fmt.Sprintf("%016x", c.prefix), int(c.kind.Prefix)/4) + unique
 }
 
 func account(number int) oleanderspool.ClientAccountID {
@@ -86,14 +109,9 @@
 type entry struct {
 	view      *View
 	placement Placement
+	tracker   Tracker               // nil for a placement that follows nothing
+	admission *admission.Controller // nil admits everything
 	known     []oleanderspool.BackendServer
-	recent    [][]assignment // by server
-}
-
-// assignment is a placement that no report shows yet.
-type assignment struct {
-	at     oleanderspool.Millis
-	tokens int64
 }
 
 type event struct {
@@ -154,11 +172,20 @@
 	}
 	for i := range entryCount {
 		random := rand.New(rand.NewPCG(s.seed, uint64(100+i)))
-		e := &entry{view: newView(), recent: make([][]assignment, s.servers)}
-		e.placement = p.Router(d, e.view, random)
+		e := &entry{view: newView()}
+		e.placement = p.Router(e.view, random)
+		e.tracker, _ = e.placement.(Tracker)
+		if p.Admission != nil {
+			e.admission = p.Admission()
+		}
 		for _, x := range f.servers {
-			load := oleanderspool.Load{PrefillRate: fullRate}
-			e.known = append(e.known, oleanderspool.BackendServer{Instance: x.id, Load: load})
+			e.known = append(e.known, oleanderspool.BackendServer{
+				Instance:   x.id,
+				DataCentre: dataCentre,
+				Models:     []oleanderspool.ModelID{model},
+				ReportedAt: f.lag(), // no report arrives earlier
+				Load:       oleanderspool.Load{PrefillRate: fullRate, FreeTokens: engineMemory, SizeTokens: engineMemory},
+			})
 		}
 		f.entries = append(f.entries, e)
 	}
@@ -176,12 +203,17 @@
 	for i, a := range arrivals {
 		c := &call{arrival: a, number: i, entry: f.entries[i%entryCount]}
 		f.calls = append(f.calls, c)
-		f.after(a.at, func() { f.place(c, nil) })
+		f.after(a.at, func() { f.admit(c) })
 		f.after(a.at+a.kind.Limit, func() { f.end(c, statusFailed) })
 	}
 	f.open = len(f.calls)
 	f.after(f.setup.duration, f.snapshot)
 	f.plantFault()
+	for _, e := range f.entries {
+		if e.admission != nil {
+			f.forecast(e)
+		}
+	}
 	for _, s := range f.servers {
 		f.after(oleanderspool.Millis(s.number)*reportInterval/oleanderspool.Millis(len(f.servers)), func() { f.tick(s) })
 	}
@@ -221,24 +253,12 @@
 		load.RunningTokens = s.engine.remaining()
 	}
 	load.SizeTokens = engineMemory
-	load.FreeTokens = engineMemory - s.engine.used - load.QueuedTokens
-	ahead, taken := f.ahead(s), f.now
-	f.after(f.lag(), func() { f.report(s, load, ahead, taken) })
+	load.FreeTokens = max(0, engineMemory-s.engine.used-s.queue.WaitingMemory())
+	taken := f.now
+	f.after(f.lag(), func() { f.report(s, load, taken) })
 	f.after(reportInterval, func() { f.tick(s) })
 }
 
-// ahead returns the work that requests of each class would wait for.
-func (f *fleet) ahead(s *server) ClassTokens {
-	var c ClassTokens
-	if q, ok := s.queue.(*queue.Queue); ok {
-		for i, bound := range classBounds {
-			c[i] = q.WorkUpTo(bound, f.now)
-		}
-		c[len(c)-1] = q.WorkUpTo(engineMemory, f.now)
-	}
-	return c
-}
-
 func (f *fleet) lag() oleanderspool.Millis {
 	if f.trace == TraceStale {
 		return staleLag
@@ -246,16 +266,34 @@
 	return reportLag
 }
 
-func (f *fleet) report(s *server, load oleanderspool.Load, ahead ClassTokens, taken oleanderspool.Millis) {
+// report hands a load to the entries. They know its age, as the entry process
+// does from the agent's clock.
+func (f *fleet) report(s *server, load oleanderspool.Load, taken oleanderspool.Millis) {
 	for _, e := range f.entries {
 		e.known[s.number] = e.known[s.number].WithLoad(load, f.now)
-		e.recent[s.number] = slices.DeleteFunc(e.recent[s.number], func(a assignment) bool { return a.at <= taken })
-		var assigned ClassTokens
-		for _, a := range e.recent[s.number] {
-			assigned = assigned.addUpTo(lengthClass(a.tokens), a.tokens)
+		e.known[s.number].ReportAge = f.now - taken
+	}
+}
+
+// forecast brings the admission control of an entry up to date.
+func (f *fleet) forecast(e *entry) {
+	e.admission.SetForecast(admission.NewForecast(e.known))
+	f.after(forecastInterval, func() { f.forecast(e) })
+}
+
+// admit asks the admission control of the request's entry.
+func (f *fleet) admit(c *call) {
+	if e := c.entry; e.admission != nil {
+		request := c.request()
+		request.PromptCount = int(c.tokens)
+		ticket, refusal := e.admission.Admit(request, f.now)
+		if refusal != nil {
+			f.end(c, statusRefused)
+			return
 		}
-		e.view.Ahead[s.id], e.view.Assigned[s.id] = ahead, assigned
+		c.ticket = ticket
 	}
+	f.place(c, nil)
 }
 
 // place chooses servers for a request, without the excluded ones.
@@ -266,7 +304,6 @@
 	count := int((c.tokens + partTokens - 1) / partTokens)
 	c.parts = c.parts[:0:0]
 	c.pending, c.ended = count, false
-	c.entry.view.PrefixTokens = c.kind.Prefix
 	request := c.request()
 	request.PromptCount = int(c.tokens) / count
 	for i := range count {
@@ -278,14 +315,34 @@
 		excluded = append(slices.Clip(excluded), s.id)
 		p := &part{call: c, server: s, tokens: c.tokens / int64(count), lead: i == 0}
 		c.parts = append(c.parts, p)
-		c.entry.recent[s.number] = append(c.entry.recent[s.number], assignment{f.now, p.tokens})
-		c.entry.view.assigned(request, s.id)
+		f.track(p, request)
+		request.MaxTokens = 0 // the other parts generate nothing
 	}
 	for _, p := range c.parts {
 		f.after(networkDelay, func() { f.arrive(p) })
 	}
 }
 
+// track tells the entry's router of an assignment.
+func (f *fleet) track(p *part, r oleanderspool.Request) {
+	e, s := p.call.entry, p.server
+	e.view.Outstanding[s.id]++
+	p.sentAt = f.now
+	if e.tracker != nil {
+		p.expected = e.tracker.Expect(r, e.known[s.number], f.now)
+		e.tracker.Assignments().Start(p.call.attempt(p), r, s.id, f.now)
+	}
+}
+
+// untrack tells the entry's router that an assignment has ended.
+func (f *fleet) untrack(p *part) {
+	e := p.call.entry
+	e.view.Outstanding[p.server.id]--
+	if e.tracker != nil {
+		e.tracker.Assignments().End(p.call.attempt(p))
+	}
+}
+
 func (f *fleet) choose(e *entry, r oleanderspool.Request, excluded []oleanderspool.InstanceID) *server {
 	candidates := make([]oleanderspool.BackendServer, 0, len(e.known))
 	for _, b := range e.known {
@@ -363,7 +420,7 @@
 		attempt := c.attempt(p)
 		s := p.server
 		delete(s.parts, attempt)
-		c.entry.view.Outstanding[s.id]--
+		f.untrack(p)
 		if s.queue.Cancel(attempt) || p.sequence == 0 {
 			p.gone = true
 			continue
@@ -381,6 +438,9 @@
 	f.drop(c)
 	c.status = s
 	f.open--
+	if c.ticket != nil {
+		c.entry.admission.Finish(c.ticket)
+	}
 }
 
 // kick hands work to a server's engine and starts a step if none runs.
@@ -436,11 +496,17 @@
 func (f *fleet) prefilled(p *part) {
 	c := p.call
 	p.server.queue.FirstToken(c.attempt(p), f.now)
+	if t := c.entry.tracker; t != nil {
+		t.Slowness().Observe(p.server.id, p.expected, f.now-p.sentAt, f.now)
+	}
 	if !p.lead {
 		f.leave(p)
 	}
 	if c.pending--; c.pending == 0 && c.firstAt == 0 {
 		c.firstAt = f.now + networkDelay
+		if c.ticket != nil {
+			c.entry.admission.Prefilled(c.ticket)
+		}
 	}
 	f.complete(c)
 }
@@ -451,7 +517,7 @@
 	p.server.engine.remove(p)
 	p.server.queue.Finished(attempt, f.now)
 	delete(p.server.parts, attempt)
-	p.call.entry.view.Outstanding[p.server.id]--
+	f.untrack(p)
 }
 
 func (f *fleet) complete(c *call) {
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -5,16 +5,22 @@
 	"math/rand/v2"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/admission"
 	"github.com/oleanderspool/oleanderspool/internal/queue"
+	"github.com/oleanderspool/oleanderspool/internal/routing"
+	"github.com/oleanderspool/oleanderspool/pkg/configuration"
 )
 
 // Policy combines the choice of a backend server with the order of its queue.
 type Policy struct {
 	Name string
 	// Router returns the choice of one entry.
-	Router func(d Deployment, view *View, random *rand.Rand) Placement
+	Router func(view *View, random *rand.Rand) Placement
 	// Queue returns the queue of one agent.
 	Queue func(d Deployment) Scheduler
+	// Admission returns the admission control of one entry. Without it all
+	// requests are admitted.
+	Admission func() *admission.Controller
 }
 
 // Placement is the seam to the routing code: it chooses a backend server for
@@ -24,6 +30,17 @@
 	Place(r oleanderspool.Request, candidates []oleanderspool.BackendServer, now oleanderspool.Millis) (oleanderspool.BackendServer, bool)
 }
 
+// Tracker is a placement that follows its requests.
+type Tracker interface {
+	Placement
+	// Expect returns the span until a request probably makes progress.
+	Expect(r oleanderspool.Request, b oleanderspool.BackendServer, now oleanderspool.Millis) oleanderspool.Millis
+	// Assignments returns the requests in progress.
+	Assignments() *routing.Assignments
+	// Slowness returns the servers that make less progress than expected.
+	Slowness() *routing.Slowness
+}
+
 // Scheduler is the seam to the queue code.
 type Scheduler interface {
 	// Push adds an item or refuses it.
@@ -38,71 +55,64 @@
 	Finished(attempt oleanderspool.AttemptID, now oleanderspool.Millis)
 	// Load returns the waiting and running work.
 	Load(now oleanderspool.Millis) oleanderspool.Load
-}
-
-// ClassTokens holds work in tokens for each class of lengths of the report.
-type ClassTokens [len(classNames)]int64
-
-// addUpTo adds the work of a request to all classes that wait for it.
-func (c ClassTokens) addUpTo(class int, tokens int64) ClassTokens {
-	for i := class; i < len(c); i++ {
-		c[i] += tokens
-	}
-	return c
+	// WaitingMemory returns the memory that waiting items need, in tokens.
+	WaitingMemory() int64
 }
 
 // View is what an entry knows beyond the agents' reports.
 type View struct {
 	// Outstanding counts the entry's own requests by instance.
 	Outstanding map[oleanderspool.InstanceID]int
-	// Ahead holds the reported prefill work, in tokens, that a request of each
-	// class of lengths would wait for.
-	Ahead map[oleanderspool.InstanceID]ClassTokens
-	// Assigned holds the entry's assignments since the last report, in tokens,
-	// that a request of each class of lengths would wait for.
-	Assigned map[oleanderspool.InstanceID]ClassTokens
-	// Prefixes holds the instances to which a prefix was sent.
-	Prefixes map[oleanderspool.Fingerprint]map[oleanderspool.InstanceID]bool
-	// PrefixTokens is the length of the shared prefix of the request that is
-	// being placed.
-	PrefixTokens int64
 }
 
 func newView() *View {
-	return &View{
-		Outstanding: make(map[oleanderspool.InstanceID]int),
-		Ahead:       make(map[oleanderspool.InstanceID]ClassTokens),
-		Assigned:    make(map[oleanderspool.InstanceID]ClassTokens),
-		Prefixes:    make(map[oleanderspool.Fingerprint]map[oleanderspool.InstanceID]bool),
-	}
-}
-
-// assigned records a placement.
-func (v *View) assigned(r oleanderspool.Request, instance oleanderspool.InstanceID) {
-	v.Outstanding[instance]++
-	tokens := int64(r.PromptCount)
-	v.Assigned[instance] = v.Assigned[instance].addUpTo(lengthClass(tokens), tokens)
-	if r.Fingerprint == 0 {
-		return
-	}
-	if v.Prefixes[r.Fingerprint] == nil {
-		v.Prefixes[r.Fingerprint] = make(map[oleanderspool.InstanceID]bool)
-	}
-	v.Prefixes[r.Fingerprint][instance] = true
+	return &View{Outstanding: make(map[oleanderspool.InstanceID]int)}
 }
 
-// Policies returns the baselines and then the policy of this repository.
+// Policies returns the baselines and then the policy of this repository,
+// without and with its admission control.
 func Policies() []Policy {
 	return []Policy{
-		{"round_robin_fcfs", func(Deployment, *View, *rand.Rand) Placement { return &roundRobin{} }, firstCome},
-		{"least_requests_fcfs", func(_ Deployment, v *View, _ *rand.Rand) Placement { return scored(leastRequests{v}) }, firstCome},
-		{"two_choices_fcfs", func(_ Deployment, _ *View, r *rand.Rand) Placement {
+		{Name: "round_robin_fcfs", Router: func(*View, *rand.Rand) Placement { return &roundRobin{} }, Queue: firstCome},
+		{Name: "least_requests_fcfs", Router: func(v *View, _ *rand.Rand) Placement { return scored(leastRequests{v}) }, Queue: firstCome},
+		{Name: "two_choices_fcfs", Router: func(_ *View, r *rand.Rand) Placement {
 			return sampled{scored(leastTokens{}), r, 2}
-		}, firstCome},
-		{"oleanderspool", func(_ Deployment, v *View, _ *rand.Rand) Placement { return scored(expectedDelay{v}) }, ordered},
+		}, Queue: firstCome},
+		{Name: "oleanderspool", Router: standard, Queue: ordered},
+		{Name: "oleanderspool_admission", Router: standard, Queue: ordered, Admission: admitting},
 	}
 }
 
+// standard returns the router of the entry process.
+func standard(_ *View, random *rand.Rand) Placement {
+	return standardRouter{routing.NewRouter(
+		routing.WithDistances(map[oleanderspool.DataCentreID]float64{dataCentre: networkDelay}),
+		routing.WithSeed(random.Uint64()),
+	)}
+}
+
+type standardRouter struct {
+	*routing.Router
+}
+
+// Place returns the choice of the router.
+func (s standardRouter) Place(q oleanderspool.Request, candidates []oleanderspool.BackendServer, now oleanderspool.Millis) (oleanderspool.BackendServer, bool) {
+	return s.Route(q, candidates, now)
+}
+
+// admitting returns the admission control of the entry process, for accounts
+// without limits.
+func admitting() *admission.Controller {
+	c := admission.New()
+	c.SetEntries(entryCount)
+	accounts := make([]configuration.ClientAccount, accountCount)
+	for i := range accounts {
+		accounts[i].ID = account(i)
+	}
+	c.ApplyAccounts(1, accounts, 0)
+	return c
+}
+
 func firstCome(Deployment) Scheduler { return newFCFS() }
 
 func ordered(d Deployment) Scheduler {
@@ -178,49 +188,6 @@
 	return float64(b.Load.QueuedTokens + b.Load.RunningTokens)
 }
 
-// The weight of longer work, which a request does not wait for but delays, for
-// short requests and others. Higher values keep requests away from servers
-// with long prompts, so they wait for each other more often.
-const (
-	longerWeightShort = 0.002
-	longerWeight      = 0.01
-)
-
-// The costs of a request that does not fit into memory at present: it waits
-// for the longer work too, and for its output.
-const (
-	memoryReserve = engineMemory * 6 / 100 // left free by long requests, in tokens
-	decodeSpan    = 10_000                 // milliseconds
-)
-
-// expectedDelay scores by the expected delay of the first token: the reported
-// and recently assigned work that goes first, and the request's own work
-// without a cached prefix, at the reported rate.
-type expectedDelay struct {
-	view *View
-}
-
-// Cost returns the expected delay in milliseconds.
-func (e expectedDelay) Cost(r oleanderspool.Request, b oleanderspool.BackendServer, _ oleanderspool.Millis) float64 {
-	class := lengthClass(int64(r.PromptCount))
-	ahead, assigned := e.view.Ahead[b.Instance], e.view.Assigned[b.Instance]
-	last := len(ahead) - 1
-	work := ahead[class] + assigned[class] + int64(r.PromptCount)
-	if e.view.Prefixes[r.Fingerprint][b.Instance] {
-		work -= e.view.PrefixTokens
-	}
-	longer := float64(ahead[last] + assigned[last] - ahead[class] - assigned[class])
-	rate := max(0.1, b.Load.PrefillRate)
-	if need := int64(r.PromptCount) + assigned[last]; need > b.Load.FreeTokens-memoryReserve && need > memoryReserve {
-		return (float64(work)+longer)/rate + decodeSpan
-	}
-	weight := longerWeight
-	if class == 0 {
-		weight = longerWeightShort
-	}
-	return (float64(work) + weight*longer) / rate
-}
-
 // fingerprint returns the fingerprint of a text.
 func fingerprint(text string) uint64 {
 	h := fnv.New64a()
@@ -297,3 +264,6 @@
 		PrefillRate:   fullRate,
 	}
 }
+
+// WaitingMemory returns 0, because the baselines do not look at memory.
+func (f *fcfs) WaitingMemory() int64 { return 0 }
