Spread requests over nearly equal servers

Entries with the same stale reports, and requests with the same prefix, all chose the same server among several that differ by a few milliseconds. A cost of up to 60 ms, at random by fingerprint and server, damps this. Copies of a request still agree. Tests that show what decides between equal servers leave the spread out.

--- a/internal/routing/decision.go
+++ b/internal/routing/decision.go
@@ -35,6 +35,7 @@
 			oleanderspool.Prioritize[oleanderspool.Scorer](d.affinity, PriorityAffinity),
 			oleanderspool.Prioritize(Memory(r.fallback, r.assignments), PriorityMemory),
 			oleanderspool.Prioritize(Distance(r.distances, DefaultUnknownDistance), PriorityDistance),
+			oleanderspool.Prioritize(Spread(r.spread), PrioritySpread),
 			oleanderspool.Prioritize[oleanderspool.Scorer](r.slowness, PrioritySlowness),
 			oleanderspool.Prioritize[oleanderspool.Scorer](r.assignments, PriorityAssignments),
 		),
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -26,6 +26,9 @@
 	// DefaultAffinityLimit bounds what a cached prefix is worth, in milliseconds
 	// of queue.
 	DefaultAffinityLimit oleanderspool.Millis = 500
+	// DefaultSpread bounds the cost that differs by request and server at random,
+	// in milliseconds.
+	DefaultSpread oleanderspool.Millis = 60
 	// DefaultUnknownDistance is the one-way distance of a data centre that the
 	// settings do not name, in milliseconds.
 	DefaultUnknownDistance = 20.0
@@ -51,6 +54,7 @@
 	PriorityDistance    = 400
 	PrioritySlowness    = 500
 	PriorityAssignments = 600
+	PrioritySpread      = 700
 )
 
 // Option configures the router that [NewRouter] returns.
@@ -95,6 +99,12 @@
 	return func(r *Router) { r.prefixTokens, r.affinityLimit = tokens, limit }
 }
 
+// WithSpread bounds the cost that differs by request and server at random, in
+// milliseconds. 0 leaves it out.
+func WithSpread(limit oleanderspool.Millis) Option {
+	return func(r *Router) { r.spread = limit }
+}
+
 // WithSampleAbove sets the number of candidates above which only a sample of
 // them is scored.
 func WithSampleAbove(candidates int) Option {
@@ -128,6 +138,7 @@
 	prefixTokens  int
 	affinityLimit oleanderspool.Millis
 	sampleAbove   int
+	spread        oleanderspool.Millis
 	addedFilters  []oleanderspool.Prioritized[oleanderspool.Filter]
 	addedScorers  []oleanderspool.Prioritized[oleanderspool.Scorer]
 
@@ -146,6 +157,7 @@
 		prefixTokens:  DefaultPrefixTokens,
 		affinityLimit: DefaultAffinityLimit,
 		sampleAbove:   DefaultSampleAbove,
+		spread:        DefaultSpread,
 		sampler:       newSampler(0),
 	}
 	for _, o := range options {
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -123,7 +123,7 @@
 	}
 	for _, c := range scored {
 		It("lets "+c.name+" decide", func() {
-			router := newRouter(routing.WithAffinity(0, 0))
+			router := newRouter(routing.WithAffinity(0, 0), routing.WithSpread(0))
 			if c.event != nil {
 				c.event(router)
 			}
@@ -176,7 +176,7 @@
 	for _, c := range classes {
 		// Guards against prompts that avoid work which they do not wait for.
 		It("sends "+c.name, func() {
-			router := newRouter(routing.WithAffinity(0, 0))
+			router := newRouter(routing.WithAffinity(0, 0), routing.WithSpread(0))
 			if c.event > 0 {
 				router.Assignments().Start("1", oleanderspool.Request{PromptCount: c.event}, "other", now)
 			}
@@ -237,7 +237,7 @@
 		for i := range list {
 			queued(0)(&list[i])
 		}
-		home, _ := newRouter(routing.WithAffinity(1024, 500)).Route(prompt("p"), list, now)
+		home, _ := newRouter(routing.WithAffinity(1024, 500), routing.WithSpread(0)).Route(prompt("p"), list, now)
 		counts := []struct {
 			queue int64
 			stays bool
@@ -248,7 +248,7 @@
 					queued(c.queue)(&list[i])
 				}
 			}
-			b, _ := newRouter(routing.WithAffinity(1024, 500)).Route(prompt("p"), list, now)
+			b, _ := newRouter(routing.WithAffinity(1024, 500), routing.WithSpread(0)).Route(prompt("p"), list, now)
 			Expect(b.Instance == home.Instance).To(Equal(c.stays), "queue %d", c.queue)
 		}
 	})
@@ -259,7 +259,7 @@
 		for i := range list {
 			list[i].Leaving = i != 1234
 		}
-		b, found := newRouter(routing.WithAffinity(1024, 500)).Route(prompt("p"), list, now)
+		b, found := newRouter(routing.WithAffinity(1024, 500), routing.WithSpread(0)).Route(prompt("p"), list, now)
 		Expect(found).To(BeTrue())
 		Expect(b.Instance).To(Equal(list[1234].Instance))
 	})
--- a/internal/routing/scorers.go
+++ b/internal/routing/scorers.go
@@ -1,6 +1,10 @@
 package routing
 
-import "github.com/oleanderspool/oleanderspool"
+import (
+	"math"
+
+	"github.com/oleanderspool/oleanderspool"
+)
 
 // ScorerFunc is a [oleanderspool.Scorer] made of a function.
 type ScorerFunc func(r oleanderspool.Request, b oleanderspool.BackendServer, now oleanderspool.Millis) float64
@@ -102,3 +106,17 @@
 		return 2 * way
 	})
 }
+
+// Spread costs up to limit milliseconds, at random by the fingerprint of the
+// request and the server. Entries that know the same stale reports then do not
+// all choose the same one of several nearly equal servers, and copies of a
+// request still agree. A service call costs nothing: it is too short for that.
+func Spread(limit oleanderspool.Millis) oleanderspool.Scorer {
+	return ScorerFunc(func(r oleanderspool.Request, b oleanderspool.BackendServer, _ oleanderspool.Millis) float64 {
+		if limit <= 0 || r.Kind == oleanderspool.KindService {
+			return 0
+		}
+		weight := Weight(uint64(r.Fingerprint), Hash(b.Instance))
+		return float64(limit) * float64(weight) / math.MaxUint64
+	})
+}
