Compare the slowness of a server with that of all

The queues delay an account that floods, and shorter requests overtake long ones, so attempts take longer than the router expects on every server. The cost now counts the ratio over the average of all servers.

--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -197,6 +197,21 @@
 		Expect(s.Ratio("s", 0)).To(Equal(1.0))
 	})
 
+	// Guards against a flood that makes every server look slow, and spreads no
+	// better for it.
+	It("finds no server slow when all take longer than expected", func() {
+		s := routing.NewSlowness(8)
+		for i := range 400 {
+			s.Observe(oleanderspool.InstanceID(fmt.Sprint(i%20)), 100, 1000, now)
+		}
+		Expect(s.Cost(prompt("p"), runner("1", nil), now)).To(BeZero())
+		for range 8 {
+			s.Observe("1", 100, 1, now)
+			s.Observe("slow", 100, 2000, now)
+		}
+		Expect(s.Cost(prompt("p"), runner("slow", nil), now)).To(BeNumerically(">", 0))
+	})
+
 	for _, n := range []int{20, 200, 2000} {
 		// Guards against copies of a request that crash several servers at once.
 		It(fmt.Sprintf("sends equal requests to one of %d servers, through any entry", n), func() {
--- a/internal/routing/slowness.go
+++ b/internal/routing/slowness.go
@@ -11,6 +11,9 @@
 	// slownessWeight is the weight of a new observation in the moving average.
 	// With it, about four observations decide.
 	slownessWeight = 0.3
+	// typicalWeight is the weight of a new observation in the average over all
+	// servers. With it, about fifty observations decide.
+	typicalWeight = 0.02
 	// slownessHalfLife is the span after which half of the measured slowness is
 	// forgotten, so that a server that recovered is tried again.
 	slownessHalfLife = 30 * oleanderspool.Second
@@ -30,6 +33,7 @@
 type Slowness struct {
 	mutex    sync.RWMutex
 	observed map[oleanderspool.InstanceID]slowness
+	typical  float64 // moving average of the ratio over all servers
 	fallback float64 // prefill rate without a report, in tokens per millisecond
 }
 
@@ -41,7 +45,7 @@
 // NewSlowness returns a scorer without observations. fallback is the prefill
 // rate of a server that reported none, in tokens per millisecond.
 func NewSlowness(fallback float64) *Slowness {
-	return &Slowness{observed: make(map[oleanderspool.InstanceID]slowness), fallback: fallback}
+	return &Slowness{observed: make(map[oleanderspool.InstanceID]slowness), typical: 1, fallback: fallback}
 }
 
 // Observe compares the time that an attempt took to make progress, for
@@ -53,6 +57,7 @@
 	sample = min(max(sample, 1), maxSlowness)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.typical += typicalWeight * (sample - s.typical)
 	ratio := s.observed[instance].decayed(now)
 	s.observed[instance] = slowness{ratio: ratio + slownessWeight*(sample-ratio), at: now}
 }
@@ -81,10 +86,19 @@
 	return 1 + (s.ratio-1)*math.Exp2(-halfLives)
 }
 
+// relative returns the ratio of an instance over that of all. Requests that wait
+// behind those of other accounts, or that shorter ones overtake, take longer than
+// expected on every server, which says nothing about any one of them.
+func (s *Slowness) relative(instance oleanderspool.InstanceID, now oleanderspool.Millis) float64 {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.observed[instance].decayed(now) / s.typical
+}
+
 // Cost returns the time by which the slowness prolongs the work in front of
 // the request and its own prefill, in milliseconds.
 func (s *Slowness) Cost(r oleanderspool.Request, b oleanderspool.BackendServer, now oleanderspool.Millis) float64 {
-	excess := s.Ratio(b.Instance, now) - slownessTolerance
+	excess := s.relative(b.Instance, now) - slownessTolerance
 	if excess <= 0 {
 		return 0
 	}
