Prefer servers that were sent a prefix lately

The affinity knew two preferred servers per prefix, chosen by hash. When they were busy, requests went to servers without the prefix even if the entry had sent it to others before. The entry now remembers for a minute where it sent a prefix, in a table of at most 4096 prefixes with 32 servers each.

--- a/internal/routing/assignments.go
+++ b/internal/routing/assignments.go
@@ -9,7 +9,7 @@
 // arrivalSpan is the time in milliseconds that an assignment needs to reach the
 // agent and to appear in its queue. Assignments that were made within this span
 // before the last report was taken may be missing in it.
-const arrivalSpan oleanderspool.Millis = 50
+const arrivalSpan oleanderspool.Millis = 25
 
 // Assignments holds the requests that this entry has in progress. It adds
 // those that a server's last report cannot contain to the server's load, so
@@ -23,6 +23,8 @@
 	fingerprints map[oleanderspool.Fingerprint]holder
 	fallback     float64
 	callTime     oleanderspool.Millis
+	prefixTokens int // length of the prefix that decides affinity, in tokens
+	prefixes     recentPrefixes
 }
 
 type assignment struct {
@@ -51,6 +53,8 @@
 		fingerprints: make(map[oleanderspool.Fingerprint]holder),
 		fallback:     fallback,
 		callTime:     callTime,
+		prefixTokens: DefaultPrefixTokens,
+		prefixes:     newRecentPrefixes(),
 	}
 }
 
@@ -63,6 +67,7 @@
 		n.tokens = int64(r.PromptCount)
 		n.memory = Need(r)
 	}
+	key := prefixKey(r, a.prefixTokens)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if _, known := a.requests[attempt]; known {
@@ -71,6 +76,17 @@
 	a.requests[attempt] = n
 	a.servers[instance] = append(a.servers[instance], n)
 	a.hold(n)
+	if !n.service {
+		a.prefixes.add(key, instance, now)
+	}
+}
+
+// appendPrefixHolders appends the instances that were sent a prefix lately to a
+// list.
+func (a *Assignments) appendPrefixHolders(list []oleanderspool.InstanceID, key uint64, now oleanderspool.Millis) []oleanderspool.InstanceID {
+	a.mutex.RLock()
+	defer a.mutex.RUnlock()
+	return a.prefixes.appendTo(list, key, now)
 }
 
 // hold counts an assignment for the server that runs its fingerprint. A
--- a/internal/routing/prefix.go
+++ b/internal/routing/prefix.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -68,12 +69,14 @@
 	callTime oleanderspool.Millis // cost of a service call
 	first    oleanderspool.InstanceID
 	second   oleanderspool.InstanceID
+	holders  []oleanderspool.InstanceID // servers that were sent the prefix lately
 }
 
-// Cost returns 0 for the first preference, half the saving for the second and
+// Cost returns 0 for the first preference and for servers that this entry has
+// sent the prefix lately, half the saving for the second and
 // the whole saving for the others.
 func (a *affinity) Cost(r oleanderspool.Request, b oleanderspool.BackendServer, _ oleanderspool.Millis) float64 {
-	if b.Instance == a.first {
+	if b.Instance == a.first || slices.Contains(a.holders, b.Instance) {
 		return 0
 	}
 	saving := a.saving(r, b)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -165,6 +165,7 @@
 	}
 	r.slowness = NewSlowness(r.fallback)
 	r.assignments = NewAssignments(r.fallback, r.callTime)
+	r.assignments.prefixTokens = r.prefixTokens
 	r.decisions.New = func() any { return r.newDecision() }
 	return r
 }
@@ -197,7 +198,8 @@
 	if i := r.holder(q, candidates, allowed); i >= 0 {
 		return candidates[i], true
 	}
-	p := prefer(prefixKey(q, r.prefixTokens), candidates, allowed)
+	key := prefixKey(q, r.prefixTokens)
+	p := prefer(key, candidates, allowed)
 	if p.first < 0 {
 		return oleanderspool.BackendServer{}, false
 	}
@@ -205,6 +207,7 @@
 	if p.second >= 0 {
 		d.affinity.second = candidates[p.second].Instance
 	}
+	d.affinity.holders = r.assignments.appendPrefixHolders(d.affinity.holders[:0], key, now)
 	if len(candidates) > r.sampleAbove {
 		candidates = r.sample(d, candidates, p, allowed)
 	}
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -268,6 +270,46 @@
 		}
 	})
 
+	// Guards against a prefix that is computed again although a server beside the
+	// preferred ones was sent it lately, and against one that is remembered for
+	// longer than engines keep it.
+	It("prefers servers that were sent the prefix lately", func() {
+		router := newRouter(routing.WithSpread(0))
+		list := runners(20)
+		for i := range list {
+			queued(0)(&list[i])
+		}
+		home, _ := router.Route(prompt("p"), list, now)
+		other := list[slices.IndexFunc(list, func(b oleanderspool.BackendServer) bool { return b.Instance != home.Instance })]
+		router.Assignments().Start("1", prompt("p"), other.Instance, now-500)
+		router.Assignments().End("1")
+		queued(200)(&list[slices.IndexFunc(list, func(b oleanderspool.BackendServer) bool { return b.Instance == home.Instance })])
+		b, _ := router.Route(prompt("p"), list, now)
+		Expect(b.Instance).To(Equal(other.Instance))
+		for i := range list {
+			list[i].ReportedAt += oleanderspool.Minute
+		}
+		b, _ = router.Route(prompt("p"), list, now+oleanderspool.Minute)
+		Expect(b.Instance).To(Equal(home.Instance))
+	})
+
+	// Guards against a table of prefixes that grows with the requests.
+	It("bounds the prefixes that it remembers", func() {
+		var before, after runtime.MemStats
+		a := routing.NewAssignments(8, 5)
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range 100_000 {
+			id := oleanderspool.AttemptID(fmt.Sprint(i))
+			a.Start(id, prompt(string(id)), "s", oleanderspool.Millis(i))
+			a.End(id)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		Expect(int64(after.HeapAlloc) - int64(before.HeapAlloc)).To(BeNumerically("<", 4<<20))
+		runtime.KeepAlive(a)
+	})
+
 	// Guards against a sample of servers that may not be chosen.
 	It("finds the only allowed one of many candidates", func() {
 		list := runners(2000)
