Leave the longest prompts to their time limits

A horizon of 32 s for prompts above 100,000 tokens refused up to 13 of them in a trace (bursts), although every one that was admitted finished within its limit. It is now 128 s, and that of the class below 32 s in place of 16 s.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -29,7 +29,7 @@
 // prompts have longer time limits and more work in progress at the same load:
 // with one horizon for all, a fifth of the requests was refused at 80%
 // utilisation.
-var horizonFactors = [classCount]float64{1, 4, 8, 16}
+var horizonFactors = [classCount]float64{1, 4, 16, 64}
 
 // contendedPart is the part of the bound of requests from which on accounts
 // contend for them. The other half is left to accounts within their shares.
