Tell the queue the size of the engine's memory

The queue of an agent was built without the memory of the engine, which is known only once the engine has answered.

--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -23,6 +23,7 @@
 		return
 	}
 	a.setReport(report)
+	a.queue.SetMemory(report.SizeTokens)
 	a.ledger.Restarted(report.SizeTokens, report.Started, requested)
 	a.ledger.Rebuild(report.SizeTokens, memory.List{Entries: entries, Requested: requested, Started: report.Started}, a.clock.Now())
 }
@@ -52,6 +53,7 @@
 	}
 	now := a.clock.Now()
 	a.setReport(report)
+	a.queue.SetMemory(report.SizeTokens)
 	a.ledger.Restarted(report.SizeTokens, report.Started, now)
 	a.ledger.Expire(now)
 	a.ledger.Reconcile(memory.List{Entries: entries, Requested: requested, Started: report.Started}, now)
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -199,6 +199,10 @@
 	return a
 }
 
+// SetMemory sets the engine's memory in tokens, as [WithMemory] does, once it is
+// known. 0 means unbounded.
+func (q *Queue) SetMemory(tokens int64) { q.settings.memory = tokens }
+
 // WaitingMemory returns the engine memory that the waiting items need, in
 // tokens.
 func (q *Queue) WaitingMemory() int64 { return q.memory }
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -356,3 +356,16 @@
 		Expect(q.WaitingMemory()).To(BeZero())
 	})
 })
+
+// Guards against an agent whose queue never learns the size of its engine, so
+// that a prompt which can never fit blocks the queue.
+var _ = Describe("SetMemory", func() {
+	It("refuses what cannot fit", func() {
+		q := queue.New(queue.WithPrefillRate(10))
+		q.SetMemory(1000)
+		err := q.Push(queue.Item{Attempt: "a", PromptTokens: 1000, MemoryTokens: 1001}, 0)
+		var refusal *oleanderspool.Refusal
+		Expect(errors.As(err, &refusal)).To(BeTrue())
+		Expect(refusal.Reason).To(Equal(oleanderspool.RefusalPromptTooLong))
+	})
+})
