Move short_request_weight to the agent and add watch_limit

short_request_weight was read by the entry, which has no use for it; the queue of the agent decides. The entry gets limits.watch_limit, the agents that it watches, in place of limits.watches, which nothing used.

queue.work_tokens still has no effect: the queue has no such bound.

--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -58,7 +58,7 @@
 		agent.WithMetrics(metrics),
 		agent.WithHeartbeat(s.Heartbeat),
 		agent.WithLimits(limits),
-		agent.WithQueue(queue.WithCapacity(s.Queue.Requests)),
+		agent.WithQueue(queueOptions(s.Queue)...),
 		agent.WithWeightStore(platform.NewClient(s.Platform.String())),
 		agent.WithVersion(Version),
 	}
@@ -90,3 +90,16 @@
 	})
 	return group.Wait()
 }
+
+// queueOptions maps the settings of the queue. The engine's memory is not a
+// setting: the agent learns it from the engine.
+func queueOptions(s settings.Queue) []queue.Option {
+	options := []queue.Option{
+		queue.WithCapacity(s.Requests),
+		queue.WithShortRequestWeight(s.ShortRequestWeight),
+	}
+	if s.LongShare > 0 {
+		options = append(options, queue.WithLongShare(s.LongShare))
+	}
+	return options
+}
--- a/internal/command/deployment_test.go
+++ b/internal/command/deployment_test.go
@@ -122,7 +122,7 @@
 func (d *deployment) startEntry(instance string) {
 	callers, peers := freeAddress(), freeAddress()
 	d.admins[instance] = freeAddress()
-	d.start(instance, fmt.Sprintf("instance = %q\ndata_centre = \"dc-a\"\nlisten = %q\npeer_listen = %q\nadmin_listen = %q\nplatform = %q\npeers = []\nshort_request_weight = 0.5\nkey_lifetime_ms = 21600000\nlog_retention_ms = 86400000\n",
+	d.start(instance, fmt.Sprintf("instance = %q\ndata_centre = \"dc-a\"\nlisten = %q\npeer_listen = %q\nadmin_listen = %q\nplatform = %q\npeers = []\nkey_lifetime_ms = 21600000\nlog_retention_ms = 86400000\n",
 		instance, callers, peers, d.admins[instance], d.platform), "entry")
 	d.waitFor(callers)
 	d.entries = append(d.entries, "http://"+callers)
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -68,6 +68,7 @@
 		entry.WithRetryBudget(retry.NewBudget(s.RetryBudget.Fraction, s.RetryBudget.Reserve)),
 		entry.WithVersion(Version),
 		entry.WithRetention(s.LogRetention),
+		entry.WithWatchLimit(s.Limits.WatchLimit),
 		entry.WithPeers(addressTexts(s.Peers)...),
 	)
 	limits := caller.DefaultLimits
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -14,7 +14,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/entry"
 	"github.com/oleanderspool/oleanderspool/internal/platform"
+	"github.com/oleanderspool/oleanderspool/internal/queue"
 	"github.com/oleanderspool/oleanderspool/internal/settings"
 	"github.com/oleanderspool/oleanderspool/internal/standin/engine"
 	standplatform "github.com/oleanderspool/oleanderspool/internal/standin/platform"
@@ -135,7 +137,7 @@
 		Identity:  fleetIdentity(instance, i),
 		Platform:  platform,
 		Log:       quietLog,
-		Queue:     settings.Queue{Requests: 10_000},
+		Queue:     settings.Queue{Requests: 10_000, ShortRequestWeight: queue.DefaultShortRequestWeight},
 		Heartbeat: oleanderspool.Second,
 		Reattach:  10 * oleanderspool.Second,
 	}
@@ -174,7 +176,7 @@
 		Identity:     fleetIdentity(fmt.Sprintf("entry-%d", i+1), i),
 		Platform:     platform,
 		Log:          quietLog,
-		Limits:       settings.Limits{BodyBytes: 16 << 20, HeaderBytes: 64 << 10, ReadTimeout: 30 * oleanderspool.Second},
+		Limits:       settings.Limits{BodyBytes: 16 << 20, HeaderBytes: 64 << 10, ReadTimeout: 30 * oleanderspool.Second, WatchLimit: entry.DefaultWatchLimit},
 		KeyLifetime:  oleanderspool.Hour / 2,
 		LogRetention: oleanderspool.Hour,
 		RetryBudget:  settings.RetryBudget{Fraction: 0.1, Reserve: 10},
--- a/internal/command/publish_test.go
+++ b/internal/command/publish_test.go
@@ -116,7 +116,7 @@
 		DeferCleanup(d.clearFaults, d.platform)
 		callers, peers := freeAddress(), freeAddress()
 		d.admins["entry-3"] = freeAddress()
-		d.start("entry-3", fmt.Sprintf("instance = \"entry-3\"\ndata_centre = \"dc-a\"\nlisten = %q\npeer_listen = %q\nadmin_listen = %q\nplatform = %q\npeers = [%q]\nshort_request_weight = 0.5\nkey_lifetime_ms = 21600000\nlog_retention_ms = 86400000\n",
+		d.start("entry-3", fmt.Sprintf("instance = \"entry-3\"\ndata_centre = \"dc-a\"\nlisten = %q\npeer_listen = %q\nadmin_listen = %q\nplatform = %q\npeers = [%q]\nkey_lifetime_ms = 21600000\nlog_retention_ms = 86400000\n",
 			callers, peers, d.admins["entry-3"], d.platform, d.list[2].Address), "entry")
 		Eventually(func() int64 { return d.revisionOf("entry-3") }, 13*time.Second, 100*time.Millisecond).Should(Equal(int64(4)))
 	})
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -25,9 +25,14 @@
 
 // Queue bounds the agent's queue.
 type Queue struct {
-	Requests  int     // requests waiting
-	Tokens    int64   // prompt work waiting, in tokens
-	LongShare float64 // largest share of a step for long prompts while short ones wait
+	Requests int   // requests waiting
+	Tokens   int64 // prompt work waiting, in tokens
+	// ShortRequestWeight is the weight of the slowdown of short requests
+	// against time to first token of all lengths, from 0 to 1.
+	ShortRequestWeight float64
+	// LongShare is the part of the prefill capacity for due long prompts while
+	// short ones wait; 0 leaves it to ShortRequestWeight.
+	LongShare float64
 }
 
 // ParseAgent reads the settings of an agent. It returns an error of type
@@ -54,9 +59,11 @@
 	a.Reattach = r.millis("reattach_ms", 10*oleanderspool.Second, oleanderspool.Second, 5*oleanderspool.Minute)
 	a.Log = readLog(r)
 	a.Queue = Queue{
-		Requests:  int(r.integer("queue.requests", "requests", 1000, 1, 1_000_000)),
-		Tokens:    r.integer("queue.work_tokens", "tokens", 4_000_000, 1000, 1_000_000_000),
-		LongShare: r.number("queue.long_share", "", 0.5, 0.01, 1),
+		Requests: int(r.integer("queue.requests", "requests", 1000, 1, 1_000_000)),
+		Tokens:   r.integer("queue.work_tokens", "tokens", 4_000_000, 1000, 1_000_000_000),
+
+		ShortRequestWeight: r.number("queue.short_request_weight", "", 0.5, 0, 1),
+		LongShare:          r.numberOr("queue.long_share", "by queue.short_request_weight", 0.01, 1),
 	}
 	distinctListeners(r, "peer_listen", "admin_listen")
 	return a
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -12,27 +12,24 @@
 // Entry holds the settings of an entry.
 type Entry struct {
 	Identity
-	Listen      netip.AddrPort   // HTTP for callers
-	PeerListen  netip.AddrPort   // drpc for other processes of the system
-	AdminListen netip.AddrPort   // HTTP for operators
-	Platform    netip.AddrPort   // HTTP of the platform
-	Peers       []netip.AddrPort // drpc of other entries, asked when the platform is down
-	Log         Log
-	Limits      Limits
-	// ShortRequestWeight is the weight of the slowdown of short requests
-	// against time to first token of all lengths, from 0 to 1.
-	ShortRequestWeight float64
-	KeyLifetime        oleanderspool.Millis // validity of idempotency keys
-	LogRetention       oleanderspool.Millis // retention of the platform's log
-	RetryBudget        RetryBudget
+	Listen       netip.AddrPort   // HTTP for callers
+	PeerListen   netip.AddrPort   // drpc for other processes of the system
+	AdminListen  netip.AddrPort   // HTTP for operators
+	Platform     netip.AddrPort   // HTTP of the platform
+	Peers        []netip.AddrPort // drpc of other entries, asked when the platform is down
+	Log          Log
+	Limits       Limits
+	KeyLifetime  oleanderspool.Millis // validity of idempotency keys
+	LogRetention oleanderspool.Millis // retention of the platform's log
+	RetryBudget  RetryBudget
 }
 
-// Limits bounds what one caller may use.
+// Limits bounds what one caller may use, and what the entry follows.
 type Limits struct {
 	BodyBytes   int64                // largest body of a request
 	HeaderBytes int64                // largest header of a request
 	ReadTimeout oleanderspool.Millis // span within which a caller must send a request
-	Watches     int                  // concurrent requests, and streams to follow, at one entry
+	WatchLimit  int                  // agents that the entry watches
 }
 
 // RetryBudget bounds retries, so that they do not overload a failing fleet.
@@ -56,7 +53,6 @@
 		Platform:    r.address("platform"),
 		Peers:       r.addresses("peers"),
 	}
-	e.ShortRequestWeight = r.number("short_request_weight", "", 0.5, 0, 1)
 	e.KeyLifetime = r.millis("key_lifetime_ms", 6*oleanderspool.Hour, oleanderspool.Minute, 15*day)
 	e.LogRetention = r.millis("log_retention_ms", day, 2*oleanderspool.Minute, 30*day)
 	e.Log = readLog(r)
@@ -64,7 +60,7 @@
 		BodyBytes:   r.integer("limits.body_bytes", "bytes", 16<<20, 1<<10, 256<<20),
 		HeaderBytes: r.integer("limits.header_bytes", "bytes", 32<<10, 1<<10, 1<<20),
 		ReadTimeout: r.millis("limits.read_timeout_ms", 30*oleanderspool.Second, 100, 10*oleanderspool.Minute),
-		Watches:     int(r.integer("limits.watches", "requests", 10_000, 1, 1_000_000)),
+		WatchLimit:  int(r.integer("limits.watch_limit", "agents", 40, 1, 100_000)),
 	}
 	e.RetryBudget = RetryBudget{
 		Fraction: r.number("retry_budget.fraction", "retries per admitted request", 0.1, 0, 1),
--- a/internal/settings/reader.go
+++ b/internal/settings/reader.go
@@ -109,14 +109,24 @@
 
 // number reads a number from low to high.
 func (r *reader) number(name, unit string, preset, low, high float64) float64 {
-	key := Key{Name: name, Type: "number", Unit: unit, Default: fmt.Sprint(preset), Range: fmt.Sprintf("%v to %v", low, high)}
+	return r.oneNumber(Key{Name: name, Type: "number", Unit: unit, Default: fmt.Sprint(preset)}, preset, low, high)
+}
+
+// numberOr reads a number without a unit. Without the key it returns 0, which
+// another key explains.
+func (r *reader) numberOr(name, otherwise string, low, high float64) float64 {
+	return r.oneNumber(Key{Name: name, Type: "number", Default: otherwise}, 0, low, high)
+}
+
+func (r *reader) oneNumber(key Key, preset, low, high float64) float64 {
+	key.Range = fmt.Sprintf("%v to %v", low, high)
 	v, found := r.find(key, unstable.Float, unstable.Integer)
 	if !found {
 		return preset
 	}
 	n, err := strconv.ParseFloat(strings.ReplaceAll(v.text, "_", ""), 64)
 	if err != nil || math.IsNaN(n) || n < low || n > high {
-		r.add(v.line, name, fmt.Sprintf("%s is not in the range %s", v.text, key.Range))
+		r.add(v.line, key.Name, fmt.Sprintf("%s is not in the range %s", v.text, key.Range))
 		return preset
 	}
 	return n
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -70,7 +70,7 @@
 		Expect(e.Identity).To(Equal(settings.Identity{Instance: "entry-1", DataCentre: "dc-a"}))
 		Expect(e.Peers).To(Equal([]netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:7081"), netip.MustParseAddrPort("127.0.0.1:7082")}))
 		Expect(e.Log).To(Equal(settings.Log{Level: slog.LevelInfo, Format: "text"}))
-		Expect(e.Limits).To(Equal(settings.Limits{BodyBytes: 16 << 20, HeaderBytes: 32 << 10, ReadTimeout: 30_000, Watches: 10_000}))
+		Expect(e.Limits).To(Equal(settings.Limits{BodyBytes: 16 << 20, HeaderBytes: 32 << 10, ReadTimeout: 30_000, WatchLimit: 40}))
 		Expect(e.KeyLifetime).To(Equal(6 * oleanderspool.Hour))
 		Expect(e.RetryBudget).To(Equal(settings.RetryBudget{Fraction: 0.1, Reserve: 10}))
 	})
