Split the run of an attempt and report more often in small fleets

The loop that runs an attempt had grown by suspects, trials and resumed prompts; it is now its own type with one function that decides what follows from the end of a stream.

Entries now ask for 250 ms with up to 10 watched agents, 500 ms with up to 20 and a second with more: at most 40 reports/s in all.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -104,7 +104,8 @@
 	return func(e *Entry) { e.watchLimit = agents }
 }
 
-// WithWatchInterval sets how often a watched agent reports, in milliseconds.
+// WithWatchInterval sets the longest interval between reports of a watched
+// agent, in milliseconds. Entries that watch few agents ask for shorter ones.
 func WithWatchInterval(span oleanderspool.Millis) Option {
 	return func(e *Entry) { e.watchEvery = span }
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -77,7 +77,7 @@
 	assembler *attempt.Assembler
 	history   retry.History
 	started   bool                        // a piece was passed on
-	server    oleanderspool.BackendServer // of the current attempt
+	chosen    oleanderspool.BackendServer // server of the current attempt
 	expected  oleanderspool.Millis        // span until its first piece
 	sentAt    oleanderspool.Millis
 	group     *reservation // engines that serve the prompt together; nil for one
@@ -127,71 +127,6 @@
 	return nil
 }
 
-// runOn runs one attempt on a server until it is complete, the request is
-// refused, or another attempt is to be made.
-func (x *exchange) runOn(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID) (done bool, refusal *oleanderspool.Refusal) {
-	a, refusal := x.checkSuspect(ctx, server, id)
-	if refusal != nil {
-		return true, refusal
-	}
-	x.server, x.sentAt = server, x.entry.clock.Now()
-	x.expected = x.entry.router.Expect(x.request, server, x.sentAt)
-	assignments := x.entry.router.Assignments()
-	assignments.Start(id, x.request, server.Instance, x.sentAt)
-	defer assignments.End(id)
-	x.entry.bringUpToDate(ctx, server)
-	call := x.call(server, id)
-	call.Trial = a.trial
-	running, stop := x.watchSuspicion(ctx, a, id)
-	defer stop()
-	end := x.open(running, server, call)
-	resumed := end.running != nil
-	if resumed {
-		id = end.running.attempt
-		x.assembler = attempt.NewAssembler(end.running.request, id, true)
-		end = x.attach(running, server, id)
-	}
-	crashed := false
-	defer func() { x.endTrial(a, id, end.complete, crashed) }()
-	for {
-		if end.complete {
-			return true, nil
-		}
-		if ctx.Err() != nil {
-			return true, x.abandon(ctx, server, id)
-		}
-		if running.Err() != nil {
-			go x.cancel(server, id)
-			return false, nil // runs again as a trial
-		}
-		if end.state == attempt.StateUnknown {
-			end = x.bar(running, server, id)
-			continue
-		}
-		if resumed && end.refusal != nil {
-			x.noteCrash(a, id, &end)
-			return false, nil // its limits were those of the earlier submission
-		}
-		if end.refusal != nil && end.failure.Reason == "" {
-			return true, x.worsen(end.refusal)
-		}
-		crashed = x.noteCrash(a, id, &end)
-		decision := x.decide(server, end)
-		if decision.Action == retry.Attach {
-			x.entry.metrics.Retried(decision.Reason)
-			end = x.attach(running, server, id)
-			continue
-		}
-		crashed = crashed || x.noteLoss(server, end)
-		if decision.Action == retry.Refuse {
-			return true, decision.Refusal
-		}
-		x.entry.metrics.Retried(decision.Reason)
-		sleep(ctx, decision.Delay)
-		return false, nil
-	}
-}
-
 // call returns the message that starts an attempt.
 func (x *exchange) call(server oleanderspool.BackendServer, id oleanderspool.AttemptID) peer.RunCall {
 	r := x.request
@@ -316,7 +251,7 @@
 	if x.request.Kind == oleanderspool.KindModel {
 		now := e.clock.Now()
 		e.metrics.FirstToken(x.request.PromptCount, now-x.arrived)
-		e.router.Slowness().Observe(x.server.Instance, x.expected, now-x.sentAt, now)
+		e.router.Slowness().Observe(x.chosen.Instance, x.expected, now-x.sentAt, now)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -21,8 +21,10 @@
 	table     *membership.Table
 	addresses map[oleanderspool.InstanceID]string
 	watches   map[oleanderspool.InstanceID]context.CancelFunc
-	listed    bool        // a list was received
-	warm      atomic.Bool // the agents have reported, or had the time to
+	interval  oleanderspool.Millis // between reports of a watched agent
+	renew     chan struct{}        // closed when the interval changes
+	listed    bool                 // a list was received
+	warm      atomic.Bool          // the agents have reported, or had the time to
 }
 
 // rewatchDelay is the span between two connections to an agent that does not
@@ -35,6 +37,8 @@
 		table:     table,
 		addresses: make(map[oleanderspool.InstanceID]string),
 		watches:   make(map[oleanderspool.InstanceID]context.CancelFunc),
+		interval:  e.watchEvery,
+		renew:     make(chan struct{}),
 	}
 }
 
@@ -99,9 +103,36 @@
 	m.entry.mu.Unlock()
 }
 
+// reportsPerSecond bounds the reports of all watched agents together. At about
+// 130 bytes each they take 5.2 of the 6 KB/s for control.
+const reportsPerSecond = 40
+
+// reportSteps are the intervals between reports that a small fleet can afford.
+// Fresher reports let the router spread short requests better.
+var reportSteps = []oleanderspool.Millis{250, 500}
+
+// setInterval adapts the interval between reports to the number of watched
+// agents and opens the watches again when it changes.
+func (m *members) setInterval(agents int) {
+	interval := m.entry.watchEvery
+	for _, step := range reportSteps {
+		if step < interval && agents*int(oleanderspool.Second) <= reportsPerSecond*int(step) {
+			interval = step
+			break
+		}
+	}
+	if interval == m.interval {
+		return
+	}
+	m.interval = interval
+	close(m.renew)
+	m.renew = make(chan struct{})
+}
+
 // adjust opens and closes watches so that they match the choice.
 func (m *members) adjust(ctx context.Context, now oleanderspool.Millis) {
 	chosen := m.table.ChooseWatches(m.entry.instance, m.entry.dataCentre, m.entry.watchLimit)
+	m.setInterval(len(chosen.Instances))
 	wanted := make(map[oleanderspool.InstanceID]bool, len(chosen.Instances))
 	for _, id := range chosen.Instances {
 		wanted[id] = true
@@ -128,26 +159,34 @@
 		m.mu.Lock()
 		address := m.addresses[id]
 		stream, ok := m.table.OpenStream(id)
+		interval, renew := m.interval, m.renew
 		m.mu.Unlock()
 		if ok {
-			m.follow(ctx, address, stream)
+			m.follow(ctx, address, stream, interval, renew)
 		}
 		sleep(ctx, rewatchDelay)
 	}
 }
 
-// follow applies the reports of one watch stream until it breaks or goes
-// silent.
-func (m *members) follow(ctx context.Context, address string, stream membership.Stream) {
+// follow applies the reports of one watch stream until it breaks, goes silent
+// or is to be opened again.
+func (m *members) follow(ctx context.Context, address string, stream membership.Stream, interval oleanderspool.Millis, renew <-chan struct{}) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go func() {
+		select {
+		case <-renew:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	silence := time.AfterFunc(membership.DefaultSuspectAfter.Duration(), cancel)
 	defer silence.Stop()
 	opened := m.entry.clock.Now()
 	var first oleanderspool.Millis // the agent's clock in the first report
 	client, err := m.entry.peers.Agent(address).Watch(ctx, &peerpb.WatchRequest{
 		Revision:   int64(m.entry.configuration.Revision()),
-		IntervalMs: int64(m.entry.watchEvery),
+		IntervalMs: int64(interval),
 	})
 	if err != nil {
 		m.entry.peers.Discard(address)
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -244,16 +244,9 @@
 	s.hasten()
 }
 
-// admitted is the answer of checkSuspect: where an attempt runs and whether it
-// runs alone.
-type admitted struct {
-	server oleanderspool.BackendServer
-	trial  bool
-}
-
-// checkSuspect waits until the request may run: at once as a rule, and alone
-// after it was in flight on a server that crashed.
-func (x *exchange) checkSuspect(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID) (admitted, *oleanderspool.Refusal) {
+// checkSuspect waits until the request may run: at once as a rule, and as a
+// trial, alone on its server, after it was in flight on a server that crashed.
+func (x *exchange) checkSuspect(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID) (trial bool, refusal *oleanderspool.Refusal) {
 	e := x.entry
 	for {
 		verdict, changed := e.suspects.check(suspect.Query{
@@ -266,19 +259,19 @@
 		})
 		switch verdict.Action {
 		case suspect.Run:
-			return admitted{server: server}, nil
+			return false, nil
 		case suspect.RunTrial:
 			e.metrics.Retried(oleanderspool.RetrySuspectTrial)
-			return admitted{server: server, trial: true}, nil
+			return true, nil
 		case suspect.Refuse:
-			return admitted{}, x.worsen(verdict.Refusal)
+			return false, x.worsen(verdict.Refusal)
 		}
 		timer := time.NewTimer(max(1, verdict.Until-e.clock.Now()).Duration())
 		select {
 		case <-ctx.Done():
 			timer.Stop()
 			e.suspects.withdraw(id)
-			return admitted{}, x.ended(ctx)
+			return false, x.ended(ctx)
 		case <-changed:
 		case <-timer.C:
 		}
@@ -297,56 +290,56 @@
 
 // watchSuspicion returns a context that ends when the request becomes a suspect
 // while it runs, unless it must not run again or runs alone already.
-func (x *exchange) watchSuspicion(ctx context.Context, a admitted, id oleanderspool.AttemptID) (context.Context, func()) {
+func (r *run) watchSuspicion(ctx context.Context) (context.Context, func()) {
 	running, cancel := context.WithCancel(ctx)
-	if a.trial || !x.request.Idempotent {
+	if r.trial || !r.request.Idempotent {
 		return running, cancel
 	}
-	s := x.entry.suspects
-	s.started(x.request.Fingerprint, id, cancel)
+	s, fingerprint, id := r.entry.suspects, r.request.Fingerprint, r.id
+	s.started(fingerprint, id, cancel)
 	return running, func() {
-		s.ended(x.request.Fingerprint, id)
+		s.ended(fingerprint, id)
 		cancel()
 	}
 }
 
-// noteCrash takes a crash of the engine that ended an attempt. It reports
-// whether there was one.
-func (x *exchange) noteCrash(a admitted, id oleanderspool.AttemptID, end *ending) bool {
+// noteCrash takes a crash of the engine that ended the attempt.
+func (r *run) noteCrash(end *ending) {
 	if end.refusal == nil || end.refusal.Crash == "" {
-		return false
+		return
 	}
-	c := peer.Crash{ID: end.refusal.Crash, Fingerprints: []oleanderspool.Fingerprint{x.request.Fingerprint}}
-	if a.trial {
-		c.Trial = id
+	c := peer.Crash{ID: end.refusal.Crash, Fingerprints: []oleanderspool.Fingerprint{r.request.Fingerprint}}
+	if r.trial {
+		c.Trial = r.id
 	}
-	x.entry.suspects.crashed(c, true)
+	r.entry.suspects.crashed(c, true)
 	end.failure.Suspect = true
-	return true
+	r.crashed = true
 }
 
-// noteLoss takes the loss of a server that ran an attempt. It reports whether
-// the request may have caused it.
-func (x *exchange) noteLoss(server oleanderspool.BackendServer, end ending) bool {
+// noteLoss takes the loss of the server that ran the attempt.
+func (r *run) noteLoss(end ending) {
 	reason := end.failure.Reason
 	lost := reason == oleanderspool.RetryStreamSilent || reason == oleanderspool.RetryAgentDied
-	if !lost || end.notSent || x.request.Kind != oleanderspool.KindModel {
-		return false
+	if !lost || end.notSent || r.request.Kind != oleanderspool.KindModel {
+		return
+	}
+	if r.entry.suspects.vanished(r.server, r.request.Fingerprint) {
+		r.crashed = true
 	}
-	return x.entry.suspects.vanished(server, x.request.Fingerprint)
 }
 
 // endTrial tells what a trial has shown about its request.
-func (x *exchange) endTrial(a admitted, id oleanderspool.AttemptID, complete, crashed bool) {
-	if !a.trial {
+func (r *run) endTrial(complete bool) {
+	if !r.trial {
 		return
 	}
 	outcome := suspect.OutcomeEnded
 	switch {
 	case complete:
 		outcome = suspect.OutcomeFinished
-	case crashed:
+	case r.crashed:
 		outcome = suspect.OutcomeCrashed
 	}
-	x.entry.suspects.trialEnded(id, outcome)
+	r.entry.suspects.trialEnded(r.id, outcome)
 }
