--- a/internal/command/faults_test.go
+++ b/internal/command/faults_test.go
@@ -30,6 +30,9 @@
 	answerGrace  = 3 * oleanderspool.Second
 )
 
+// maxComplaints bounds what a failed run prints.
+const maxComplaints = 20
+
 // failure is a fault that starts and ends.
 type failure struct {
 	name  string
@@ -100,7 +103,9 @@
 func (c *callers) fail(format string, args ...any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.bad = append(c.bad, fmt.Sprintf(format, args...))
+	if len(c.bad) < maxComplaints {
+		c.bad = append(c.bad, fmt.Sprintf(format, args...))
+	}
 }
 
 // run sends requests one after the other until stop is closed.
