--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -43,45 +43,45 @@
 
 // Agent is one agent process. It is safe for concurrent use.
 type Agent struct {
-	identity    oleanderspool.BackendServer
-	incarnation oleanderspool.Incarnation
-	engine      oleanderspool.Engine
-	service     oleanderspool.Service
-	clock       oleanderspool.Clock
-	logger      *slog.Logger
-	metrics     *observe.Metrics
-	heartbeat   oleanderspool.Millis
-	reportEvery oleanderspool.Millis
-	limits      attempt.Limits
-	queueKnobs  []queue.Option
-	maxCalls    int
-	version     string
-	artefacts   oleanderspool.WeightStore
-	peers       *peer.Client
-	entries     []string
+	identity     oleanderspool.BackendServer
+	incarnation  oleanderspool.Incarnation
+	engine       oleanderspool.Engine
+	service      oleanderspool.Service
+	clock        oleanderspool.Clock
+	logger       *slog.Logger
+	metrics      *observe.Metrics
+	heartbeat    oleanderspool.Millis
+	reportEvery  oleanderspool.Millis
+	limits       attempt.Limits
+	queueOptions []queue.Option
+	maxCalls     int
+	version      string
+	artefacts    oleanderspool.WeightStore
+	peers        *peer.Client
+	entries      []string
 
 	mu            sync.Mutex
 	attempts      *attempt.Table
 	queue         *queue.Queue
 	ledger        *memory.Ledger
 	planner       *order.Planner
-	uses          map[oleanderspool.AttemptID]order.Artefact
-	calls         map[oleanderspool.AttemptID]peer.RunCall
+	uses          map[oleanderspool.AttemptID]order.Artefact            // what running attempts use of the engine
+	calls         map[oleanderspool.AttemptID]peer.RunCall              // attempts that have not ended
 	same          map[oleanderspool.Fingerprint]oleanderspool.AttemptID // running prompts
-	cancels       map[oleanderspool.AttemptID]context.CancelFunc
-	running       int // attempts that have not ended
-	inCall        int // calls of the plain service in progress
+	cancels       map[oleanderspool.AttemptID]context.CancelFunc        // attempts that the engine or service runs
+	running       int                                                   // attempts that have not ended
+	serviceCalls  int                                                   // calls of the plain service in progress
 	leaving       bool
 	watchers      int // open watch streams
 	report        oleanderspool.EngineReport
-	engineUp      bool
+	engineUp      bool // the last report was answered
 	crashes       crashes
-	changed       broadcast.Signal // state that Watch reports
-	feeds         map[oleanderspool.AttemptID]*feed
+	changed       broadcast.Signal                  // state that Watch reports
+	feeds         map[oleanderspool.AttemptID]*feed // attempts that are read
 	configuration *replica.Replica
 	base          context.Context // ends when the process gives up all work
-	wake          chan struct{}
-	reorder       chan struct{}
+	wake          chan struct{}   // asks for a look at the queue
+	reorder       chan struct{}   // asks for a look at the engine's orders
 }
 
 // Option configures an [Agent].
@@ -129,7 +129,7 @@
 
 // WithQueue sets options of the queue.
 func WithQueue(options ...queue.Option) Option {
-	return func(a *Agent) { a.queueKnobs = append(a.queueKnobs, options...) }
+	return func(a *Agent) { a.queueOptions = append(a.queueOptions, options...) }
 }
 
 // WithMaxServiceCalls bounds the calls of the plain service at a time.
@@ -182,7 +182,7 @@
 	a.identity.Incarnation = a.incarnation
 	a.crashes.history = suspect.NewHistory(a.identity.Instance, a.incarnation)
 	a.attempts = attempt.NewTable(a.incarnation, a.limits)
-	a.queue = queue.New(a.queueKnobs...)
+	a.queue = queue.New(a.queueOptions...)
 	a.ledger = memory.NewLedger(0, memory.WithListLag(DefaultReportLag))
 	a.configuration = replica.New(a.logger, a.metrics, a.configured)
 	return a
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -233,7 +233,7 @@
 	b.Revision = a.configuration.Revision()
 	b.Instant = now
 	if a.engine == nil {
-		b.Load = oleanderspool.Load{Running: a.inCall}
+		b.Load = oleanderspool.Load{Running: a.serviceCalls}
 		return b
 	}
 	if a.engineUp {
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -292,14 +292,14 @@
 	if a.service == nil {
 		return oleanderspool.Refuse(oleanderspool.RefusalUnknownRoute, "no plain service beside this agent")
 	}
-	if a.inCall >= a.maxCalls {
+	if a.serviceCalls >= a.maxCalls {
 		return oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "too many calls of the plain service").
 			WithRetryAfter(oleanderspool.Second).WithRetry(oleanderspool.RetryQueueFull)
 	}
 	if !a.attempts.Begin(call.Attempt, a.clock.Now()) {
 		return oleanderspool.Refuse(oleanderspool.RefusalTimeLimit, "the time limit has passed")
 	}
-	a.inCall++
+	a.serviceCalls++
 	ctx, cancel := context.WithTimeout(a.base, call.Request.Remaining(a.clock.Now()).Duration())
 	a.cancels[call.Attempt] = cancel
 	go a.call(ctx, cancel, call)
@@ -320,7 +320,7 @@
 		Remaining:  r.Remaining(a.clock.Now()),
 	})
 	a.mu.Lock()
-	a.inCall--
+	a.serviceCalls--
 	delete(a.cancels, call.Attempt)
 	a.mu.Unlock()
 	if err == nil {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -127,7 +128,7 @@
 		<-ctx.Done()
 		stopped <- server.Shutdown(context.WithoutCancel(ctx))
 	}()
-	if err := server.Serve(l); err != http.ErrServerClosed {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return <-stopped
