Let another agent take over when one gives up all work

An agent whose serving fails cancels its attempts; the entry took the cancellation for final although idempotent work can move. The refusal now says that the agent has died.

--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -230,6 +230,10 @@
 		refusal = refusal.WithRetry(oleanderspool.RetryEngineDied).WithCrash(crash)
 	}
 
+	if refusal != nil && a.base.Err() != nil {
+		refusal = refusal.WithRetry(oleanderspool.RetryAgentDied) // the agent gives up all work
+	}
+
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -39,19 +39,6 @@
 	refusal    *oleanderspool.Refusal // nil after a complete answer
 }
 
-// chatBody is the wire form of a chat request.
-type chatBody struct {
-	Model     string        `json:"model"`
-	Messages  []chatMessage `json:"messages"`
-	MaxTokens int           `json:"max_tokens,omitempty"`
-	Stream    bool          `json:"stream"`
-}
-
-type chatMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
 // send sends the request once and writes the answer to out. An error says
 // that the connection failed, so that the outcome is unknown.
 func (r callerRequest) send(ctx context.Context, client *http.Client, out io.Writer) (callerResult, error) {
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"time"
 
@@ -58,7 +57,7 @@
 	entries         []string // base addresses for callers
 	engineAddresses []string // base addresses of the engines
 	engineOptions   []engine.Option
-	servers         []*httptest.Server
+	servers         []*http.Server // of the stand-ins
 	group           *errgroup.Group
 	stop            context.CancelFunc
 }
@@ -70,29 +69,14 @@
 	f.stop = stop
 	f.group, ctx = errgroup.WithContext(ctx)
 	env.ctx = ctx
-	address := f.serve(f.platform)
-	f.platformAddress = address
-	var list []oleanderspool.InstanceState
-	for i := range size.runners {
-		state, err := f.startRunner(env, address, i)
-		if err != nil {
-			return f, err
-		}
-		list = append(list, state)
-	}
-	for i := range size.services {
-		state, err := f.startService(env, address, i)
-		if err != nil {
-			return f, err
-		}
-		list = append(list, state)
+	address, err := f.serve(f.platform)
+	if err != nil {
+		return f, err
 	}
-	for i := range size.entries {
-		state, err := f.startEntry(env, address, i)
-		if err != nil {
-			return f, err
-		}
-		list = append(list, state)
+	f.platformAddress = address
+	list, err := f.startAll(env, size)
+	if err != nil {
+		return f, err
 	}
 	f.list = list
 	f.platform.SetInstances(list)
@@ -102,11 +86,40 @@
 	return f, f.await(ctx)
 }
 
+// startAll starts the processes of a fleet and returns them as the platform
+// lists them.
+func (f *fleet) startAll(env environment, size fleetSize) ([]oleanderspool.InstanceState, error) {
+	kinds := []struct {
+		count int
+		start func(environment, netip.AddrPort, int) (oleanderspool.InstanceState, error)
+	}{
+		{size.runners, f.startRunner},
+		{size.services, f.startService},
+		{size.entries, f.startEntry},
+	}
+	var list []oleanderspool.InstanceState
+	for _, k := range kinds {
+		for i := range k.count {
+			state, err := k.start(env, f.platformAddress, i)
+			if err != nil {
+				return nil, err
+			}
+			list = append(list, state)
+		}
+	}
+	return list, nil
+}
+
 // serve serves a stand-in and returns its address.
-func (f *fleet) serve(h http.Handler) netip.AddrPort {
-	server := httptest.NewServer(h)
+func (f *fleet) serve(h http.Handler) (netip.AddrPort, error) {
+	l, err := listenLoopback()
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: stopBound}
 	f.servers = append(f.servers, server)
-	return addressOf(server.Listener)
+	go func() { _ = server.Serve(l) }() // ends with Close
+	return addressOf(l), nil
 }
 
 func addressOf(l net.Listener) netip.AddrPort {
@@ -127,7 +140,10 @@
 	f.engines = append(f.engines, e)
 	s := fleetAgent(platform, fmt.Sprintf("runner-%d", i+1), i)
 	s.Role = oleanderspool.RoleModel
-	s.Engine = f.serve(e)
+	var err error
+	if s.Engine, err = f.serve(e); err != nil {
+		return oleanderspool.InstanceState{}, err
+	}
 	f.engineAddresses = append(f.engineAddresses, "http://"+s.Engine.String())
 	return f.startAgent(env, s, "model")
 }
@@ -137,7 +153,10 @@
 	f.services = append(f.services, server)
 	s := fleetAgent(platform, fmt.Sprintf("services-%d", i+1), i)
 	s.Role = oleanderspool.RoleService
-	s.Service = f.serve(server)
+	var err error
+	if s.Service, err = f.serve(server); err != nil {
+		return oleanderspool.InstanceState{}, err
+	}
 	s.Routes = []oleanderspool.RouteID{"pegs", "orders", "stock", "drafts"}
 	return f.startAgent(env, s, "service")
 }
@@ -317,8 +336,7 @@
 		e.Close()
 	}
 	for _, s := range f.servers {
-		s.CloseClientConnections()
-		s.Close()
+		_ = s.Close()
 	}
 	return err
 }
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -50,17 +50,6 @@
 	Version     string
 }
 
-// statusJSON is the wire form of status.
-type statusJSON struct {
-	Role        string `json:"role"`
-	Instance    string `json:"instance"`
-	DataCentre  string `json:"data_centre"`
-	Incarnation string `json:"incarnation,omitempty"`
-	Revision    int64  `json:"revision"`
-	Ready       bool   `json:"ready"`
-	Version     string `json:"version"`
-}
-
 // adminHandler serves the operators' address of a process.
 func adminHandler(m *observe.Metrics, current func() status) http.Handler {
 	mux := http.NewServeMux()
