Bound the prompt work that waits at an agent and use the latency of the stand-in

The settings queue.work_tokens and latency_ms were read and had no effect. An agent now refuses a prompt for which the queue has no room, unless it is the only one, with the span in which the excess drains.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -55,6 +55,7 @@
 	limits       attempt.Limits
 	queueOptions []queue.Option
 	maxCalls     int
+	maxWork      int64 // prompt work that may wait, in tokens; 0 for no bound
 	version      string
 	artefacts    oleanderspool.WeightStore
 	peers        *peer.Client
@@ -132,6 +133,11 @@
 	return func(a *Agent) { a.queueOptions = append(a.queueOptions, options...) }
 }
 
+// WithMaxWork bounds the prompt work that waits, in tokens; 0 means no bound.
+func WithMaxWork(tokens int64) Option {
+	return func(a *Agent) { a.maxWork = tokens }
+}
+
 // WithMaxServiceCalls bounds the calls of the plain service at a time.
 func WithMaxServiceCalls(calls int) Option {
 	return func(a *Agent) { a.maxCalls = calls }
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -114,6 +114,9 @@
 			WithRetry(oleanderspool.RetryBehindConfiguration)
 	}
 	a.uses[call.Attempt] = used
+	if refusal := a.refuseWork(call, now); refusal != nil {
+		return refusal
+	}
 	err := a.queue.Push(itemOf(call), now)
 	var full *queue.FullError
 	var refusal *oleanderspool.Refusal
@@ -131,6 +134,22 @@
 	}
 }
 
+// refuseWork bounds the prompt work that waits. A prompt alone in the queue is
+// taken whatever its length.
+func (a *Agent) refuseWork(call peer.RunCall, now oleanderspool.Millis) *oleanderspool.Refusal {
+	load := a.queue.Load(now)
+	excess := load.QueuedTokens + int64(promptTokens(call.Request)) - a.maxWork
+	if a.maxWork == 0 || load.Queued == 0 || excess <= 0 {
+		return nil
+	}
+	refusal := oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "too much prompt work is queued").
+		WithRetry(oleanderspool.RetryQueueFull)
+	if load.PrefillRate > 0 {
+		refusal = refusal.WithRetryAfter(oleanderspool.Millis(float64(excess)/load.PrefillRate) + 1)
+	}
+	return refusal
+}
+
 func itemOf(call peer.RunCall) queue.Item {
 	r := call.Request
 	output := int64(r.MaxTokens)
--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -59,6 +59,7 @@
 		agent.WithHeartbeat(s.Heartbeat),
 		agent.WithLimits(limits),
 		agent.WithQueue(queueOptions(s.Queue)...),
+		agent.WithMaxWork(s.Queue.Tokens),
 		agent.WithWeightStore(platform.NewClient(s.Platform.String())),
 		agent.WithVersion(Version),
 		agent.WithEntries(addressTexts(s.Entries)...),
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -7,6 +7,7 @@
 
 	"github.com/oleanderspool/oleanderspool/internal/observe"
 	"github.com/oleanderspool/oleanderspool/internal/settings"
+	"github.com/oleanderspool/oleanderspool/internal/standin"
 	"github.com/oleanderspool/oleanderspool/internal/standin/engine"
 	"github.com/oleanderspool/oleanderspool/internal/standin/platform"
 	"github.com/oleanderspool/oleanderspool/internal/standin/service"
@@ -81,7 +82,11 @@
 	if err != nil {
 		return err
 	}
-	return serveStandin(env, s.Listen.String(), s.Log, service.New())
+	server := service.New()
+	if s.Latency > 0 {
+		server.Add(standin.Fault{Kind: standin.FaultSlow, Path: "/", Delay: s.Latency})
+	}
+	return serveStandin(env, s.Listen.String(), s.Log, server)
 }
 
 func serveStandin(env environment, address string, log settings.Log, h http.Handler) error {
