Ask for reports by the number of watched agents in finer steps and tidy comments

23 backend servers, as both users have, were asked for a report a second, because the next step below was for 20; a step of 750 ms serves up to 30 within the same 40 reports/s.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -109,7 +109,7 @@
 
 // reportSteps are the intervals between reports that a small fleet can afford.
 // Fresher reports let the router spread short requests better.
-var reportSteps = []oleanderspool.Millis{250, 500}
+var reportSteps = []oleanderspool.Millis{250, 500, 750}
 
 // setInterval adapts the interval between reports to the number of watched
 // agents and opens the watches again when it changes.
--- a/internal/queue/options.go
+++ b/internal/queue/options.go
@@ -60,7 +60,7 @@
 	longShareAtOne  = 0.2
 )
 
-// settings are the knobs of a queue.
+// settings are the values of the options of a queue.
 type settings struct {
 	capacity     int
 	stepTokens   int64
@@ -103,7 +103,7 @@
 	}
 }
 
-// finish derives the knobs that follow short_request_weight.
+// finish derives the settings that follow short_request_weight.
 func (s *settings) finish() {
 	w := min(1, max(0, s.shortWeight))
 	if s.stretch == 0 {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -51,8 +51,9 @@
 }
 
 // Push adds an item. It returns a [*oleanderspool.Refusal] when the item's
-// time limit cannot be met or the engine's memory is too small for it, a [*FullError] when there is no place, and an
-// error of type [ErrDuplicate] when the attempt is known.
+// time limit cannot be met or the engine's memory is too small for it, a
+// [*FullError] when there is no place, and an error of type [ErrDuplicate] when
+// the attempt is known.
 func (q *Queue) Push(i Item, now oleanderspool.Millis) error {
 	if q.items[i.Attempt] != nil || q.running.items[i.Attempt] != nil {
 		return ErrDuplicate.New("attempt %q is known", i.Attempt)
--- a/internal/routing/scorers.go
+++ b/internal/routing/scorers.go
@@ -49,9 +49,10 @@
 }
 
 // Queue costs the time that the prefill work that goes before the request and
-// the request's own prefill take, and a small part of the longer work. fallback is the prefill rate of a server that
-// reported none, in tokens per millisecond. A service has no tokens: its
-// requests in progress cost callTime milliseconds each.
+// the request's own prefill take, and a small part of the longer work.
+// fallback is the prefill rate of a server that reported none, in tokens per
+// millisecond. A service has no tokens: its requests in progress cost callTime
+// milliseconds each.
 func Queue(fallback float64, callTime oleanderspool.Millis) oleanderspool.Scorer {
 	return ScorerFunc(func(r oleanderspool.Request, b oleanderspool.BackendServer, _ oleanderspool.Millis) float64 {
 		if r.Kind == oleanderspool.KindService {
