--- a/internal/agent/configuration.go
+++ b/internal/agent/configuration.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
 	"github.com/oleanderspool/oleanderspool/pkg/configuration"
 )
@@ -24,12 +24,7 @@
 			_ = a.configuration.Pull(bounded, a.peers, a.entries[turn%len(a.entries)])
 			cancel()
 		}
-		t := time.NewTimer(pullInterval.Duration())
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		clock.Sleep(ctx, pullInterval)
 	}
 }
 
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -10,6 +10,7 @@
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/broadcast"
 	"github.com/oleanderspool/oleanderspool/internal/claim"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/observe"
 )
 
@@ -58,7 +59,7 @@
 			wait = 0 // a long poll would keep the end of an outage unknown
 		}
 		if !c.readOnce(ctx, wait) {
-			sleep(ctx, claimReadRetry)
+			clock.Sleep(ctx, claimReadRetry)
 		}
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,7 +11,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -212,10 +211,10 @@
 	e.stopping.Store(true)
 	e.metrics.Changed("leaving")
 	e.logger.Info("entry leaving", "instance", e.instance)
-	sleep(ctx, e.drainDelay)
+	clock.Sleep(ctx, e.drainDelay)
 	e.closed.Store(true)
 	for e.inProgress() > 0 && ctx.Err() == nil {
-		sleep(ctx, membershipTick)
+		clock.Sleep(ctx, membershipTick)
 	}
 }
 
@@ -249,16 +248,6 @@
 	return model.Set, ok
 }
 
-// sleep waits for a span or the end of ctx.
-func sleep(ctx context.Context, span oleanderspool.Millis) {
-	t := time.NewTimer(span.Duration())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // unique returns a value that no other process makes.
 func unique() string {
 	var b [9]byte
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -8,6 +8,7 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/admission"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/membership"
 	"github.com/oleanderspool/oleanderspool/internal/peer"
 	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
@@ -77,7 +78,7 @@
 		if err == nil {
 			m.apply(ctx, number, list)
 		}
-		sleep(ctx, m.entry.listEvery)
+		clock.Sleep(ctx, m.entry.listEvery)
 	}
 }
 
@@ -164,7 +165,7 @@
 		if ok {
 			m.follow(ctx, address, stream, interval, renew)
 		}
-		sleep(ctx, rewatchDelay)
+		clock.Sleep(ctx, rewatchDelay)
 	}
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -5,6 +5,7 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/attempt"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/retry"
 )
 
@@ -57,7 +58,7 @@
 		}
 		next := r.react(running, end)
 		if next.follow == nil {
-			sleep(ctx, next.delay)
+			clock.Sleep(ctx, next.delay)
 			return next.done, next.refusal
 		}
 		end = next.follow()
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -8,6 +8,7 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/broadcast"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/membership"
 	"github.com/oleanderspool/oleanderspool/internal/peer"
 	"github.com/oleanderspool/oleanderspool/internal/suspect"
@@ -110,7 +111,7 @@
 		wait = suspectReadWait
 		if err != nil {
 			wait = 0
-			sleep(ctx, claimReadRetry)
+			clock.Sleep(ctx, claimReadRetry)
 		}
 	}
 }
--- a/internal/replica/log.go
+++ b/internal/replica/log.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/peer"
 	"github.com/oleanderspool/oleanderspool/internal/revision"
 )
@@ -44,7 +44,7 @@
 			continue
 		}
 		r.askPeers(ctx, s)
-		pause(ctx, readRetry)
+		clock.Sleep(ctx, readRetry)
 	}
 }
 
@@ -200,12 +200,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, span oleanderspool.Millis) {
-	t := time.NewTimer(span.Duration())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
