Carry a crash once on each watch stream and drop a field that nobody read

Found by reading the whole change.

- Each report of an agent repeated all kept crashes, up to 16 with every fingerprint in flight, at each interval for as long as the agent lived.
A watch stream is ordered, so its first report and the first one after another crash are enough; an entry that connects again gets them again.
- engine_started was sent in each report and read by no process.
- The entry counted the listed entries beside the membership table, which does so already.
The two differed for a leaving entry: it no longer counts among those that share the rates of client accounts, as the table documents.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -199,16 +199,19 @@
 	defer a.watching()()
 	ticker := time.NewTicker(interval.Duration())
 	defer ticker.Stop()
+	told := "" // last crash that this stream carried
 	for {
 		a.mu.Lock()
 		changed := a.changed.Wait()
 		state := a.state()
-		crashes := a.crashes.history.Crashes()
-		started := a.report.Started
+		var crashes []suspect.Crash
+		if a.crashes.id != told {
+			crashes = a.crashes.history.Crashes()
+			told = a.crashes.id
+		}
 		a.mu.Unlock()
 		message := peer.EncodeState(state)
 		message.Crashes = encodeCrashes(crashes)
-		message.EngineStarted = started
 		message.Position = int64(a.configuration.Position())
 		if err := s.Send(message); err != nil {
 			return err
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -88,18 +88,14 @@
 	defer m.mu.Unlock()
 	now := m.entry.clock.Now()
 	m.listed = true
-	entries := 0
 	clear(m.addresses)
 	for _, i := range list {
 		m.addresses[i.Instance] = i.Address
-		if i.Role == "entry" {
-			entries++
-		}
 	}
 	m.handle(m.table.ApplyList(number, list, now))
 	m.adjust(ctx, now)
 	m.entry.mu.Lock()
-	m.entry.admission.SetEntries(max(1, entries))
+	m.entry.admission.SetEntries(m.table.Entries())
 	m.entry.retries.SetKnownServers(m.table.Known())
 	m.entry.mu.Unlock()
 }
--- a/internal/peer/mapping_test.go
+++ b/internal/peer/mapping_test.go
@@ -54,7 +54,7 @@
 		}
 		encode := func() *peerpb.AgentState {
 			m := peer.EncodeState(b)
-			m.EngineStarted, m.Position = "0123456789abcdef", 9000
+			m.Position = 9000
 			return m
 		}
 		without := proto.Size(encode())
