Continue a request whose attempt ended for want of a reader

A reader counts for half of the reader timeout from its attach on, and notices a silent connection after up to 4 s (3 s of silence, 1 s for the first event). The tests of internal/entry used a timeout of 4 s, so work was cancelled 4 s after its last attach although its reader was on its way back; only a fast machine put the fault early enough in the lease. The same run showed a fault of the product: the agent then answered "cancelled", and the entry passed that on to a caller who was waiting. An entry that is paused for longer than reattach_ms meets the same answer.

Ruled out: a lost announcement of leaving (the delays measured were below 3 s) and a second run by a retry (the first run had no end of its own).

Before: a connection that goes silent 1.7 s after an attach was refused with "cancelled (may_have_run)" in every run. After: the entry continues on the same or another server with the text so far, and with the timeout of the tests at 9 s it resumes without a second run. reattach_ms accepts 8 s and more, heartbeat_ms at most 1 s, since a reader gives up after 3 s.

Conclusion: the bounds that depend on each other now stand in one place, and a test holds the connection at the end of the lease.

--- a/internal/attempt/table.go
+++ b/internal/attempt/table.go
@@ -6,6 +6,20 @@
 	"github.com/oleanderspool/oleanderspool"
 )
 
+// Bounds of a reader's wait, in milliseconds.
+const (
+	// FirstEventBound bounds the wait for an agent's first event, which it
+	// sends as soon as a call arrives.
+	FirstEventBound = oleanderspool.Second
+	// SilenceBound is the span without an event after which a reader gives up a
+	// stream. It is three heartbeats.
+	SilenceBound = 3 * oleanderspool.Second
+	// MinReaderTimeout leaves a reader the time to notice that its stream has
+	// gone silent and to attach again: a reader counts for half of the timeout
+	// from its attach on.
+	MinReaderTimeout = 2 * (SilenceBound + FirstEventBound)
+)
+
 // Limits bounds a [Table].
 type Limits struct {
 	// StartWindow is the span after the instant in an attempt's ID within
@@ -15,7 +29,8 @@
 	// its claim plus the age of the agent's last report.
 	StartWindow oleanderspool.Millis
 	// ReaderTimeout is the span without a reader after which idempotent work
-	// is cancelled.
+	// is cancelled. Below MinReaderTimeout it also ends work whose reader has
+	// lost a connection.
 	ReaderTimeout oleanderspool.Millis
 	// KeyLifetime is the span after its end for which a keyed attempt is
 	// remembered.
@@ -223,7 +238,7 @@
 		return state, false
 	}
 	t.counts.Cancelled++
-	t.cancel(r, now)
+	t.cancel(r, cancelled("the attempt was cancelled"), now)
 	return r.state, r.begun
 }
 
@@ -346,11 +361,16 @@
 		return
 	}
 	t.counts.Abandoned++
-	t.cancel(r, now)
+	// A reader that was cut off or paused for too long may come back. Its
+	// request can run again.
+	t.cancel(r, cancelled("the attempt had no reader").WithRetry(oleanderspool.RetryBarred), now)
+}
+
+func cancelled(message string) *oleanderspool.Refusal {
+	return oleanderspool.Refuse(oleanderspool.RefusalCancelled, message)
 }
 
-func (t *Table) cancel(r *record, now oleanderspool.Millis) {
-	refusal := oleanderspool.Refuse(oleanderspool.RefusalCancelled, "the attempt was cancelled")
+func (t *Table) cancel(r *record, refusal *oleanderspool.Refusal, now oleanderspool.Millis) {
 	if r.begun {
 		refusal = refusal.WithExecution(oleanderspool.MayHaveRun)
 	}
--- a/internal/entry/pieces_test.go
+++ b/internal/entry/pieces_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/attempt"
 	"github.com/oleanderspool/oleanderspool/internal/peer"
 	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
 )
@@ -100,3 +101,32 @@
 		}
 	})
 })
+
+// Guards against a refusal to a caller who waits, when the entry was paused or
+// cut off for so long that the only agent ended the attempt (P1, P3).
+var _ = Describe("An attempt that ended for want of a reader", func() {
+	It("is continued by another one", func() {
+		table := attempt.NewTable("only", attempt.DefaultLimits)
+		id := attempt.NewID(attempt.ClassUnkeyed, 0, "unread")
+		table.Start(attempt.Start{Attempt: id, Incarnation: "only", Idempotent: true, Remaining: oleanderspool.Minute}, 0)
+		table.Begin(id, 0)
+		table.Detach(id, 0)
+		Expect(table.Tick(attempt.DefaultLimits.ReaderTimeout)).To(ContainElement(id))
+		refusal := table.Attach(id, "only", 1, attempt.DefaultLimits.ReaderTimeout).Refusal
+		run := func(call peer.RunCall, send func(peer.Event)) {
+			piece := oleanderspool.Piece{Request: call.Request.ID, Attempt: call.Attempt, Sequence: 1, Text: "one ", Tokens: 1}
+			if call.Request.Continued != "" {
+				piece.Text, piece.Finish, piece.Final = "two", "stop", true
+			}
+			send(peer.Event{Piece: &piece})
+			if !piece.Final {
+				send(peer.Event{Failure: &peer.Failure{Attempt: call.Attempt, State: "failed", Refusal: *refusal}})
+			}
+		}
+		w := newWorld(plan{scripts: []script{run}})
+		Eventually(w.entry.Ready, settle, poll).Should(BeTrue())
+		a := w.send(w.question(prompt, 10))
+		Expect(a.refusal).To(BeNil())
+		Expect(a.text).To(Equal("one two"))
+	})
+})
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -48,20 +48,36 @@
 }
 
 var _ = Describe("A stream over a link that fails", func() {
-	const tokens = 150
+	// An answer lasts longer than a reader counts without attaching again, so
+	// that a cut of the calls alone matters.
+	const tokens = 300
 
 	// Guards against a stream that hangs or runs again when its connection goes
-	// silent for good while new connections work (P1, P3).
+	// silent for good while new connections work (P1, P3), also when the agent
+	// last heard of the reader almost half of its reader timeout before. The
+	// cases run at the same time.
 	It("resumes over a new connection without a second run", func() {
-		w := newWorld(plan{engines: 2})
-		s := w.open(w.question(prompt, tokens))
-		s.received(20)
-		w.holder().front.BlackHole()
-		a := s.wait()
-		whole(a, prompt, tokens)
-		Expect(w.requests()).To(HaveLen(1))
-		Expect(a.gaps).To(BeNumerically("<", silenceBound+firstEventBound+slack))
-		AddReportEntry("longest gap", a.gaps)
+		type silence struct {
+			name  string
+			after time.Duration // from the first piece on
+		}
+		cases := []silence{
+			{"soon after the start", 0},
+			{"just before the reader attaches again", readerTimeout.Duration()/2 - 300*time.Millisecond},
+		}
+		parallel(cases, func(c silence) {
+			w := newWorld(plan{engines: 2})
+			s := w.open(w.question(prompt, tokens))
+			s.received(1)
+			holder := w.holder()
+			time.Sleep(c.after)
+			holder.front.BlackHole()
+			a := s.wait()
+			whole(a, prompt, tokens)
+			Expect(w.requests()).To(HaveLen(1), c.name)
+			Expect(a.gaps).To(BeNumerically("<", silenceBound+firstEventBound+slack), c.name)
+			AddReportEntry("longest gap, "+c.name, a.gaps)
+		})
 	})
 
 	// Guards against a torn or lost answer when packets are lost in one
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -12,15 +12,8 @@
 	"github.com/oleanderspool/oleanderspool/internal/retry"
 )
 
-const (
-	// firstEventBound bounds the wait for an agent's first event, which it
-	// sends as soon as a call arrives.
-	firstEventBound = oleanderspool.Second
-	// silenceBound is three heartbeats.
-	silenceBound = 3 * oleanderspool.Second
-	// shortCallBound bounds calls that only ask or tell.
-	shortCallBound = 2 * oleanderspool.Second
-)
+// shortCallBound bounds calls that only ask or tell.
+const shortCallBound = 2 * oleanderspool.Second
 
 // ending tells how following an attempt ended.
 type ending struct {
@@ -48,7 +41,7 @@
 
 // open starts an attempt and follows it.
 func (x *exchange) open(ctx context.Context, server oleanderspool.BackendServer, call peer.RunCall) ending {
-	end := x.follow(ctx, server, firstEventBound, func(ctx context.Context) (eventReceiver, error) {
+	end := x.follow(ctx, server, attempt.FirstEventBound, func(ctx context.Context) (eventReceiver, error) {
 		if call.Request.Idempotent {
 			return x.entry.peers.Agent(server.Address).Run(ctx, peer.EncodeRun(call, x.entry.clock.Now()))
 		}
@@ -98,7 +91,7 @@
 // connection.
 func (x *exchange) attach(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID) ending {
 	x.entry.peers.Discard(server.Address)
-	return x.renew(ctx, server, id, x.resume(ctx, server, id, firstEventBound))
+	return x.renew(ctx, server, id, x.resume(ctx, server, id, attempt.FirstEventBound))
 }
 
 // renew attaches again whenever the agent ends a stream to see that it still
@@ -107,7 +100,7 @@
 func (x *exchange) renew(ctx context.Context, server oleanderspool.BackendServer, id oleanderspool.AttemptID, end ending) ending {
 	for end.state == attempt.StateRunning && end.running == nil && ctx.Err() == nil {
 		progress := end.progress
-		end = x.resume(ctx, server, id, silenceBound)
+		end = x.resume(ctx, server, id, attempt.SilenceBound)
 		end.progress = end.progress || progress
 	}
 	return end
@@ -166,7 +159,7 @@
 // connection goes back to the pool. Closing the stream before its end would
 // close the connection, and the next request would have to dial.
 func finish(stream eventReceiver, silence *time.Timer, cancel context.CancelFunc) {
-	silence.Reset(firstEventBound.Duration())
+	silence.Reset(attempt.FirstEventBound.Duration())
 	_, _ = stream.Recv()
 	silence.Stop()
 	_ = stream.Close()
@@ -183,7 +176,7 @@
 			end.progress = progress
 			return end
 		}
-		silence.Reset(silenceBound.Duration())
+		silence.Reset(attempt.SilenceBound.Duration())
 		event := peer.DecodeEvent(m)
 		switch {
 		case event.Failure != nil:
@@ -239,6 +232,11 @@
 		Answered:   true,
 		RetryAfter: f.Refusal.RetryAfter,
 	}
+	if f.Refusal.Retry == oleanderspool.RetryBarred {
+		// The attempt ended for want of a reader, so the server may be chosen
+		// again.
+		end.failure.Instance = ""
+	}
 	if end.state == attempt.StateOtherIncarnation || end.state == attempt.StateForgotten {
 		end.failure.Reason = oleanderspool.RetryAgentDied
 	}
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -33,8 +33,9 @@
 const (
 	model   = "ledger-model"
 	account = "crew-leads"
-	// readerTimeout is short, so that the tests need not wait ten seconds.
-	readerTimeout = 4 * oleanderspool.Second
+	// readerTimeout is the shortest that lets a reader replace a silent
+	// connection on a busy machine.
+	readerTimeout = attempt.MinReaderTimeout + oleanderspool.Second
 	// poll is how often a condition is checked.
 	poll = 5 * time.Millisecond
 	// settle bounds the wait for a condition that has no bound of its own.
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/attempt"
 )
 
 // Agent holds the settings of an agent.
@@ -55,8 +56,8 @@
 	a.Platform = r.address("platform")
 	a.Entries = r.addresses("entries")
 	readAgentTarget(r, role, &a)
-	a.Heartbeat = r.millis("heartbeat_ms", oleanderspool.Second, 100, 10*oleanderspool.Second)
-	a.Reattach = r.millis("reattach_ms", 10*oleanderspool.Second, oleanderspool.Second, 5*oleanderspool.Minute)
+	a.Heartbeat = r.millis("heartbeat_ms", oleanderspool.Second, 100, attempt.SilenceBound/3)
+	a.Reattach = r.millis("reattach_ms", 10*oleanderspool.Second, attempt.MinReaderTimeout, 5*oleanderspool.Minute)
 	a.Log = readLog(r)
 	a.Queue = Queue{
 		Requests: int(r.integer("queue.requests", "requests", 1000, 1, 1_000_000)),
