Remove stand-in settings without effect and bound its batch

Cause: the settings of the stand-ins accepted seed (three roles), routes (service) and batch_requests (engine), and docs/settings.md listed them as read but without effect. An operator who sets a key expects it to act.

seed and routes are removed: no stand-in draws at random, and the paths of the service stand-in are fixed. Ruled out: a filter by route, which would only repeat what the agent's own routes say. batch_requests now bounds the requests in one step of the engine.

--- a/internal/command/deployment_test.go
+++ b/internal/command/deployment_test.go
@@ -71,7 +71,7 @@
 		platform:  freeAddress(),
 	}
 	DeferCleanup(d.kill)
-	d.start("platform", fmt.Sprintf("listen = %q\nretention_ms = 86400000\nappends_per_sec = 500\nlist_lag_ms = 100\nloads_per_sec = 10.0\nseed = 1\n", d.platform), "standin", "platform")
+	d.start("platform", fmt.Sprintf("listen = %q\nretention_ms = 86400000\nappends_per_sec = 500\nlist_lag_ms = 100\nloads_per_sec = 10.0\n", d.platform), "standin", "platform")
 	d.waitFor(d.platform)
 	for i := range runners {
 		d.startRunner(fmt.Sprintf("runner-%d", i+1))
@@ -111,14 +111,14 @@
 func (d *deployment) startRunner(instance string) {
 	address, peers := freeAddress(), freeAddress()
 	d.engines[instance] = address
-	d.start("engine-"+instance, fmt.Sprintf("listen = %q\nmemory_tokens = 100000\nprefill_per_milli = 20.0\nstep_ms = 20\nbatch_requests = 32\nload_ms = 100\nreport_lag_ms = 100\nfencing = \"reject\"\nseed = 1\n", address), "standin", "engine", "--model", fleetModel)
+	d.start("engine-"+instance, fmt.Sprintf("listen = %q\nmemory_tokens = 100000\nprefill_per_milli = 20.0\nstep_ms = 20\nbatch_requests = 32\nload_ms = 100\nreport_lag_ms = 100\nfencing = \"reject\"\n", address), "standin", "engine", "--model", fleetModel)
 	d.waitFor(address)
 	d.startAgent(instance, peers, "model", fmt.Sprintf("engine = %q\n", address))
 }
 
 func (d *deployment) startService(instance string) {
 	d.service = freeAddress()
-	d.start("service", fmt.Sprintf("listen = %q\nroutes = [\"pegs\"]\nlatency_ms = 0\nseed = 1\n", d.service), "standin", "service")
+	d.start("service", fmt.Sprintf("listen = %q\nlatency_ms = 0\n", d.service), "standin", "service")
 	d.waitFor(d.service)
 	d.startServiceAgent(instance)
 }
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -67,6 +67,7 @@
 		engine.WithSize(s.MemoryTokens),
 		engine.WithPrefillRate(s.PrefillPerMilli),
 		engine.WithTokenTime(float64(s.Step)),
+		engine.WithBatch(s.Batch),
 		engine.WithLoadTime(s.Load),
 		engine.WithReportLag(s.ReportLag),
 		engine.WithModels(models...),
--- a/internal/settings/standin.go
+++ b/internal/settings/standin.go
@@ -14,7 +14,6 @@
 	AppendsPerSec float64              // largest rate of appends to the log
 	ListLag       oleanderspool.Millis // delay of the instance list
 	LoadsPerSec   float64              // largest rate of loads from the weight store
-	Seed          int64                // seed of injected failures
 }
 
 // Engine holds the settings of the stand-in for an engine.
@@ -28,16 +27,13 @@
 	Load            oleanderspool.Millis // span of a load
 	ReportLag       oleanderspool.Millis // delay of load reports
 	Fencing         bool                 // orders with a stale fencing number are rejected
-	Seed            int64                // seed of injected failures
 }
 
 // Service holds the settings of the stand-in for a plain service.
 type Service struct {
 	Listen  netip.AddrPort
 	Log     Log
-	Routes  []oleanderspool.RouteID
 	Latency oleanderspool.Millis // span of a call
-	Seed    int64                // seed of injected failures
 }
 
 // ParsePlatform reads the settings of the stand-in for the platform. It
@@ -65,7 +61,6 @@
 		AppendsPerSec: r.number("appends_per_sec", "appends per second", 500, 1, 10_000),
 		ListLag:       r.millis("list_lag_ms", 2*oleanderspool.Second, 0, 5*oleanderspool.Minute),
 		LoadsPerSec:   r.number("loads_per_sec", "loads per second", 1, 0.001, 1000),
-		Seed:          readSeed(r),
 		Log:           readLog(r),
 	}
 }
@@ -80,22 +75,14 @@
 		Load:            r.millis("load_ms", 2*oleanderspool.Second, 0, 10*oleanderspool.Minute),
 		ReportLag:       r.millis("report_lag_ms", 200, 0, oleanderspool.Minute),
 		Fencing:         r.choice("fencing", "reject", "reject", "ignore") == "reject",
-		Seed:            readSeed(r),
 		Log:             readLog(r),
 	}
 }
 
 func readService(r *reader) Service {
-	s := Service{Listen: r.listen("listen")}
-	for _, id := range r.ids("routes", true) {
-		s.Routes = append(s.Routes, oleanderspool.RouteID(id))
+	return Service{
+		Listen:  r.listen("listen"),
+		Latency: r.millis("latency_ms", 5, 0, oleanderspool.Minute),
+		Log:     readLog(r),
 	}
-	s.Latency = r.millis("latency_ms", 5, 0, oleanderspool.Minute)
-	s.Seed = readSeed(r)
-	s.Log = readLog(r)
-	return s
-}
-
-func readSeed(r *reader) int64 {
-	return r.integer("seed", "", 1, 0, 1<<62)
 }
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -119,7 +119,7 @@
 // admit moves waiting requests into the batch in order of priority, until one
 // does not fit.
 func (e *Engine) admit() {
-	for len(e.waiting) > 0 {
+	for len(e.waiting) > 0 && (e.batch == 0 || len(e.running) < e.batch) {
 		q := e.waiting[0]
 		if q.memory == q.owner && !e.memory.grow(q.owner, q.need) {
 			return
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -85,6 +85,7 @@
 	gapEvery        int64
 	crashMarker     string
 	maxWaiting      int
+	batch           int // requests in the batch; 0 for no limit
 	answerTokens    int
 	fencing         bool
 	leak            bool
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -13,6 +13,11 @@
 	return func(e *Engine) { e.initialModels = models }
 }
 
+// WithBatch bounds the requests in one step. Without it memory alone does.
+func WithBatch(requests int) Option {
+	return func(e *Engine) { e.batch = requests }
+}
+
 // WithAdapters sets the adapters that a started engine serves, each as
 // "model:adapter".
 func WithAdapters(adapters ...string) Option {
