--- a/internal/attempt/suite_test.go
+++ b/internal/attempt/suite_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -11,10 +10,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderspool/oleanderspool/internal/attempt"
+	"github.com/oleanderspool/oleanderspool/internal/golden"
 )
 
-var update = flag.Bool("update", false, "write the golden files instead of comparing them")
-
 // The seed makes each run of the fuzz tests the same; -rapid.seed on the
 // command line replaces it.
 func init() {
@@ -37,15 +35,7 @@
 
 func expectGolden(name string, lines []string) {
 	GinkgoHelper()
-	path := filepath.Join("testdata", name+".golden")
-	got := strings.Join(lines, "\n") + "\n"
-	if *update {
-		Expect(os.MkdirAll("testdata", 0o755)).To(Succeed())
-		Expect(os.WriteFile(path, []byte(got), 0o644)).To(Succeed())
-	}
-	want, err := os.ReadFile(path)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(got).To(Equal(string(want)))
+	golden.Match(filepath.Join("testdata", name+".golden"), strings.Join(lines, "\n")+"\n")
 }
 
 var smallLimits = attempt.Limits{
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"time"
 
@@ -17,11 +15,10 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/caller"
+	"github.com/oleanderspool/oleanderspool/internal/golden"
 	"github.com/oleanderspool/oleanderspool/pkg/configuration"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
 // fakeGateway answers every request with three pieces, or with a refusal when
 // the prompt or body names one.
 type fakeGateway struct {
@@ -129,7 +126,7 @@
 			fmt.Fprintf(&out, "== %s\n%d %s retry-after=%q\n%s\n", c.name, response.StatusCode,
 				response.Header.Get("Content-Type"), response.Header.Get("Retry-After"), maskTime(string(body)))
 		}
-		expectGolden("testdata/server.golden", out.String())
+		golden.Match("testdata/server.golden", out.String())
 	})
 
 	// Guards against a slow sender that holds a connection and memory.
@@ -167,13 +164,3 @@
 		from = start
 	}
 }
-
-func expectGolden(file, got string) {
-	GinkgoHelper()
-	if *update {
-		Expect(os.WriteFile(file, []byte(got), 0o600)).To(Succeed())
-	}
-	want, err := os.ReadFile(file)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(got).To(Equal(string(want)))
-}
--- a/internal/claim/suite_test.go
+++ b/internal/claim/suite_test.go
@@ -1,8 +1,6 @@
 package claim_test
 
 import (
-	"flag"
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -12,10 +10,9 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/claim"
+	"github.com/oleanderspool/oleanderspool/internal/golden"
 )
 
-var update = flag.Bool("update", false, "write the golden files instead of comparing them")
-
 func TestClaim(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "claim")
@@ -23,15 +20,7 @@
 
 func expectGolden(name string, lines []string) {
 	GinkgoHelper()
-	path := filepath.Join("testdata", name+".golden")
-	got := strings.Join(lines, "\n") + "\n"
-	if *update {
-		Expect(os.MkdirAll("testdata", 0o755)).To(Succeed())
-		Expect(os.WriteFile(path, []byte(got), 0o644)).To(Succeed())
-	}
-	want, err := os.ReadFile(path)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(got).To(Equal(string(want)))
+	golden.Match(filepath.Join("testdata", name+".golden"), strings.Join(lines, "\n")+"\n")
 }
 
 var limits = claim.Limits{KeyLifetime: 60000, MaxClaims: 50}
--- a/internal/command/solo_test.go
+++ b/internal/command/solo_test.go
@@ -1,15 +1,13 @@
 package command
 
 import (
-	"flag"
-	"os"
 	"regexp"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-)
 
-var updateGolden = flag.Bool("update", false, "rewrite the golden files")
+	"github.com/oleanderspool/oleanderspool/internal/golden"
+)
 
 // spans matches the spans in the output of solo, which differ between runs.
 var spans = regexp.MustCompile(`[0-9]+ ms`)
@@ -22,12 +20,7 @@
 		Expect(code).To(Equal(ExitOK), errOut)
 		got := spans.ReplaceAllString(out, "N ms")
 		const file = "testdata/solo.golden"
-		if *updateGolden {
-			Expect(os.WriteFile(file, []byte(got), 0o600)).To(Succeed())
-		}
-		want, err := os.ReadFile(file)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(got).To(Equal(string(want)))
+		golden.Match(file, got)
 	})
 
 	It("is one of the subcommands that explain themselves", func() {
--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"path/filepath"
 	"strings"
 	"time"
@@ -16,6 +15,7 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/engine"
+	"github.com/oleanderspool/oleanderspool/internal/golden"
 	"github.com/oleanderspool/oleanderspool/internal/standin"
 )
 
@@ -155,13 +155,7 @@
 
 func expectGolden(name, got string) {
 	GinkgoHelper()
-	path := filepath.Join("testdata", name+".golden")
-	if *update {
-		Expect(os.WriteFile(path, []byte(got), 0o644)).To(Succeed())
-	}
-	want, err := os.ReadFile(path)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(got).To(Equal(string(want)))
+	golden.Match(filepath.Join("testdata", name+".golden"), got)
 }
 
 var _ = Describe("Generate under faults", func() {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -1,7 +1,6 @@
 package membership_test
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -12,12 +11,11 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/golden"
 	"github.com/oleanderspool/oleanderspool/internal/membership"
 	"github.com/oleanderspool/oleanderspool/pkg/configuration"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 func listed(instance string) oleanderspool.InstanceState {
 	return oleanderspool.InstanceState{Instance: oleanderspool.InstanceID(instance), DataCentre: "a", Address: "10.0.0.1:1", Role: "model"}
 }
@@ -101,13 +99,7 @@
 			for line := range strings.Lines(string(lines)) {
 				got += play(table, strings.TrimSpace(line))
 			}
-			golden := strings.TrimSuffix(script, ".session") + ".golden"
-			if *update {
-				Expect(os.WriteFile(golden, []byte(got), 0o644)).To(Succeed())
-			}
-			want, err := os.ReadFile(golden)
-			Expect(err).NotTo(HaveOccurred())
-			Expect(got).To(Equal(string(want)))
+			golden.Match(strings.TrimSuffix(script, ".session")+".golden", got)
 		})
 	}
 
--- a/internal/memory/golden_test.go
+++ b/internal/memory/golden_test.go
@@ -1,21 +1,17 @@
 package memory_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"path/filepath"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/golden"
 	"github.com/oleanderspool/oleanderspool/internal/memory"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 // session plays two rival groups against two members and writes down every
 // message and reply.
 type session struct {
@@ -93,12 +89,6 @@
 		s.send(second, second.MemberDied("a", s.now))
 		s.step(10_000, first, second)
 
-		golden := filepath.Join("testdata", "rivals.golden")
-		if *update {
-			Expect(os.WriteFile(golden, []byte(s.text.String()), 0o600)).To(Succeed())
-		}
-		want, err := os.ReadFile(filepath.Clean(golden))
-		Expect(err).NotTo(HaveOccurred())
-		Expect(s.text.String()).To(Equal(string(want)))
+		golden.Match(filepath.Join("testdata", "rivals.golden"), s.text.String())
 	})
 })
--- a/internal/order/planner_test.go
+++ b/internal/order/planner_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/golden"
 	"github.com/oleanderspool/oleanderspool/pkg/configuration"
 )
 
@@ -83,12 +83,7 @@
 		p.Report(oleanderspool.EngineReport{Started: "b"}, now)
 		out.WriteString("engine restarted\n")
 		steps(6)
-		if *update {
-			Expect(os.WriteFile("testdata/upgrade.golden", []byte(out.String()), 0o644)).To(Succeed())
-		}
-		want, err := os.ReadFile("testdata/upgrade.golden")
-		Expect(err).NotTo(HaveOccurred())
-		Expect(out.String()).To(Equal(string(want)))
+		golden.Match("testdata/upgrade.golden", out.String())
 	})
 })
 
--- a/internal/order/suite_test.go
+++ b/internal/order/suite_test.go
@@ -8,8 +8,6 @@
 	. "github.com/onsi/gomega"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 func init() {
 	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.steps": "200", "rapid.checks": "300"} {
 		if err := flag.Set(name, value); err != nil {
--- a/internal/queue/golden_test.go
+++ b/internal/queue/golden_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -12,11 +11,10 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/golden"
 	"github.com/oleanderspool/oleanderspool/internal/queue"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 // playSession plays a session file and returns it with the queue's decisions
 // after each line. A line is an instant, an event and its arguments:
 // "push attempt account priority tokens output limit alone", "next room",
@@ -97,13 +95,7 @@
 			session, err := os.ReadFile(filepath.Clean(file))
 			Expect(err).NotTo(HaveOccurred())
 			got := playSession(queue.New(queue.WithMemory(200_000), queue.WithCapacity(8)), string(session))
-			golden := strings.TrimSuffix(file, ".session") + ".golden"
-			if *update {
-				Expect(os.WriteFile(golden, []byte(got), 0o600)).To(Succeed())
-			}
-			want, err := os.ReadFile(filepath.Clean(golden))
-			Expect(err).NotTo(HaveOccurred())
-			Expect(got).To(Equal(string(want)))
+			golden.Match(strings.TrimSuffix(file, ".session")+".golden", got)
 		})
 	}
 })
--- a/internal/revision/session_test.go
+++ b/internal/revision/session_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/golden"
 )
 
 // Guards against decisions, findings or snapshot bytes that change unnoticed:
@@ -30,11 +31,6 @@
 		}
 		out.WriteString("snapshot:\n")
 		out.Write(s.Snapshot().Data)
-		if *update {
-			Expect(os.WriteFile("testdata/session.golden", []byte(out.String()), 0o644)).To(Succeed())
-		}
-		want, err := os.ReadFile("testdata/session.golden")
-		Expect(err).NotTo(HaveOccurred())
-		Expect(out.String()).To(Equal(string(want)))
+		golden.Match("testdata/session.golden", out.String())
 	})
 })
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/golden"
 	"github.com/oleanderspool/oleanderspool/internal/settings"
 )
 
@@ -31,13 +32,7 @@
 			role, _, _ := strings.Cut(filepath.Base(input), "_")
 			err = settings.Check(settings.Role(role), filepath.Base(input), data)
 			Expect(err).To(HaveOccurred())
-			path := strings.TrimSuffix(input, ".toml") + ".txt"
-			if *update {
-				Expect(os.WriteFile(path, []byte(err.Error()+"\n"), 0o644)).To(Succeed())
-			}
-			want, err2 := os.ReadFile(path)
-			Expect(err2).NotTo(HaveOccurred())
-			Expect(err.Error() + "\n").To(Equal(string(want)))
+			golden.Match(strings.TrimSuffix(input, ".toml")+".txt", err.Error()+"\n")
 		})
 	}
 
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -1,7 +1,6 @@
 package suspect_test
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -13,11 +12,10 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/golden"
 	"github.com/oleanderspool/oleanderspool/internal/suspect"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 // session plays a script with two entries that share a log and writes down
 // what happens.
 type session struct {
@@ -111,13 +109,7 @@
 			for line := range strings.Lines(string(lines)) {
 				s.play(strings.TrimSpace(line))
 			}
-			golden := strings.TrimSuffix(script, ".session") + ".golden"
-			if *update {
-				Expect(os.WriteFile(golden, []byte(s.transcript.String()), 0o644)).To(Succeed())
-			}
-			want, err := os.ReadFile(golden)
-			Expect(err).NotTo(HaveOccurred())
-			Expect(s.transcript.String()).To(Equal(string(want)))
+			golden.Match(strings.TrimSuffix(script, ".session")+".golden", s.transcript.String())
 		})
 	}
 
--- a/pkg/configuration/parse_test.go
+++ b/pkg/configuration/parse_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/oleanderspool/oleanderspool/internal/golden"
 	"github.com/oleanderspool/oleanderspool/pkg/configuration"
 )
 
@@ -30,7 +31,7 @@
 			}
 			Expect(err).To(HaveOccurred())
 			Expect(configuration.FindingsOf(err)).NotTo(BeEmpty())
-			golden(strings.TrimSuffix(input, ".json")+".txt", err.Error()+"\n")
+			golden.Match(strings.TrimSuffix(input, ".json")+".txt", err.Error()+"\n")
 		})
 	}
 
@@ -39,19 +40,9 @@
 		Expect(err).NotTo(HaveOccurred())
 		c, err := configuration.Parse("mixed_order.json", data)
 		Expect(err).NotTo(HaveOccurred())
-		golden("testdata/mixed_order.golden", string(c.Print()))
+		golden.Match("testdata/mixed_order.golden", string(c.Print()))
 		again, err := configuration.Parse("", c.Print())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(again.Print())).To(Equal(string(c.Print())))
 	})
 })
-
-func golden(path, got string) {
-	GinkgoHelper()
-	if *update {
-		Expect(os.WriteFile(path, []byte(got), 0o644)).To(Succeed())
-	}
-	want, err := os.ReadFile(path)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(got).To(Equal(string(want)))
-}
--- a/pkg/configuration/suite_test.go
+++ b/pkg/configuration/suite_test.go
@@ -8,8 +8,6 @@
 	. "github.com/onsi/gomega"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 func init() {
 	if err := flag.Set("rapid.seed", "20261204"); err != nil {
 		panic(err)
