Wait for servers to return instead of refusing a request in progress

Cause: under load (two processors for each test binary, load 18) a neighbour of a crashing request was refused "no other backend server is left to try": after two crashes in a row every server had been tried within 300 ms, while an engine needs one to three seconds to come back. A test with one engine that crashes under four streams shows it without load.

The same test showed that a refusal could be untrue: an attempt that is stopped because its request became a suspect left no trace in the history, so a refusal that followed said "not_run" after 20 pieces had been sent.

Ruled out: retries that count each look for a server (four retries of 0.5 to 1.5 s were used up before the engine was back in one of ten runs), and a wait for requests that no server has taken, whose refusal must come at once.

Before: refused after 0 to 1 s in every run, in three of four with "not_run". After: the streams finish when the engine is back; with an engine that stays down they are refused "may_have_run" with Retry-After after about 5 s.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/admission"
 	"github.com/oleanderspool/oleanderspool/internal/attempt"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/peer"
 	"github.com/oleanderspool/oleanderspool/internal/retry"
 	"github.com/oleanderspool/oleanderspool/pkg/configuration"
@@ -80,7 +81,10 @@
 	chosen    oleanderspool.BackendServer // server of the current attempt
 	expected  oleanderspool.Millis        // span until its first piece
 	sentAt    oleanderspool.Millis
-	group     *reservation // engines that serve the prompt together; nil for one
+	// withoutServer is the instant since which no server may run the request;
+	// 0 while there is one.
+	withoutServer oleanderspool.Millis
+	group         *reservation // engines that serve the prompt together; nil for one
 }
 
 // run runs a request that needs no claim.
@@ -89,6 +93,9 @@
 		server, refusal := x.choose()
 		if refusal != nil {
 			members, ok := x.plan()
+			if !ok && x.awaitServer(ctx) {
+				continue
+			}
 			if !ok {
 				return refusal
 			}
@@ -97,6 +104,7 @@
 			}
 			continue
 		}
+		x.withoutServer = 0
 		id := attempt.NewID(attempt.ClassUnkeyed, server.Instant, unique())
 		if err := x.begin(id); err != nil {
 			return x.refuse(oleanderspool.RefusalBackendServerFailed, err.Error())
@@ -189,6 +197,28 @@
 	return members, ok && len(members) > 1
 }
 
+// awaitServer waits for a server of a request whose attempt was lost. It
+// returns false when none has returned for too long. A request without an
+// attempt is refused at once.
+func (x *exchange) awaitServer(ctx context.Context) bool {
+	if x.assembler == nil {
+		return false
+	}
+	now := x.entry.clock.Now()
+	if x.withoutServer == 0 {
+		x.withoutServer = now
+	}
+	if now-x.withoutServer >= retry.ReturnBound {
+		return false
+	}
+	x.history = x.history.WithoutTried()
+	clock.Sleep(ctx, awaitInterval)
+	return ctx.Err() == nil
+}
+
+// awaitInterval is the span between two looks for a server that has returned.
+const awaitInterval = 500 * oleanderspool.Millis(1)
+
 // noServerRetryAfter is the span in which an agent restarts and reports.
 const noServerRetryAfter = 3 * oleanderspool.Second
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -54,6 +54,7 @@
 			return true, x.abandon(ctx, server, r.id)
 		case running.Err() != nil:
 			go x.cancel(server, r.id)
+			x.history = x.history.WithExecution(oleanderspool.MayHaveRun)
 			return false, nil // runs again as a trial
 		}
 		next := r.react(running, end)
@@ -87,6 +88,7 @@
 	}
 	r.noteCrash(&end)
 	if r.resumed && end.refusal != nil {
+		r.history = r.history.WithExecution(end.refusal.Execution)
 		return reaction{} // its limits were those of the earlier submission
 	}
 	if end.refusal != nil && end.failure.Reason == "" {
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -1,11 +1,13 @@
 package entry_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/oleanderspool/oleanderspool"
 	standengine "github.com/oleanderspool/oleanderspool/internal/standin/engine"
 	"github.com/oleanderspool/oleanderspool/internal/standin/link"
 )
@@ -122,3 +124,40 @@
 	l.Cut(link.Forward)
 	l.Cut(link.Backward)
 }
+
+// Guards against a refusal of work in progress while the only engine that can
+// run it restarts, and against one that calls started work "not run" (P1, P3,
+// P4). The cases run at the same time.
+var _ = Describe("Streams whose only engine crashes", func() {
+	It("continue when the engine is back, and are refused truthfully when it is not", func() {
+		const tokens, streams = 100, 4
+		type outage struct {
+			name string
+			down oleanderspool.Millis
+			back bool
+		}
+		cases := []outage{
+			{"restart", oleanderspool.Second, true},
+			{"lasting outage", oleanderspool.Minute, false},
+		}
+		parallel(cases, func(c outage) {
+			w := newWorld(plan{engines: 1, options: []standengine.Option{standengine.WithDownTime(c.down)}})
+			var open []*stream
+			for i := range streams {
+				open = append(open, w.open(w.question(fmt.Sprint(i, prompt), tokens)))
+				open[i].received(5)
+			}
+			w.runners[0].engine.Crash()
+			for i, s := range open {
+				a := s.wait()
+				if c.back {
+					whole(a, fmt.Sprint(i, prompt), tokens)
+					continue
+				}
+				Expect(a.refusal).NotTo(BeNil(), c.name)
+				Expect(a.refusal.Execution).To(Equal(oleanderspool.MayHaveRun), c.name)
+				Expect(a.refusal.RetryAfter).To(BeNumerically(">", 0), c.name)
+			}
+		})
+	})
+})
--- a/internal/retry/history.go
+++ b/internal/retry/history.go
@@ -9,7 +9,7 @@
 // History is what happened to a request so far. The zero value belongs to a
 // request that was not sent yet. It is an immutable value.
 type History struct {
-	Tried    []oleanderspool.InstanceID // servers that must not be chosen again; not to be modified
+	Tried    []oleanderspool.InstanceID // servers that must not be chosen next; not to be modified
 	Retries  int                        // retries so far
 	Attaches int                        // times the current attempt was attached to again
 	// Execution is the most that any attempt so far may have done. A later
@@ -18,6 +18,19 @@
 	FreeUsed  bool // the free retry after a crash was used
 }
 
+// WithExecution returns a copy that says what an attempt may have done which
+// was given up without a decision of the policy.
+func (h History) WithExecution(e oleanderspool.Execution) History {
+	h.Execution = max(h.Execution, e)
+	return h
+}
+
+// WithoutTried returns a copy that lets every server be chosen again.
+func (h History) WithoutTried() History {
+	h.Tried = nil
+	return h
+}
+
 // withFailure returns a copy that contains a failed attempt.
 func (h History) withFailure(f Failure) History {
 	h.Execution = max(h.Execution, f.certain())
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -28,6 +28,14 @@
 // whose server was lost. Failed agents are recognised and replaced within it.
 const crashRetryAfter = 3 * oleanderspool.Second
 
+// meanReturn is the mean span before servers that were tried are tried again.
+// The retries of one request then cover the restart of an engine or agent.
+const meanReturn = oleanderspool.Second
+
+// ReturnBound bounds the wait of a request whose attempt was lost for a server
+// that may run it. A failed engine or agent is replaced and reports within it.
+const ReturnBound = 5 * oleanderspool.Second
+
 // Action tells what to do after a failed attempt.
 type Action int
 
@@ -35,12 +43,13 @@
 const (
 	// Refuse answers the caller with the refusal of the decision.
 	Refuse Action = iota
-	// Elsewhere runs a new attempt on a server that was not tried.
+	// Elsewhere runs a new attempt on a server that was not tried, or on any
+	// after a delay when all were.
 	Elsewhere
 	// Attach resumes the same attempt from the last piece.
 	Attach
-	// Trial runs a new attempt alone on a server that was not tried, once the
-	// log says that this entry runs the trial.
+	// Trial is like Elsewhere, but runs the attempt alone on its server, once
+	// the log says that this entry runs the trial.
 	Trial
 )
 
@@ -166,6 +175,10 @@
 		return Decision{Action: Refuse, History: h, Refusal: refusal}
 	}
 	delay := p.delay(f, h)
+	if s.Untried == 0 {
+		delay = p.returnDelay()
+		h = h.WithoutTried()
+	}
 	if s.Request.Remaining(now) <= delay+s.Need {
 		return refuse(h, oleanderspool.RefusalTimeLimit, "the time limit leaves no time for a retry", crashRetryAfter)
 	}
@@ -203,15 +216,18 @@
 	return crashRetryAfter
 }
 
-// refuseRetry refuses a retry that has no attempt or no server left.
+// refuseRetry refuses a retry that has no attempt left, or that would go back
+// to a busy server.
 func (p *Policy) refuseRetry(s Situation, f Failure, h History) *oleanderspool.Refusal {
-	if h.Retries < p.maxRetries && s.Untried > 0 {
-		return nil
-	}
-	if f.Reason == oleanderspool.RetryQueueFull {
+	busy := f.Reason == oleanderspool.RetryQueueFull
+	switch {
+	case busy && (s.Untried == 0 || h.Retries >= p.maxRetries):
 		return refusal(h, oleanderspool.RefusalOverloaded, "every backend server is busy", max(f.RetryAfter, oleanderspool.Second))
+	case h.Retries >= p.maxRetries:
+		return refusal(h, oleanderspool.RefusalBackendServerFailed, "too many attempts have failed", crashRetryAfter)
+	default:
+		return nil
 	}
-	return refusal(h, oleanderspool.RefusalBackendServerFailed, "no other backend server is left to try", crashRetryAfter)
 }
 
 // delay returns the span to wait before the retry. Only a busy fleet is
@@ -223,6 +239,13 @@
 	return backoff(h.Retries+1, p.source)
 }
 
+// returnDelay returns the span before servers that were tried are tried again.
+// Several servers that fail at once, as when a request crashes one after the
+// other, leave none for their other requests for a moment.
+func (p *Policy) returnDelay() oleanderspool.Millis {
+	return meanReturn/2 + oleanderspool.Millis(p.source.Int64N(int64(meanReturn)+1))
+}
+
 // spend draws the retry from the budget, except for the free one after a
 // crash.
 func (p *Policy) spend(f Failure, h History, delay, now oleanderspool.Millis) Decision {
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -53,6 +53,9 @@
 		{"full queues after an attempt that may have run", idempotent, retry.History{Execution: maybe}, retry.Failure{Reason: full, Answered: true}, 0, retry.Refuse, "", oleanderspool.RefusalOverloaded, maybe},
 		{"an earlier attempt that may have run", plain, retry.History{Execution: maybe}, retry.Failure{Reason: leaving, Answered: true}, 1, retry.Refuse, "", oleanderspool.RefusalBackendServerFailed, maybe},
 		{"an old configuration", plain, retry.History{}, retry.Failure{Reason: behind, Answered: true}, 1, retry.Elsewhere, behind, "", 0},
+		{"no server that was not tried", plain, retry.History{}, retry.Failure{Reason: connect}, 0, retry.Elsewhere, connect, "", 0},
+		{"too many retries without another server", idempotent, retry.History{Retries: 4}, retry.Failure{Reason: agent}, 0, retry.Refuse, "", oleanderspool.RefusalBackendServerFailed, maybe},
+		{"no time to wait for a server", idempotent.WithDeadline(500), retry.History{}, retry.Failure{Reason: agent}, 0, retry.Refuse, "", oleanderspool.RefusalTimeLimit, maybe},
 		{"too many retries", idempotent, retry.History{Retries: 4}, retry.Failure{Reason: leaving, Answered: true}, 1, retry.Refuse, "", oleanderspool.RefusalBackendServerFailed, notRun},
 		{"no time left", idempotent.WithDeadline(100), retry.History{}, retry.Failure{Reason: agent}, 1, retry.Refuse, "", oleanderspool.RefusalTimeLimit, maybe},
 	}
@@ -68,7 +71,12 @@
 				Expect(d.Refusal.Execution).To(Equal(c.execution))
 				return
 			}
-			if c.action != retry.Attach {
+			switch {
+			case c.action == retry.Attach:
+			case c.untried == 0:
+				Expect(d.History.Tried).To(BeEmpty())
+				Expect(d.Delay).To(BeNumerically(">=", oleanderspool.Second/2))
+			default:
 				Expect(d.History.Tried).To(ContainElement(oleanderspool.InstanceID("s")))
 			}
 		})
