Poll the instance list in turns and tell other entries what changed

Cause: each entry polled the whole list each second.

- membership.List decides without I/O.
Entries poll in the order of their hashed names, counted from the newest poll that an entry knows of; a turn follows from the size of the list, the number of entries and 1,800 B/s.
An entry that misses its turn is followed by the next one.
- After its poll an entry sends each other one a digest of its list.
Only one whose digest differs gets the changes since its own last confirmation.
- An update states its instants on the receiver's clock, at the earliest, from the reply to the last call.
A message that is late, or waits while its receiver is paused, cannot make an old observation look new.
- An entry whose list no digest confirmed for 10 to 20 s polls by itself, so ListBound (25 s) does not depend on any other entry.
- A list of up to 3,600 B, as in the fleets of today, is still polled by each entry each second.
- The table takes changes instead of lists; watches are chosen again only when the list or the sets changed, and equal sets are not applied again.

Ruled out: polling less often alone (an entry may poll once in 837 s at 1,800 B/s); changes without digests (an entry that lost one would not know); repeating recent changes in each update (nine times the traffic of changes; paper); ages measured from the receipt (a message that waited out a partition then looks new); a connection pool for these calls (829 calls would displace the connections to agents).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,7 +33,6 @@
 	// 6 KB/s for control traffic; at 500 ms they take 9.2 to 9.9.
 	DefaultWatchLimit    = 40
 	DefaultWatchInterval = oleanderspool.Second
-	DefaultListInterval  = oleanderspool.Second
 	// DefaultKeyLifetime must be at most half of the log's retention.
 	DefaultKeyLifetime = 24 * oleanderspool.Hour
 	// DefaultDrainDelay is how long a stopping entry goes on accepting, so that
@@ -56,7 +55,7 @@
 	list       oleanderspool.InstanceList
 	watchLimit int
 	watchEvery oleanderspool.Millis
-	listEvery  oleanderspool.Millis
+	listBudget int // bytes per second
 	lifetime   oleanderspool.Millis
 	retention  oleanderspool.Millis
 	others     []string
@@ -109,6 +108,12 @@
 	return func(e *Entry) { e.watchEvery = span }
 }
 
+// WithListBudget sets what the entry spends on the platform's instance list,
+// in bytes per second.
+func WithListBudget(bytesPerSecond int) Option {
+	return func(e *Entry) { e.listBudget = bytesPerSecond }
+}
+
 // WithKeyLifetime sets how long an idempotency key is valid, in milliseconds.
 // It must be at most half of the log's retention.
 func WithKeyLifetime(span oleanderspool.Millis) Option {
@@ -160,7 +165,7 @@
 		metrics:    observe.New(),
 		watchLimit: DefaultWatchLimit,
 		watchEvery: DefaultWatchInterval,
-		listEvery:  DefaultListInterval,
+		listBudget: membership.DefaultListBudget,
 		lifetime:   DefaultKeyLifetime,
 		retention:  2 * DefaultKeyLifetime,
 		drainDelay: DefaultDrainDelay,
@@ -175,7 +180,7 @@
 	e.configuration = replica.New(e.logger, e.metrics, e.configured)
 	e.claims = newClaims(e.log, e.clock, e.metrics, claim.Limits{KeyLifetime: e.lifetime, MaxClaims: maxClaims})
 	e.suspects = newSuspects(e)
-	e.members = newMembers(e, membership.New())
+	e.members = newMembers(e, membership.NewList(e.instance, randomSeed()|1, membership.WithListBudget(e.listBudget)))
 	e.router = routing.NewRouter(routing.WithSets(e.setOf), routing.WithDistances(e.distances), routing.WithSeed(randomSeed()))
 	return e
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -18,28 +18,28 @@
 type members struct {
 	entry *Entry
 
-	mu        sync.Mutex
-	table     *membership.Table
-	addresses map[oleanderspool.InstanceID]string
-	watches   map[oleanderspool.InstanceID]context.CancelFunc
-	interval  oleanderspool.Millis // between reports of a watched agent
-	renew     chan struct{}        // closed when the interval changes
-	listed    bool                 // a list was received
-	warm      atomic.Bool          // the agents have reported, or had the time to
+	mu       sync.Mutex
+	list     *membership.List
+	table    *membership.Table
+	watches  map[oleanderspool.InstanceID]context.CancelFunc
+	adjusted int                  // revision of the list and the sets that the watches follow
+	interval oleanderspool.Millis // between reports of a watched agent
+	renew    chan struct{}        // closed when the interval changes
+	warm     atomic.Bool          // the agents have reported, or had the time to
 }
 
 // rewatchDelay is the span between two connections to an agent that does not
 // answer.
 const rewatchDelay = 200 * oleanderspool.Millis(1)
 
-func newMembers(e *Entry, table *membership.Table) members {
+func newMembers(e *Entry, list *membership.List) members {
 	return members{
-		entry:     e,
-		table:     table,
-		addresses: make(map[oleanderspool.InstanceID]string),
-		watches:   make(map[oleanderspool.InstanceID]context.CancelFunc),
-		interval:  e.watchEvery,
-		renew:     make(chan struct{}),
+		entry:    e,
+		list:     list,
+		table:    membership.New(membership.WithList(list)),
+		watches:  make(map[oleanderspool.InstanceID]context.CancelFunc),
+		interval: e.watchEvery,
+		renew:    make(chan struct{}),
 	}
 }
 
@@ -59,7 +59,8 @@
 		m.mu.Lock()
 		now := m.entry.clock.Now()
 		m.handle(m.table.Tick(now))
-		known := m.entry.Revision() > 0 && m.listed && len(m.table.Snapshot()) >= len(m.watches)
+		m.adjust(ctx, now)
+		known := m.entry.Revision() > 0 && m.list.Known() && len(m.table.Snapshot()) >= len(m.watches)
 		// A change reaches the snapshot by the next tick at the latest.
 		if known && before || now-began > membership.DefaultSuspectAfter {
 			m.warm.Store(true)
@@ -70,36 +71,6 @@
 	}
 }
 
-// poll asks for the list at each interval. A failed poll leaves the last list
-// in use.
-func (m *members) poll(ctx context.Context) {
-	for number := int64(1); ctx.Err() == nil; number++ {
-		list, err := m.entry.list.Instances(ctx)
-		if err == nil {
-			m.apply(ctx, number, list)
-		}
-		clock.Sleep(ctx, m.entry.listEvery)
-	}
-}
-
-// apply merges a list and adjusts the watches to it.
-func (m *members) apply(ctx context.Context, number int64, list []oleanderspool.InstanceState) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := m.entry.clock.Now()
-	m.listed = true
-	clear(m.addresses)
-	for _, i := range list {
-		m.addresses[i.Instance] = i.Address
-	}
-	m.handle(m.table.ApplyList(number, list, now))
-	m.adjust(ctx, now)
-	m.entry.mu.Lock()
-	m.entry.admission.SetEntries(m.table.Entries())
-	m.entry.retries.SetKnownServers(m.table.Known())
-	m.entry.mu.Unlock()
-}
-
 // reportsPerSecond bounds the reports of all watched agents together. At about
 // 130 bytes each they take 5.2 of the 6 KB/s for control.
 const reportsPerSecond = 40
@@ -126,8 +97,18 @@
 	m.renew = make(chan struct{})
 }
 
-// adjust opens and closes watches so that they match the choice.
+// adjust passes a changed list on and opens and closes watches so that they
+// match the choice.
 func (m *members) adjust(ctx context.Context, now oleanderspool.Millis) {
+	revision := m.table.ListRevision()
+	if revision == m.adjusted {
+		return
+	}
+	m.adjusted = revision
+	m.entry.mu.Lock()
+	m.entry.admission.SetEntries(m.table.Entries())
+	m.entry.retries.SetKnownServers(m.table.Known())
+	m.entry.mu.Unlock()
 	chosen := m.table.ChooseWatches(m.entry.instance, m.entry.dataCentre, m.entry.watchLimit)
 	m.setInterval(len(chosen.Instances))
 	wanted := make(map[oleanderspool.InstanceID]bool, len(chosen.Instances))
@@ -154,7 +135,7 @@
 func (m *members) watch(ctx context.Context, id oleanderspool.InstanceID) {
 	for ctx.Err() == nil {
 		m.mu.Lock()
-		address := m.addresses[id]
+		address, _ := m.list.Address(id)
 		stream, ok := m.table.OpenStream(id)
 		interval, renew := m.interval, m.renew
 		m.mu.Unlock()
@@ -293,9 +274,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	b, _ = m.table.Find(id)
-	address, listed := m.addresses[id]
+	address, listed := m.list.Address(id)
 	if b.Address == "" {
 		b.Instance, b.Address = id, address
 	}
-	return b, listed || !m.listed
+	return b, listed || !m.list.Known()
 }
--- a/internal/membership/benchmark_test.go
+++ b/internal/membership/benchmark_test.go
@@ -99,7 +99,7 @@
 			table, _ := watched(n)
 			instances, _ := fleet(n)
 			b.ReportAllocs()
-			poll := int64(1)
+			poll := oleanderspool.Millis(1)
 			for b.Loop() {
 				poll++
 				table.ApplyList(poll, instances, 0)
--- a/internal/membership/fuzz_test.go
+++ b/internal/membership/fuzz_test.go
@@ -55,7 +55,7 @@
 	seen      map[oleanderspool.InstanceID]int // newest process that reached the table
 	platform  []oleanderspool.InstanceState
 	lists     []pendingList
-	poll      int64
+	poll      oleanderspool.Millis
 	position  int64
 	table     *membership.Table
 	router    *routing.Router
@@ -67,7 +67,7 @@
 }
 
 type pendingList struct {
-	poll int64
+	poll oleanderspool.Millis
 	list []oleanderspool.InstanceState
 }
 
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -21,44 +21,63 @@
 	dataCentre oleanderspool.DataCentreID
 }
 
-// ApplyList merges the platform's list. poll numbers the polls in the order
-// in which they were sent; the answer to an older poll is ignored. Instances
-// other than entries and backend servers are skipped.
+// ApplyList merges the platform's answer to a poll that was sent at an
+// instant; an answer to an older poll is ignored.
 //
 // An instance that is absent is gone, and one that returns is new: reports of
 // its earlier life are not applied. An instance that the list marks as leaving
 // is not chosen, even when a new incarnation reports, because the list may
 // know of a planned stop that the agent does not know of yet.
-func (t *Table) ApplyList(poll int64, list []oleanderspool.InstanceState, now oleanderspool.Millis) []Change {
-	if poll <= t.poll {
+func (t *Table) ApplyList(sentAt oleanderspool.Millis, list []oleanderspool.InstanceState, now oleanderspool.Millis) []Change {
+	return t.applyListed(t.list.ApplyPoll(sentAt, list), now)
+}
+
+// ApplyUpdate merges what another entry tells of the list.
+func (t *Table) ApplyUpdate(u ListUpdate, now oleanderspool.Millis) (ListReply, []Change) {
+	reply, listed := t.list.ApplyUpdate(u, now)
+	return reply, t.applyListed(listed, now)
+}
+
+// ListRevision rises with each change of the list or the sets, on which the
+// choice of watches depends.
+func (t *Table) ListRevision() int {
+	return t.listRevision
+}
+
+// Entries returns the number of listed entries that do not leave, at least 1.
+// They share the rates of client accounts.
+func (t *Table) Entries() int {
+	return max(1, len(t.entries))
+}
+
+// applyListed merges changes of the list. Instances other than entries and
+// backend servers are skipped.
+func (t *Table) applyListed(listed []ListChange, now oleanderspool.Millis) []Change {
+	if len(listed) == 0 {
 		return nil
 	}
-	t.poll = poll
-	listed := make(map[oleanderspool.InstanceID]bool, len(list))
+	t.listRevision++
 	var changes []Change
-	t.entries = t.entries[:0]
-	for _, s := range list {
-		if s.Role == listedEntry && !s.Leaving {
-			t.entries = append(t.entries, listedPeer{routing.Hash(s.Instance), s.DataCentre})
+	removed := false
+	for _, c := range listed {
+		s := c.State
+		delete(t.entries, s.Instance)
+		if !c.Gone && s.Role == listedEntry && !s.Leaving {
+			t.entries[s.Instance] = listedPeer{routing.Hash(s.Instance), s.DataCentre}
 		}
-		if s.Role != listedModel && s.Role != listedService {
+		if c.Gone || s.Role != listedModel && s.Role != listedService {
+			removed = t.remove(s.Instance, &changes) || removed
 			continue
 		}
-		listed[s.Instance] = true
-		changes = t.list(s, changes)
+		changes = t.insert(s, changes)
 	}
-	changes = t.removeUnlisted(listed, changes)
+	t.order(removed)
 	t.publish(now)
 	return changes
 }
 
-// Entries returns the number of listed entries that do not leave, at least 1.
-// They share the rates of client accounts.
-func (t *Table) Entries() int {
-	return max(1, len(t.entries))
-}
-
-func (t *Table) list(s oleanderspool.InstanceState, changes []Change) []Change {
+// insert takes an instance that is new or differs from what was known.
+func (t *Table) insert(s oleanderspool.InstanceState, changes []Change) []Change {
 	a := t.agents[s.Instance]
 	if a == nil {
 		a = newAgent(s, t.lastStream)
@@ -66,30 +85,29 @@
 		t.ordered = append(t.ordered, a)
 		return append(changes, a.change(Appeared))
 	}
-	if a.listed == s {
-		return changes
-	}
 	a.listed = s
 	return t.merge(a, changes)
 }
 
-func (t *Table) removeUnlisted(listed map[oleanderspool.InstanceID]bool, changes []Change) []Change {
-	kept := t.ordered[:0]
-	for _, a := range t.ordered {
-		if listed[a.listed.Instance] {
-			kept = append(kept, a)
-			continue
-		}
-		delete(t.agents, a.listed.Instance)
-		t.excluded = true
-		changes = append(changes, a.change(Gone))
+func (t *Table) remove(instance oleanderspool.InstanceID, changes *[]Change) bool {
+	a := t.agents[instance]
+	if a == nil {
+		return false
+	}
+	delete(t.agents, instance)
+	t.excluded = true
+	*changes = append(*changes, a.change(Gone))
+	return true
+}
+
+// order drops the agents that were removed and sorts those that were added.
+func (t *Table) order(removed bool) {
+	if removed {
+		t.ordered = slices.DeleteFunc(t.ordered, func(a *agent) bool { return t.agents[a.listed.Instance] != a })
 	}
-	clear(t.ordered[len(kept):])
-	t.ordered = kept
 	if !slices.IsSortedFunc(t.ordered, compareAgents) {
 		slices.SortFunc(t.ordered, compareAgents)
 	}
-	return changes
 }
 
 // merge brings the server value in line with the list, the sets and the
@@ -112,13 +130,19 @@
 	return changes
 }
 
-// ApplySets takes the backend server sets of a configuration. Sets of an older
-// revision are ignored.
+// ApplySets takes the backend server sets of a configuration, which must not
+// be modified afterwards. Sets of an older revision are ignored, and equal ones
+// cost a comparison only, since most changes of a configuration touch no set.
 func (t *Table) ApplySets(revision oleanderspool.Revision, sets []configuration.ServerSet, now oleanderspool.Millis) {
 	if revision < t.setRevision {
 		return
 	}
 	t.setRevision = revision
+	if t.sets != nil && slices.EqualFunc(t.applied, sets, equalMembers) {
+		return
+	}
+	t.applied = sets
+	t.listRevision++
 	t.sets = make(map[oleanderspool.InstanceID][]oleanderspool.ServerSetID)
 	for _, s := range sets {
 		for _, instance := range s.Instances {
@@ -130,3 +154,7 @@
 	}
 	t.publish(now)
 }
+
+func equalMembers(a, b configuration.ServerSet) bool {
+	return a.ID == b.ID && slices.Equal(a.Instances, b.Instances)
+}
--- /dev/null
+++ b/internal/membership/list_benchmark_test.go
@@ -0,0 +1,70 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/membership"
+)
+
+// listedFleet returns a list of n runners and as many entries as a fleet of
+// that size has, at most one for 14 runners.
+func listedFleet(n int) []oleanderspool.InstanceState {
+	instances, _ := fleet(n)
+	for e := range max(2, n*830/12_000) {
+		s := listed(fmt.Sprintf("entry-%03d", e))
+		s.DataCentre, s.Role = oleanderspool.DataCentreID(fmt.Sprintf("dc%d", e%9)), "entry"
+		instances = append(instances, s)
+	}
+	return instances
+}
+
+// following returns a table of one entry and the list of another one that
+// knows its clock.
+func following(instances []oleanderspool.InstanceState) (*membership.Table, *membership.List) {
+	from, to := membership.NewList("entry-001", 1), membership.NewList("entry-000", 2)
+	table := membership.New(membership.WithList(to))
+	from.ApplyPoll(0, instances)
+	table.ApplyList(0, instances, 0)
+	reply, _ := table.ApplyUpdate(from.Update("entry-000"), 0)
+	from.ApplyReply("entry-000", reply, 0, 0)
+	return table, from
+}
+
+// BenchmarkApplyUpdate measures what an entry spends on the poll of another
+// one, when nothing changed and when one runner did, and reports how often an
+// entry polls.
+func BenchmarkApplyUpdate(b *testing.B) {
+	for _, n := range sizes {
+		for _, changed := range []bool{false, true} {
+			b.Run(fmt.Sprintf("agents=%d/changed=%t", n, changed), func(b *testing.B) {
+				instances := listedFleet(n)
+				table, from := following(instances)
+				b.ReportAllocs()
+				now := oleanderspool.Millis(0)
+				for b.Loop() {
+					now += oleanderspool.Second
+					if changed {
+						b.StopTimer()
+						instances[0].Leaving = !instances[0].Leaving
+						from.ApplyPoll(now, instances)
+						b.StartTimer()
+					}
+					update := from.Update("entry-000")
+					update.PolledAt = now
+					reply, _ := table.ApplyUpdate(update, now)
+					if update, again := from.ApplyReply("entry-000", reply, now, now); again {
+						table.ApplyUpdate(update, now)
+					}
+				}
+				entries := len(instances) - n
+				interval := int(from.Turn()) * entries
+				if from.Alone() {
+					interval = int(oleanderspool.Second)
+				}
+				b.ReportMetric(float64(interval), "ms/poll-of-an-entry")
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/list_fuzz_test.go
@@ -0,0 +1,274 @@
+package membership_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/membership"
+)
+
+const (
+	// callBound is the span after which an entry gives up a call to another one.
+	callBound = 2 * oleanderspool.Second
+	// listStep is the granularity of the fuzzed time.
+	listStep = 100 * oleanderspool.Millis(1)
+)
+
+// lister is an entry with its own clock.
+type lister struct {
+	id     oleanderspool.InstanceID
+	list   *membership.List
+	ahead  oleanderspool.Millis // of its clock
+	paused bool
+	since  oleanderspool.Millis // start or end of the last pause
+	polled bool                 // a poll is under way
+	queue  []func()             // what arrived in a pause
+}
+
+// listWorld is the platform's list, the entries and the calls between them.
+type listWorld struct {
+	now       oleanderspool.Millis
+	epoch     uint64
+	budget    int
+	entries   []*lister
+	list      map[oleanderspool.InstanceID]oleanderspool.InstanceState
+	changed   map[oleanderspool.InstanceID]oleanderspool.Millis
+	down      bool
+	upSince   oleanderspool.Millis
+	answer    oleanderspool.Millis            // time of the platform to answer
+	delays    map[[2]int]oleanderspool.Millis // of the links; -1 for a link that is cut
+	events    []event
+	delivered []func() // updates that may arrive again
+}
+
+type event struct {
+	at  oleanderspool.Millis
+	run func()
+}
+
+func (w *listWorld) set(id oleanderspool.InstanceID, version int) {
+	s := listed(string(id))
+	if id[0] == 'e' {
+		s.Role = "entry"
+	}
+	s.Address = fmt.Sprintf("10.0.0.1:%d", version)
+	w.list[id], w.changed[id] = s, w.now
+}
+
+func (w *listWorld) start(i int) {
+	w.epoch++
+	e := w.entries[i]
+	e.list = membership.NewList(e.id, w.epoch, membership.WithListBudget(w.budget))
+	e.paused, e.polled, e.since, e.queue = false, false, w.now, nil
+	e.ahead = oleanderspool.Millis(w.epoch * 7919 % 100_000)
+}
+
+func (w *listWorld) after(span oleanderspool.Millis, run func()) {
+	w.events = append(w.events, event{w.now + span, run})
+}
+
+// on runs f in a run of an entry, after its pause if it is paused.
+func (w *listWorld) on(e *lister, f func()) {
+	l := e.list
+	run := func() {
+		if e.list == l {
+			f()
+		}
+	}
+	if e.paused {
+		e.queue = append(e.queue, run)
+		return
+	}
+	run()
+}
+
+func (w *listWorld) snapshot() []oleanderspool.InstanceState {
+	var list []oleanderspool.InstanceState
+	for _, s := range w.list {
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b oleanderspool.InstanceState) int { return int(a.Instance[1]) - int(b.Instance[1]) })
+	return list
+}
+
+func (w *listWorld) poll(i int) {
+	e := w.entries[i]
+	e.polled = true
+	sentAt := w.now + e.ahead
+	var list []oleanderspool.InstanceState
+	down := w.down
+	l := e.list
+	w.after(w.answer/2, func() { list, down = w.snapshot(), down || w.down })
+	w.after(w.answer, func() {
+		if e.list != l {
+			return
+		}
+		w.on(e, func() {
+			e.polled = false
+			if down {
+				e.list.PollFailed(w.now + e.ahead)
+				return
+			}
+			e.list.ApplyPoll(sentAt, list)
+			for _, to := range e.list.Tell(sentAt) {
+				w.tell(i, int(to[1]-'0'), e.list.Update(to), 0)
+			}
+		})
+	})
+}
+
+// tell sends an update. It may arrive long after the sender gave up.
+func (w *listWorld) tell(from, to int, u membership.ListUpdate, calls int) {
+	out, back := w.delays[[2]int{from, to}], w.delays[[2]int{to, from}]
+	if out < 0 {
+		return
+	}
+	sender, receiver, sentAt := w.entries[from], w.entries[to], w.now
+	l := sender.list
+	w.after(out, func() {
+		w.on(receiver, func() {
+			arrive := func() membership.ListReply {
+				reply, _ := receiver.list.ApplyUpdate(u, w.now+receiver.ahead)
+				return reply
+			}
+			w.delivered = append(w.delivered, func() { w.on(receiver, func() { arrive() }) })
+			reply := arrive()
+			if back < 0 {
+				return
+			}
+			w.after(back, func() {
+				if sender.list != l || sender.paused || w.now-sentAt > callBound {
+					return
+				}
+				again, repeat := l.ApplyReply(receiver.id, reply, sentAt+sender.ahead, w.now+sender.ahead)
+				if repeat && calls == 0 {
+					w.tell(from, to, again, 1)
+				}
+			})
+		})
+	})
+}
+
+func (w *listWorld) advance(span oleanderspool.Millis) {
+	for end := w.now + span; w.now < end; w.now += listStep {
+		for {
+			i := slices.IndexFunc(w.events, func(e event) bool { return e.at <= w.now })
+			if i < 0 {
+				break
+			}
+			run := w.events[i].run
+			w.events = slices.Delete(w.events, i, i+1)
+			run()
+		}
+		for i, e := range w.entries {
+			if !e.paused && !e.polled && e.list.NextPoll() <= w.now+e.ahead {
+				w.poll(i)
+			}
+		}
+	}
+}
+
+func (w *listWorld) resume(e *lister) {
+	if !e.paused {
+		return
+	}
+	e.paused, e.since = false, w.now
+	queue := e.queue
+	e.queue = nil
+	for _, run := range queue {
+		run()
+	}
+}
+
+// check is the oracle: a live entry has the platform's state of each instance
+// that did not change within the bound.
+func (w *listWorld) check(t *rapid.T) {
+	for _, e := range w.entries {
+		if e.paused || w.down {
+			continue
+		}
+		for id, at := range w.changed {
+			since := max(at, e.since, w.upSince)
+			if w.now-since <= membership.ListBound {
+				continue
+			}
+			got, _ := e.list.Address(id)
+			if want := w.list[id].Address; got != want {
+				t.Fatalf("%s has %q for %s, which has been %q for %d ms", e.id, got, id, want, w.now-since)
+			}
+		}
+	}
+}
+
+func newListWorld(budget int) *listWorld {
+	w := &listWorld{
+		budget: budget, answer: 100,
+		list: make(map[oleanderspool.InstanceID]oleanderspool.InstanceState), changed: make(map[oleanderspool.InstanceID]oleanderspool.Millis),
+		delays: make(map[[2]int]oleanderspool.Millis),
+	}
+	for i := range 4 {
+		id := oleanderspool.InstanceID(fmt.Sprintf("e%d", i))
+		w.entries = append(w.entries, &lister{id: id})
+		w.start(i)
+		w.set(id, 0)
+		w.set(oleanderspool.InstanceID(fmt.Sprintf("s%d", 4+i)), 0)
+	}
+	return w
+}
+
+func (w *listWorld) actions() map[string]func(*rapid.T) {
+	version := 0
+	entry := func(t *rapid.T) int { return rapid.IntRange(0, 3).Draw(t, "entry") }
+	instance := rapid.SampledFrom([]oleanderspool.InstanceID{"e1", "e2", "s4", "s5", "s6", "s7", "s8"})
+	return map[string]func(*rapid.T){
+		"advance": func(t *rapid.T) { w.advance(oleanderspool.Millis(rapid.IntRange(1, 60).Draw(t, "steps")) * listStep) },
+		"quiet":   func(_ *rapid.T) { w.advance(membership.ListBound + listStep) },
+		"change": func(t *rapid.T) {
+			version++
+			w.set(instance.Draw(t, "instance"), version)
+		},
+		"leave": func(t *rapid.T) {
+			id := instance.Draw(t, "instance")
+			delete(w.list, id)
+			w.changed[id] = w.now
+		},
+		"flap": func(t *rapid.T) {
+			id := instance.Draw(t, "instance")
+			delete(w.list, id)
+			w.advance(oleanderspool.Millis(rapid.IntRange(1, 20).Draw(t, "steps")) * listStep)
+			w.set(id, version)
+		},
+		"pause":   func(t *rapid.T) { w.entries[entry(t)].paused = true },
+		"resume":  func(t *rapid.T) { w.resume(w.entries[entry(t)]) },
+		"restart": func(t *rapid.T) { w.start(entry(t)) },
+		"link": func(t *rapid.T) {
+			w.delays[[2]int{entry(t), entry(t)}] = oleanderspool.Millis(rapid.SampledFrom([]int{0, 0, 0, 300, 3000, 15_000, -1}).Draw(t, "delay"))
+		},
+		"again": func(t *rapid.T) {
+			if len(w.delivered) > 0 {
+				rapid.SampledFrom(w.delivered).Draw(t, "update")()
+			}
+		},
+		"platform": func(t *rapid.T) {
+			w.answer = oleanderspool.Millis(rapid.SampledFrom([]int{100, 1000, 2900}).Draw(t, "answer"))
+			if down := rapid.IntRange(0, 3).Draw(t, "down") == 0; down != w.down {
+				w.down, w.upSince = down, w.now
+			}
+		},
+		"": w.check,
+	}
+}
+
+// TestEachEntryKnowsTheList guards against a list that stays wrong for longer
+// than its bound, with pauses, restarts, one-way cuts, late and duplicate
+// updates, and a slow platform.
+func TestEachEntryKnowsTheList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newListWorld(rapid.SampledFrom([]int{100, 400, 1000}).Draw(t, "budget"))
+		t.Repeat(w.actions())
+	})
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -10,6 +10,7 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/routing"
+	"github.com/oleanderspool/oleanderspool/pkg/configuration"
 )
 
 // Defaults of [New].
@@ -49,6 +50,12 @@
 	return func(t *Table) { t.publishInterval = span }
 }
 
+// WithList sets the list that the table follows. Its ApplyPoll and ApplyUpdate
+// are called through the table.
+func WithList(l *List) Option {
+	return func(t *Table) { t.list = l }
+}
+
 // Table holds the agents that an entry knows. Its methods must not be called
 // concurrently, except for [Table.Snapshot].
 type Table struct {
@@ -59,10 +66,12 @@
 	ordered []*agent // by instance
 	sets    map[oleanderspool.InstanceID][]oleanderspool.ServerSetID
 
-	entries     []listedPeer           // listed entries that do not leave
-	poll        int64                  // number of the last applied list
-	setRevision oleanderspool.Revision // revision of the sets
-	lastStream  Stream
+	list         *List
+	entries      map[oleanderspool.InstanceID]listedPeer // listed entries that do not leave
+	applied      []configuration.ServerSet               // what sets was made of
+	setRevision  oleanderspool.Revision                  // revision of the sets
+	listRevision int                                     // changes of the list and the sets so far
+	lastStream   Stream
 
 	snapshot    atomic.Pointer[[]oleanderspool.BackendServer]
 	publishedAt oleanderspool.Millis
@@ -91,7 +100,9 @@
 	t := &Table{
 		suspectAfter:    DefaultSuspectAfter,
 		publishInterval: DefaultPublishInterval,
+		list:            NewList("", 0),
 		agents:          make(map[oleanderspool.InstanceID]*agent),
+		entries:         make(map[oleanderspool.InstanceID]listedPeer),
 		publishedAt:     neverPublished,
 	}
 	for _, o := range options {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -52,7 +52,7 @@
 			list = append(list, listed(words[3]))
 			list[0].Leaving = leaving
 		}
-		changes = t.ApplyList(number(words[2]), list, now)
+		changes = t.ApplyList(oleanderspool.Millis(number(words[2])), list, now)
 	case "open":
 		t.OpenStream("s")
 	case "report":
@@ -98,8 +98,13 @@
 			lines, err := os.ReadFile(script)
 			Expect(err).NotTo(HaveOccurred())
 			table, got := membership.New(), ""
+			list := membership.NewList("e1", ownEpoch, membership.WithListBudget(smallBudget))
 			for line := range strings.Lines(string(lines)) {
-				got += play(table, strings.TrimSpace(line))
+				if strings.HasPrefix(filepath.Base(script), "list_") {
+					got += playList(list, strings.TrimSpace(line))
+				} else {
+					got += play(table, strings.TrimSpace(line))
+				}
 			}
 			golden := strings.TrimSuffix(script, ".session") + ".golden"
 			if *update {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -58,6 +58,17 @@
 	return peerpb.NewDRPCAgentClient(conn), func() { _ = conn.Close() }, nil
 }
 
+// DialProcess connects to the process at the given IP number and port without
+// the pool, so that calls to many processes do not displace the connections to
+// agents. The caller closes the connection. The error is a [*DialError].
+func (c *Client) DialProcess(ctx context.Context, address string) (peerpb.DRPCPeerClient, func(), error) {
+	conn, err := dial(ctx, address)
+	if err != nil {
+		return nil, nil, err
+	}
+	return peerpb.NewDRPCPeerClient(conn), func() { _ = conn.Close() }, nil
+}
+
 // Process returns the process at the given IP number and port.
 func (c *Client) Process(address string) peerpb.DRPCPeerClient {
 	return peerpb.NewDRPCPeerClient(c.pool.Get(context.Background(), address, dial))
--- /dev/null
+++ b/internal/peer/list.go
@@ -0,0 +1,74 @@
+package peer
+
+import (
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/membership"
+	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
+)
+
+// EncodeListUpdate maps what an entry tells of the instance list.
+func EncodeListUpdate(u membership.ListUpdate, revision oleanderspool.Revision) *peerpb.InstanceUpdate {
+	m := &peerpb.InstanceUpdate{
+		Revision: int64(revision),
+		Poller:   u.Poller,
+		Epoch:    u.Epoch,
+		PolledMs: int64(u.PolledAt),
+		Digest:   u.Digest,
+	}
+	for _, c := range u.Changes {
+		m.Changes = append(m.Changes, &peerpb.InstanceChange{
+			Instance:   string(c.State.Instance),
+			Gone:       c.Gone,
+			DataCentre: string(c.State.DataCentre),
+			Address:    c.State.Address,
+			Role:       c.State.Role,
+			Leaving:    c.State.Leaving,
+			BeforeMs:   int64(c.Before),
+		})
+	}
+	return m
+}
+
+// DecodeListUpdate is the inverse of [EncodeListUpdate].
+func DecodeListUpdate(m *peerpb.InstanceUpdate) membership.ListUpdate {
+	u := membership.ListUpdate{
+		Poller:   m.GetPoller(),
+		Epoch:    m.GetEpoch(),
+		PolledAt: oleanderspool.Millis(m.GetPolledMs()),
+		Digest:   m.GetDigest(),
+	}
+	for _, c := range m.GetChanges() {
+		u.Changes = append(u.Changes, membership.ObservedChange{
+			ListChange: membership.ListChange{Gone: c.GetGone(), State: oleanderspool.InstanceState{
+				Instance:   oleanderspool.InstanceID(c.GetInstance()),
+				DataCentre: oleanderspool.DataCentreID(c.GetDataCentre()),
+				Address:    c.GetAddress(),
+				Role:       c.GetRole(),
+				Leaving:    c.GetLeaving(),
+			}},
+			Before: oleanderspool.Millis(c.GetBeforeMs()),
+		})
+	}
+	return u
+}
+
+// EncodeListReply maps the answer to an update.
+func EncodeListReply(r membership.ListReply, revision oleanderspool.Revision) *peerpb.InstanceReply {
+	return &peerpb.InstanceReply{
+		Revision:  int64(revision),
+		Epoch:     r.Epoch,
+		InstantMs: int64(r.Instant),
+		Behind:    r.Behind,
+		AgeMs:     int64(r.Age),
+	}
+}
+
+// DecodeListReply is the inverse of [EncodeListReply].
+func DecodeListReply(m *peerpb.InstanceReply) membership.ListReply {
+	return membership.ListReply{
+		Epoch:   m.GetEpoch(),
+		Instant: oleanderspool.Millis(m.GetInstantMs()),
+		Behind:  m.GetBehind(),
+		Age:     oleanderspool.Millis(m.GetAgeMs()),
+	}
+}
--- a/internal/peer/wire_test.go
+++ b/internal/peer/wire_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/membership"
 	"github.com/oleanderspool/oleanderspool/internal/peer"
 	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
 )
@@ -82,6 +83,11 @@
 	return &peerpb.OfferReply{Revision: 8500, Position: 8500}, nil
 }
 
+// Instances takes what another entry tells of the instance list.
+func (r *responder) Instances(context.Context, *peerpb.InstanceUpdate) (*peerpb.InstanceReply, error) {
+	return peer.EncodeListReply(membership.ListReply{Epoch: 1 << 63, Instant: 86_400_000, Age: 1000}, 8_500_000), nil
+}
+
 // serve serves r on loopback and returns its address and the bytes counted.
 func serve(b *testing.B, r *responder) (string, *counter) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -171,6 +177,38 @@
 	}
 }
 
+// BenchmarkListUpdate measures a call about the instance list, with its own
+// connection, by the number of changes: none, a runner, a rack, a data centre.
+func BenchmarkListUpdate(b *testing.B) {
+	for _, changes := range []int{0, 1, 40, 1426} {
+		b.Run(fmt.Sprintf("changes=%d", changes), func(b *testing.B) {
+			address, counted := serve(b, &responder{})
+			client := peer.NewClient()
+			defer client.Close()
+			update := membership.ListUpdate{Poller: 1 << 63, Epoch: 1 << 63, PolledAt: 86_400_000, Digest: 1 << 63}
+			for i := range changes {
+				update.Changes = append(update.Changes, membership.ObservedChange{ListChange: membership.ListChange{State: oleanderspool.InstanceState{
+					Instance: oleanderspool.InstanceID(fmt.Sprintf("runner-%05d", i)), DataCentre: "region-1-dc-2", Address: "10.1.200.200:7180", Role: "model",
+				}}, Before: 500})
+			}
+			b.ReportAllocs()
+			calls := 0
+			for b.Loop() {
+				process, hangUp, err := client.DialProcess(context.Background(), address)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := process.Instances(context.Background(), peer.EncodeListUpdate(update, 8_500_000)); err != nil {
+					b.Fatal(err)
+				}
+				hangUp()
+				calls++
+			}
+			b.ReportMetric(float64(counted.in.Load()+counted.out.Load())/float64(calls), "wire-B/call")
+		})
+	}
+}
+
 // BenchmarkRun measures the call and the pieces of one attempt on the wire, by
 // the length of the answer and of the prompt.
 func BenchmarkRun(b *testing.B) {
