Let the first watcher of an agent offer it the configuration

Now the first watcher by rendezvous hashing offers at once. The others offer when the agent is still behind a second after they first saw it, which the agent's next report tells, so a first watcher that is gone costs one second of the 13 s of P8. The span counts from the first report that was behind, not from the last revision, so that changes in quick succession do not postpone it.

Ruled out: a question by the agent whom to ask, since agents know only the entries of their settings; leaving it to the first watcher alone.

Planted: watchers that never take over ("An agent whose first watcher does not run" times out), every entry a first watcher (TestEveryAgentIsWatched). Tests of membership and entry pass with -race.

--- a/internal/entry/list_test.go
+++ b/internal/entry/list_test.go
@@ -113,3 +113,15 @@
 		w.know("backend_server_gone", 1, 0, 2)
 	})
 })
+
+var _ = Describe("An agent whose first watcher does not run", func() {
+	// Guards against an agent that gets no configuration because its other
+	// watchers leave that to the first one. Of four agents about two thirds have
+	// an absent first watcher.
+	It("gets the configuration from another one", func() {
+		w := newWorld(plan{engines: 4, absent: 2})
+		for _, r := range w.runners {
+			Expect(r.agent.Revision()).To(Equal(w.entry.Revision()))
+		}
+	})
+})
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -198,6 +198,8 @@
 type offer struct {
 	revision oleanderspool.Revision
 	at       oleanderspool.Millis
+	behind   bool
+	since    oleanderspool.Millis // first report that was behind
 }
 
 // offerAgain is the span after which an agent that is still behind is offered
@@ -205,18 +207,28 @@
 const offerAgain = oleanderspool.Second
 
 // offer hands over what the agent lacks of the configuration, so that a change
-// reaches it within one report interval and no agent reads the log.
+// reaches it within one report interval and no agent reads the log. Only the
+// first watcher of an agent does so at once. The others leave it the time of
+// offerAgain, so that a change, or a snapshot of some MB for an agent that
+// starts, is usually sent once.
 func (m *members) offer(ctx context.Context, address string, state *peerpb.AgentState, last *offer) {
 	e := m.entry
 	now := e.clock.Now()
 	revision := e.configuration.Revision()
 	if oleanderspool.Revision(state.GetRevision()) >= revision {
+		last.behind = false
 		return
 	}
+	if !last.behind {
+		last.behind, last.since = true, now
+	}
 	if last.revision == revision && now-last.at < offerAgain {
 		return
 	}
-	*last = offer{revision: revision, at: now}
+	if now-last.since < offerAgain && !m.firstWatcher(oleanderspool.InstanceID(state.GetInstance())) {
+		return
+	}
+	last.revision, last.at = revision, now
 	ctx, cancel := context.WithTimeout(ctx, shortCallBound.Duration())
 	defer cancel()
 	message := e.configuration.Message(oleanderspool.Offset(state.GetPosition()))
@@ -225,6 +237,12 @@
 	}
 }
 
+func (m *members) firstWatcher(id oleanderspool.InstanceID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.FirstWatcher(m.entry.instance, id)
+}
+
 func (m *members) report(stream membership.Stream, position int64, b oleanderspool.BackendServer) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -81,6 +81,7 @@
 	services int
 	options  []standengine.Option
 	scripts  []script // agents that send what the test says
+	absent   int      // entries that are listed and do not run
 }
 
 // newWorld starts a world and waits until its entry knows every runner.
@@ -96,6 +97,9 @@
 	for _, run := range p.scripts {
 		w.startScript(run)
 	}
+	for i := range p.absent {
+		w.list = append(w.list, oleanderspool.InstanceState{Instance: oleanderspool.InstanceID(fmt.Sprintf("absent-%d", i+1)), DataCentre: "dc-a", Address: "127.0.0.1:1", Role: "entry"})
+	}
 	w.platform.SetInstances(w.list)
 	w.publish()
 	w.startEntry()
--- a/internal/membership/coverage_test.go
+++ b/internal/membership/coverage_test.go
@@ -9,8 +9,9 @@
 )
 
 // TestEveryAgentIsWatched guards against agents that no entry watches. They get
-// no work, and no configuration (P8). The sizes are those of one data centre in
-// two years.
+// no work, and no configuration (P8), and against agents that several entries hand
+// the same configuration at once. The sizes are those of one data centre in two
+// years.
 func TestEveryAgentIsWatched(t *testing.T) {
 	const entries, limit = 92, 40
 	instances, sets := fleet(12_000)
@@ -29,12 +30,25 @@
 	table.ApplyList(1, near, 0)
 	table.ApplySets(1, sets, 0)
 	watched := make(map[oleanderspool.InstanceID]bool)
+	first := make(map[oleanderspool.InstanceID]int)
 	for e := range entries {
-		for _, id := range table.ChooseWatches(oleanderspool.InstanceID(fmt.Sprintf("entry-%03d", e)), "dc0", limit).Instances {
+		entry := oleanderspool.InstanceID(fmt.Sprintf("entry-%03d", e))
+		for _, id := range table.ChooseWatches(entry, "dc0", limit).Instances {
 			watched[id] = true
+			if table.FirstWatcher(entry, id) {
+				first[id]++
+			}
 		}
 	}
 	if missing := len(near) - entries - len(watched); missing > 0 {
 		t.Errorf("%d of %d agents have no watcher", missing, len(near)-entries)
 	}
+	for id, n := range first {
+		if n > 1 {
+			t.Errorf("%s has %d first watchers", id, n)
+		}
+	}
+	if len(first) < len(watched)*9/10 {
+		t.Errorf("%d of %d watched agents have a first watcher", len(first), len(watched))
+	}
 }
--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -80,6 +80,23 @@
 	return first, second
 }
 
+// FirstWatcher reports whether an entry is the first watcher of an agent among
+// the listed entries of the agent's data centre, or there is none. The first
+// watcher hands the agent what it lacks; the others wait whether it does.
+func (t *Table) FirstWatcher(entry, instance oleanderspool.InstanceID) bool {
+	a := t.agents[instance]
+	if a == nil {
+		return true
+	}
+	var rivals []uint64
+	for id, p := range t.entries {
+		if p.dataCentre == a.listed.DataCentre && id != entry {
+			rivals = append(rivals, p.hash)
+		}
+	}
+	return ahead(a.hash, routing.Hash(entry), rivals) == 0
+}
+
 // ahead returns how many rivals rank before an entry for an agent, at most 2.
 func ahead(agent, entry uint64, rivals []uint64) int {
 	own := routing.Weight(agent, entry)
