Apply only the changed accounts of a configuration

The configuration is a persistent trie, so two versions share what did not change. ClientAccountChanges walks only what they do not share, and ChangeAccounts applies it.

Planted: a changed share counted twice, the share of a removed account kept, a removed account not marked, a bucket refilled (admission_test.go); keys of the older trie missed (TestTrieMatchesMap, first check). Tests of admission, configuration and entry pass with -race.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -135,6 +135,46 @@
 	}
 }
 
+// ChangeAccounts takes the client accounts that a newer configuration puts and
+// removes, with the same result as [Controller.ApplyAccounts].
+func (c *Controller) ChangeAccounts(revision oleanderspool.Revision, put []configuration.ClientAccount, removed []oleanderspool.ClientAccountID, now oleanderspool.Millis) {
+	if revision < c.revision {
+		return
+	}
+	c.revision = revision
+	for _, configured := range put {
+		a := c.accounts[configured.ID]
+		if a == nil {
+			a = &account{}
+			a.configure(configured)
+			a.bucket = bucket{level: c.burst(a), at: now}
+			c.accounts[configured.ID] = a
+			continue
+		}
+		c.deactivate(a)
+		a.configure(configured)
+		c.requests.activate(a.requests, a.share)
+		for class := range c.tokens {
+			c.tokens[class].activate(a.tokens[class], a.share)
+		}
+	}
+	for _, id := range removed {
+		if a := c.accounts[id]; a != nil {
+			c.deactivate(a)
+			a.removed = true
+			delete(c.accounts, id)
+		}
+	}
+}
+
+// deactivate takes out the shares of an account that holds anything.
+func (c *Controller) deactivate(a *account) {
+	c.requests.deactivate(a.requests, a.share)
+	for class := range c.tokens {
+		c.tokens[class].deactivate(a.tokens[class], a.share)
+	}
+}
+
 func (a *account) configure(configured configuration.ClientAccount) {
 	a.rate = configured.RequestsPerSec / float64(oleanderspool.Second)
 	a.burst = float64(max(1, configured.BurstRequests))
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"runtime"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -165,6 +168,47 @@
 		Expect(refusal).To(BeNil())
 	})
 
+	// Guards against shares, rates and removed accounts that differ when only the
+	// changes of a configuration are applied. The shares are exact in binary.
+	It("takes changes as it takes the whole list", func() {
+		whole, changed := admission.New(), admission.New()
+		whole.SetForecast(fleetOf(0, 0))
+		changed.SetForecast(fleetOf(0, 0))
+		random := rand.New(rand.NewPCG(20261204, 1))
+		list := make(map[oleanderspool.ClientAccountID]configuration.ClientAccount)
+		var tickets [][2]*admission.Ticket
+		reasons := make(map[oleanderspool.RefusalReason]int)
+		for step := range 5000 {
+			now, revision := oleanderspool.Millis(step), oleanderspool.Revision(step)
+			id := oleanderspool.ClientAccountID(fmt.Sprint("a", random.IntN(6)))
+			switch kind := random.IntN(20); {
+			case kind == 0:
+				delete(list, id)
+				whole.ApplyAccounts(revision, slices.Collect(maps.Values(list)), now)
+				changed.ChangeAccounts(revision, nil, []oleanderspool.ClientAccountID{id}, now)
+			case kind < 3:
+				list[id] = configuration.ClientAccount{ID: id, RequestsPerSec: 500, BurstRequests: 50, ShareOfCapacity: float64(1+random.IntN(4)) / 4}
+				whole.ApplyAccounts(revision, slices.Collect(maps.Values(list)), now)
+				changed.ChangeAccounts(revision, []configuration.ClientAccount{list[id]}, nil, now)
+			case kind < 10 && len(tickets) > 0:
+				i := random.IntN(len(tickets))
+				whole.Finish(tickets[i][0])
+				changed.Finish(tickets[i][1])
+				tickets = slices.Delete(tickets, i, i+1)
+			default:
+				a, refusal := whole.Admit(request(string(id), 2000), now)
+				b, other := changed.Admit(request(string(id), 2000), now)
+				Expect(other).To(Equal(refusal))
+				if refusal != nil {
+					reasons[refusal.Reason]++
+					continue
+				}
+				tickets = append(tickets, [2]*admission.Ticket{a, b})
+			}
+		}
+		Expect(reasons[oleanderspool.RefusalAccountShare]).To(BeNumerically(">", 20))
+	})
+
 	// Guards against counts that drift when an account is removed or changed
 	// while its requests are in progress.
 	It("counts down to zero", func() {
--- a/internal/admission/usage.go
+++ b/internal/admission/usage.go
@@ -37,6 +37,13 @@
 	}
 }
 
+// deactivate is the inverse of activate.
+func (u *usage) deactivate(held int64, share float64) {
+	if held > 0 {
+		u.active = max(0, u.active-share)
+	}
+}
+
 // share returns the part of capacity that an account may hold under
 // contention: its configured share, or its part of the active shares if these
 // exceed the capacity. Without the second bound an account whose share is 1
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -24,8 +24,10 @@
 // configured passes a new configuration to the state machines that need it.
 func (e *Entry) configured(c configuration.Configuration, revision oleanderspool.Revision) {
 	now := e.clock.Now()
+	put, removed := c.ClientAccountChanges(e.applied)
+	e.applied = c
 	e.mu.Lock()
-	e.admission.ApplyAccounts(revision, c.ClientAccounts(), now)
+	e.admission.ChangeAccounts(revision, put, removed, now)
 	e.mu.Unlock()
 	e.members.mu.Lock()
 	defer e.members.mu.Unlock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/oleanderspool/oleanderspool/internal/replica"
 	"github.com/oleanderspool/oleanderspool/internal/retry"
 	"github.com/oleanderspool/oleanderspool/internal/routing"
+	"github.com/oleanderspool/oleanderspool/pkg/configuration"
 )
 
 // Defaults of the options, in milliseconds unless stated otherwise.
@@ -69,8 +70,9 @@
 	claims        *claims
 	suspects      *suspects
 	configuration *replica.Replica
-	stopping      atomic.Bool // the balancer is told to send nothing more
-	closed        atomic.Bool // new requests are refused
+	applied       configuration.Configuration // used by configured only, one call at a time
+	stopping      atomic.Bool                 // the balancer is told to send nothing more
+	closed        atomic.Bool                 // new requests are refused
 
 	mu        sync.Mutex // guards the state machines below
 	admission *admission.Controller
--- a/pkg/configuration/benchmark_test.go
+++ b/pkg/configuration/benchmark_test.go
@@ -118,8 +118,29 @@
 	}
 }
 
-// BenchmarkList measures the lists that an entry takes of each new
-// configuration.
+// BenchmarkAccountChanges measures how an entry finds what a change of one
+// account changed.
+func BenchmarkAccountChanges(b *testing.B) {
+	for _, n := range benchmarkSizes {
+		before := fleetOf(n.runners, n.accounts)
+		account, _ := before.ClientAccount("account-00001")
+		after, err := before.With(configuration.WithObjects(account.WithRate(11, 22)))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprintf("runners=%d/accounts=%d", n.runners, n.accounts), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if put, _ := after.ClientAccountChanges(before); len(put) != 1 {
+					b.Fatal(put)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkList measures the lists of all accounts and sets. An entry takes the
+// second of each new configuration.
 func BenchmarkList(b *testing.B) {
 	for _, n := range benchmarkSizes {
 		c := fleetOf(n.runners, n.accounts)
--- a/pkg/configuration/trie_test.go
+++ b/pkg/configuration/trie_test.go
@@ -9,7 +9,8 @@
 )
 
 // Guards against entries that are lost, kept or shared with older copies after
-// changes, also when hashes collide in all bits.
+// changes, and against changes that a comparison with an older copy misses,
+// also when hashes collide in all bits.
 func TestTrieMatchesMap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		collide := rapid.Bool().Draw(t, "collide")
@@ -43,6 +44,7 @@
 				sameEntries(t, root, want, hash)
 				for i := range olds {
 					sameEntries(t, olds[i], oldWants[i], hash)
+					differingKeys(t, root, olds[i], want, oldWants[i])
 				}
 			},
 		})
@@ -64,3 +66,19 @@
 		}
 	}
 }
+
+func differingKeys(t *rapid.T, root, old *trieNode[string, int], want, oldWant map[string]int) {
+	got := map[string]bool{}
+	root.differing(old, func(key string) { got[key] = true })
+	for i := range 100 {
+		key := fmt.Sprint(i)
+		now, found := want[key]
+		before, existed := oldWant[key]
+		if (found != existed || now != before) && !got[key] {
+			t.Fatalf("the change of %s is missed", key)
+		}
+		if !found && !existed && got[key] {
+			t.Fatalf("%s is in neither", key)
+		}
+	}
+}
