--- a/internal/command/footprint_test.go
+++ b/internal/command/footprint_test.go
@@ -21,6 +21,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
+	"github.com/oleanderspool/oleanderspool/internal/membership"
+	"github.com/oleanderspool/oleanderspool/internal/peer"
+	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
 	"github.com/oleanderspool/oleanderspool/internal/platform"
 	"github.com/oleanderspool/oleanderspool/pkg/configuration"
 )
@@ -136,7 +140,8 @@
 	f.b.Fatal("nothing listens on ", address)
 }
 
-func (f *footprint) publish() {
+// setInstances sets the list of the platform.
+func (f *footprint) setInstances() {
 	var items []string
 	for _, i := range f.list {
 		items = append(items, fmt.Sprintf(`{"instance":%q,"data_centre":%q,"address":%q,"role":%q}`, i.Instance, i.DataCentre, i.Address, i.Role))
@@ -151,6 +156,10 @@
 		f.b.Fatal(err)
 	}
 	_ = response.Body.Close()
+}
+
+func (f *footprint) publish() {
+	f.setInstances()
 	if err := publishFleet(context.Background(), netip.MustParseAddrPort(f.platform), f.list); err != nil {
 		f.b.Fatal(err)
 	}
@@ -210,6 +219,23 @@
 	return total / float64(n)
 }
 
+// measure reports the processor time and memory of the idle processes.
+func (f *footprint) measure() {
+	time.Sleep(2 * time.Second) // the processes settle
+	before := map[string]time.Duration{}
+	for name := range f.processes {
+		before[name] = f.processor(name)
+	}
+	time.Sleep(footprintIdle)
+	used := func(name string) float64 {
+		return 100 * (f.processor(name) - before[name]).Seconds() / footprintIdle.Seconds()
+	}
+	f.b.ReportMetric(used("entry"), "entry-%core")
+	f.b.ReportMetric(f.agents(used), "agent-%core")
+	f.b.ReportMetric(float64(f.resident("entry"))/1e6, "entry-MB")
+	f.b.ReportMetric(f.agents(func(name string) float64 { return float64(f.resident(name)) / 1e6 }), "agent-MB")
+}
+
 // BenchmarkFootprint measures separate processes on loopback without work: an
 // entry and 20 agents, by the number of instances that the platform lists and
 // of accounts in the configuration. Run it with -benchtime 1x.
@@ -219,19 +245,84 @@
 		b.Run(fmt.Sprintf("listed=%d", listed), func(b *testing.B) {
 			f, _ := startFootprint(b, agents, listed)
 			for b.Loop() {
-				time.Sleep(2 * time.Second) // the processes settle
-				before := map[string]time.Duration{}
-				for name := range f.processes {
-					before[name] = f.processor(name)
-				}
-				time.Sleep(footprintIdle)
-				used := func(name string) float64 {
-					return 100 * (f.processor(name) - before[name]).Seconds() / footprintIdle.Seconds()
-				}
-				b.ReportMetric(used("entry"), "entry-%core")
-				b.ReportMetric(f.agents(used), "agent-%core")
-				b.ReportMetric(float64(f.resident("entry"))/1e6, "entry-MB")
-				b.ReportMetric(f.agents(func(name string) float64 { return float64(f.resident(name)) / 1e6 }), "agent-MB")
+				f.measure()
+			}
+		})
+	}
+}
+
+// otherEntries stands for all other entries of a fleet.
+type otherEntries struct {
+	peerpb.DRPCPeerUnimplementedServer
+}
+
+// Instances takes what the measured entry tells.
+func (*otherEntries) Instances(context.Context, *peerpb.InstanceUpdate) (*peerpb.InstanceReply, error) {
+	return peer.EncodeListReply(membership.ListReply{Epoch: 1}, 1), nil
+}
+
+// takeTurns lists further entries and tells the measured entry of a poll at
+// each turn, until the benchmark ends.
+func (f *footprint) takeTurns(entries int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.b.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	f.b.Cleanup(func() {
+		stop()
+		_ = group.Wait()
+	})
+	group.Go(func() error { return peer.Serve(ctx, l, &otherEntries{}, nil) })
+	address := f.list[len(f.list)-1].Address
+	for i := range entries {
+		f.list = append(f.list, oleanderspool.InstanceState{
+			Instance: oleanderspool.InstanceID(fmt.Sprintf("entry-%03d", i)), DataCentre: oleanderspool.DataCentreID(fmt.Sprintf("dc-%d", i%8)),
+			Address: l.Addr().String(), Role: "entry",
+		})
+	}
+	f.setInstances()
+	time.Sleep(membership.ListBound.Duration()) // the measured entry has the list
+	c, client, list := clock.NewSystem(), peer.NewClient(), membership.NewList("entry-000", 1)
+	group.Go(func() error {
+		for ; ctx.Err() == nil; clock.Sleep(ctx, list.Turn()) {
+			list.ApplyPoll(c.Now(), f.list)
+			tellEntry(ctx, client, address, list, c)
+		}
+		return nil
+	})
+}
+
+func tellEntry(ctx context.Context, client *peer.Client, address string, list *membership.List, c oleanderspool.Clock) {
+	process, hangUp, err := client.DialProcess(ctx, address)
+	if err != nil {
+		return
+	}
+	defer hangUp()
+	update := list.Update("entry")
+	again := true
+	for calls := 0; again && calls < 2; calls++ {
+		sentAt := c.Now()
+		reply, err := process.Instances(ctx, peer.EncodeListUpdate(update, 1))
+		if err != nil {
+			return
+		}
+		update, again = list.ApplyReply("entry", peer.DecodeListReply(reply), sentAt, c.Now())
+	}
+}
+
+// BenchmarkFootprintInTurns measures the processes of BenchmarkFootprint when
+// the entry is one of as many as a fleet of that size has, which take turns in
+// polling the list. Run it with -benchtime 1x.
+func BenchmarkFootprintInTurns(b *testing.B) {
+	const agents = 20
+	for _, listed := range []int{200, 2000, 12_000} {
+		b.Run(fmt.Sprintf("listed=%d", listed), func(b *testing.B) {
+			f, _ := startFootprint(b, agents, listed)
+			f.takeTurns(listed*830/12_000 - 1)
+			for b.Loop() {
+				f.measure()
 			}
 		})
 	}
--- a/internal/membership/list_benchmark_test.go
+++ b/internal/membership/list_benchmark_test.go
@@ -68,3 +68,28 @@
 		}
 	}
 }
+
+// BenchmarkWatchedReport applies the reports of 40 watched agents, by the
+// number of listed ones.
+func BenchmarkWatchedReport(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) {
+			instances, _ := fleet(n)
+			table := membership.New()
+			table.ApplyList(0, instances, 0)
+			reports := make([]membership.Report, min(n, 40))
+			for i := range reports {
+				stream, _ := table.OpenStream(instances[i].Instance)
+				reports[i] = membership.Report{Stream: stream, Instance: instances[i].Instance, Incarnation: "incarnation-1"}
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				r := reports[i%len(reports)]
+				r.Position = int64(i + 1)
+				table.ApplyReport(r, oleanderspool.Millis(i*25))
+				i++
+			}
+		})
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -64,6 +64,7 @@
 
 	agents  map[oleanderspool.InstanceID]*agent
 	ordered []*agent // by instance
+	live    []*agent // by instance; those of which an incarnation is known, and some that ended since the last snapshot
 	sets    map[oleanderspool.InstanceID][]oleanderspool.ServerSetID
 
 	list         *List
@@ -146,7 +147,7 @@
 // say that its sender leaves.
 func (t *Table) Tick(now oleanderspool.Millis) []Change {
 	var changes []Change
-	for _, a := range t.ordered {
+	for _, a := range t.live {
 		if !a.reported || a.suspected || now-a.server.ReportedAt <= t.suspectAfter {
 			continue
 		}
@@ -164,8 +165,9 @@
 	if !t.excluded && !due {
 		return
 	}
-	snapshot := make([]oleanderspool.BackendServer, 0, len(t.ordered))
-	for _, a := range t.ordered {
+	t.live = slices.DeleteFunc(t.live, func(a *agent) bool { return !a.reported || t.agents[a.listed.Instance] != a })
+	snapshot := make([]oleanderspool.BackendServer, 0, len(t.live))
+	for _, a := range t.live {
 		if a.eligible() {
 			snapshot = append(snapshot, a.server)
 		}
@@ -176,6 +178,17 @@
 	t.excluded, t.changed = false, false
 }
 
+// follow notes that an incarnation of an agent is known. Of 12,000 agents an
+// entry watches 40, so snapshots are made of these alone.
+func (t *Table) follow(a *agent) {
+	i, found := slices.BinarySearchFunc(t.live, a, compareAgents)
+	if found {
+		t.live[i] = a // an earlier life of the instance
+		return
+	}
+	t.live = slices.Insert(t.live, i, a)
+}
+
 func (a *agent) eligible() bool {
 	return a.reported && !a.suspected && !a.server.Leaving
 }
--- a/internal/membership/report.go
+++ b/internal/membership/report.go
@@ -70,6 +70,7 @@
 		a.endIncarnation(known)
 	}
 	a.reported = true
+	t.follow(a)
 	t.take(a, r, now)
 	changes = append(changes, a.change(Started))
 	return t.merge(a, changes)
