--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -10,6 +10,7 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/routing"
+	"github.com/oleanderspool/oleanderspool/pkg/configuration"
 )
 
 // Defaults of [New].
@@ -49,6 +50,12 @@
 	return func(t *Table) { t.publishInterval = span }
 }
 
+// WithList sets the list that the table follows. Its ApplyPoll and ApplyUpdate
+// are called through the table.
+func WithList(l *List) Option {
+	return func(t *Table) { t.list = l }
+}
+
 // Table holds the agents that an entry knows. Its methods must not be called
 // concurrently, except for [Table.Snapshot].
 type Table struct {
@@ -57,12 +64,15 @@
 
 	agents  map[oleanderspool.InstanceID]*agent
 	ordered []*agent // by instance
+	live    []*agent // by instance; those of which an incarnation is known, and some that ended since the last snapshot
 	sets    map[oleanderspool.InstanceID][]oleanderspool.ServerSetID
 
-	entries     []listedPeer           // listed entries that do not leave
-	poll        int64                  // number of the last applied list
-	setRevision oleanderspool.Revision // revision of the sets
-	lastStream  Stream
+	list         *List
+	entries      map[oleanderspool.InstanceID]listedPeer // listed entries that do not leave
+	applied      []configuration.ServerSet               // what sets was made of
+	setRevision  oleanderspool.Revision                  // revision of the sets
+	listRevision int                                     // changes of the list and the sets so far
+	lastStream   Stream
 
 	snapshot    atomic.Pointer[[]oleanderspool.BackendServer]
 	publishedAt oleanderspool.Millis
@@ -91,7 +101,9 @@
 	t := &Table{
 		suspectAfter:    DefaultSuspectAfter,
 		publishInterval: DefaultPublishInterval,
+		list:            NewList("", 0),
 		agents:          make(map[oleanderspool.InstanceID]*agent),
+		entries:         make(map[oleanderspool.InstanceID]listedPeer),
 		publishedAt:     neverPublished,
 	}
 	for _, o := range options {
@@ -135,7 +147,7 @@
 // say that its sender leaves.
 func (t *Table) Tick(now oleanderspool.Millis) []Change {
 	var changes []Change
-	for _, a := range t.ordered {
+	for _, a := range t.live {
 		if !a.reported || a.suspected || now-a.server.ReportedAt <= t.suspectAfter {
 			continue
 		}
@@ -153,8 +165,9 @@
 	if !t.excluded && !due {
 		return
 	}
-	snapshot := make([]oleanderspool.BackendServer, 0, len(t.ordered))
-	for _, a := range t.ordered {
+	t.live = slices.DeleteFunc(t.live, func(a *agent) bool { return !a.reported || t.agents[a.listed.Instance] != a })
+	snapshot := make([]oleanderspool.BackendServer, 0, len(t.live))
+	for _, a := range t.live {
 		if a.eligible() {
 			snapshot = append(snapshot, a.server)
 		}
@@ -165,6 +178,17 @@
 	t.excluded, t.changed = false, false
 }
 
+// follow notes that an incarnation of an agent is known. Of 12,000 agents an
+// entry watches 40, so snapshots are made of these alone.
+func (t *Table) follow(a *agent) {
+	i, found := slices.BinarySearchFunc(t.live, a, compareAgents)
+	if found {
+		t.live[i] = a // an earlier life of the instance
+		return
+	}
+	t.live = slices.Insert(t.live, i, a)
+}
+
 func (a *agent) eligible() bool {
 	return a.reported && !a.suspected && !a.server.Leaving
 }
