--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -24,6 +24,7 @@
 	model   string // for a chat
 	prompt  string
 	tokens  int
+	id      string // of the request at an engine that is called directly
 	route   string // for a service call, with its path
 	method  string
 	body    []byte
@@ -72,6 +73,7 @@
 			Messages:  []chatMessage{{Role: "user", Content: r.prompt}},
 			MaxTokens: r.tokens,
 			Stream:    true,
+			RequestID: r.id,
 		})
 		if err != nil {
 			return nil, err
--- a/internal/command/codec.go
+++ b/internal/command/codec.go
@@ -6,6 +6,7 @@
 	Messages  []chatMessage `json:"messages"`
 	MaxTokens int           `json:"max_tokens,omitempty"`
 	Stream    bool          `json:"stream"`
+	RequestID string        `json:"request_id,omitempty"` // for an engine
 }
 
 type chatMessage struct {
