Send idempotent calls of an engine on kept connections

Cause: the agent opened a connection for each call of its engine. In a CPU profile of FirstToken, net/http's dialConnFor was 9% of all samples, and 20% of the allocated bytes were the buffers of new connections; the trace shows the connect, accept and close in the path of each request.

Apply, Reserve, Export, Import and calls of plain services keep a connection of their own and are never repeated. A prompt goes on a kept connection only to an engine that acknowledges requests by a comment: without that the wait for a long prefill looks like a silent connection. It is sent again only if the engine's report shows the same run as before and after the first copy was cancelled, so that a request that crashed the engine does not crash it twice and no two copies run. If the second copy cannot be sent, the call stays uncertain.

Ruled out: repeating by net/http itself, since it would repeat by its own rules and without cancelling the first copy.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -7,6 +7,9 @@
 	"bytes"
 	"context"
 	"net/http"
+	"sync/atomic"
+
+	"github.com/joomcode/errorx"
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/service/once"
@@ -28,12 +31,18 @@
 )
 
 // Client calls the engine of one backend server. It implements
-// [oleanderspool.Engine] and is safe for concurrent use. Each call has its own
-// connection, so that nothing is repeated and no silent kept connection is used.
+// [oleanderspool.Engine] and is safe for concurrent use. Calls that are not
+// idempotent have a connection of their own, so that nothing is repeated and no
+// silent kept connection is used. Idempotent calls, and Generate where its
+// conditions hold, use kept connections.
 type Client struct {
 	address     string
 	codec       Codec
 	sender      *once.Sender
+	kept        *once.KeptSender
+	firstByte   oleanderspool.Millis
+	started     atomic.Pointer[string] // run of the engine in its last report
+	acknowledge atomic.Bool            // the last answer began with a comment
 	dialTimeout oleanderspool.Millis
 	timeout     oleanderspool.Millis
 	longTimeout oleanderspool.Millis
@@ -91,12 +100,19 @@
 	return func(c *Client) { c.maxExport = limit }
 }
 
+// WithFirstByte bounds the wait for the first byte of an answer on a kept
+// connection, after which the call is sent again on a new one.
+func WithFirstByte(span oleanderspool.Millis) Option {
+	return func(c *Client) { c.firstByte = span }
+}
+
 // NewClient returns a client of the engine at an IP number and port.
 func NewClient(address string, options ...Option) *Client {
 	c := &Client{
 		address:     address,
 		codec:       codec{},
 		dialTimeout: once.DefaultDialTimeout,
+		firstByte:   once.DefaultFirstByte,
 		timeout:     DefaultTimeout,
 		longTimeout: DefaultLongTimeout,
 		silence:     DefaultSilence,
@@ -107,6 +123,7 @@
 		o(c)
 	}
 	c.sender = once.NewSender(c.dialTimeout)
+	c.kept = once.NewKeptSender(c.dialTimeout, c.firstByte)
 	return c
 }
 
@@ -123,7 +140,11 @@
 
 // Report returns the engine's account of itself.
 func (c *Client) Report(ctx context.Context) (oleanderspool.EngineReport, error) {
-	return fetch(ctx, c, c.codec.Report(), c.codec.DecodeReport)
+	report, err := fetch(ctx, c, c.codec.Report(), c.codec.DecodeReport)
+	if err == nil {
+		c.started.Store(&report.Started)
+	}
+	return report, err
 }
 
 // Entries lists the memory that the engine holds.
@@ -192,13 +213,29 @@
 	return value, nil
 }
 
-// call makes a call and returns the body of its response. An error is of type
-// ErrNotSent if no connection was made; other types are those of the codec, and
-// ErrUncertain.
+// sender sends one HTTP request.
+type sender interface {
+	Send(request *http.Request) (*http.Response, error)
+}
+
+// call makes a call and returns the body of its response. An idempotent call is
+// made again on a connection of its own when a kept one turns out to be stale.
+// An error is of type ErrNotSent if no connection was made; other types are
+// those of the codec, and ErrUncertain.
 func (c *Client) call(ctx context.Context, m Message, timeout oleanderspool.Millis, limit int64) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
-	response, err := c.send(ctx, m)
+	if m.Idempotent {
+		body, err := c.callOver(ctx, c.kept, m, limit)
+		if !errorx.IsOfType(err, once.ErrStale) {
+			return body, err
+		}
+	}
+	return c.callOver(ctx, c.sender, m, limit)
+}
+
+func (c *Client) callOver(ctx context.Context, s sender, m Message, limit int64) ([]byte, error) {
+	response, err := c.send(ctx, s, m)
 	if err != nil {
 		return nil, err
 	}
@@ -208,7 +245,7 @@
 
 // send sends a message and returns a response with status 200, whose body the
 // caller must close.
-func (c *Client) send(ctx context.Context, m Message) (*http.Response, error) {
+func (c *Client) send(ctx context.Context, s sender, m Message) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, m.Method, "http://"+c.address+m.Path, bytes.NewReader(m.Body))
 	if err != nil {
 		return nil, oleanderspool.ErrInvalid.Wrap(err, "call of %s cannot be encoded", m.Path)
@@ -216,7 +253,7 @@
 	if m.Type != "" {
 		request.Header.Set("Content-Type", m.Type)
 	}
-	response, err := c.sender.Send(request)
+	response, err := s.Send(request)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/engine/codec.go
+++ b/internal/engine/codec.go
@@ -17,6 +17,9 @@
 	Path   string
 	Type   string // content type of the body
 	Body   []byte
+	// Idempotent calls may be sent again when it is not known whether the engine
+	// received them.
+	Idempotent bool
 }
 
 // Codec maps the calls of an engine to HTTP messages. An engine with other paths
@@ -105,7 +108,9 @@
 
 // Cancel implements [Codec].
 func (codec) Cancel(owner string) (Message, error) {
-	return post("/v1/cancel", ownerBody{Owner: owner})
+	m, err := post("/v1/cancel", ownerBody{Owner: owner})
+	m.Idempotent = true
+	return m, err
 }
 
 // Report implements [Codec].
@@ -275,7 +280,7 @@
 }
 
 func get(path string) Message {
-	return Message{Method: http.MethodGet, Path: path}
+	return Message{Method: http.MethodGet, Path: path, Idempotent: true}
 }
 
 // post returns a message with a JSON body. Characters of HTML are not escaped,
--- a/internal/engine/generate.go
+++ b/internal/engine/generate.go
@@ -4,12 +4,22 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/joomcode/errorx"
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/openai"
+	"github.com/oleanderspool/oleanderspool/internal/service/once"
+)
+
+const (
+	// drainBound and drainBytes bound the wait for the end of a response after
+	// the end mark of the answer. It follows at once, and only a response that
+	// was read to its end leaves its connection for the next request.
+	drainBound = 20 * time.Millisecond
+	drainBytes = 4 << 10
 )
 
 // errSilent is the cause of an answer that ended because the engine was silent
@@ -34,13 +44,50 @@
 	}
 	ctx, guard := guardSilence(ctx, c.firstPart, c.silence)
 	defer guard.stop()
-	response, err := c.send(ctx, m)
+	response, err := c.submit(ctx, m, string(request.Attempt))
 	if err != nil {
 		return guard.explain(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	a := answer{codec: c.codec, guard: guard, emit: emit}
-	return guard.explain(a.read(openai.NewEventReader(response.Body)))
+	err = guard.explain(a.read(openai.NewEventReader(response.Body)))
+	if err == nil {
+		c.acknowledge.Store(a.acknowledged)
+		guard.bound(drainBound)
+		_, _ = io.CopyN(io.Discard, response.Body, drainBytes)
+	}
+	return err
+}
+
+// submit sends a request to generate. It uses a kept connection only for an
+// engine that acknowledges requests by a comment before it works on them, since
+// the wait for the first token of a long prompt looks like a silent connection.
+//
+// A kept connection without an answer says nothing of the request, which may
+// have crashed the engine or run in it. It is sent again only if the engine still
+// is the run that reported before, and after the first copy was cancelled, so
+// that one copy runs and one crash is not made two.
+func (c *Client) submit(ctx context.Context, m Message, owner string) (*http.Response, error) {
+	started := c.started.Load()
+	if started == nil || !c.acknowledge.Load() {
+		return c.send(ctx, c.sender, m)
+	}
+	response, err := c.send(ctx, c.kept, m)
+	if !errorx.IsOfType(err, once.ErrStale) {
+		return response, err
+	}
+	report, failure := c.Report(ctx)
+	if failure != nil || report.Started != *started {
+		return nil, err
+	}
+	if c.Cancel(ctx, owner) != nil {
+		return nil, err
+	}
+	response, failure = c.send(ctx, c.sender, m)
+	if errorx.IsOfType(failure, oleanderspool.ErrNotSent) {
+		return nil, err // the first copy may have been received
+	}
+	return response, failure
 }
 
 // answer reads the parts of one answer.
@@ -50,11 +97,13 @@
 	emit      func(text string, tokens int, finish string)
 	generated int
 	finish    string
+	// acknowledged says that the answer began with a comment.
+	acknowledged bool
 }
 
 // read passes on the parts up to the end mark.
 func (a *answer) read(events *openai.EventReader) error {
-	for {
+	for first := true; ; first = false {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
@@ -64,6 +113,7 @@
 		}
 		a.guard.progress()
 		if event.Comment {
+			a.acknowledged = a.acknowledged || first
 			continue
 		}
 		if event.Done() {
@@ -141,12 +191,18 @@
 	switch {
 	case g.silence <= 0 && g.timer != nil:
 		g.timer.Stop()
-	case g.silence <= 0:
-	case g.timer == nil:
-		g.timer = time.AfterFunc(g.silence, g.expire)
-	default:
-		g.timer.Reset(g.silence)
+	case g.silence > 0:
+		g.bound(g.silence)
+	}
+}
+
+// bound replaces the bound by a span from now on.
+func (g *silenceGuard) bound(span time.Duration) {
+	if g.timer == nil {
+		g.timer = time.AfterFunc(span, g.expire)
+		return
 	}
+	g.timer.Reset(span)
 }
 
 func (g *silenceGuard) stop() {
--- a/internal/service/once/once_test.go
+++ b/internal/service/once/once_test.go
@@ -1,14 +1,18 @@
 package once_test
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/joomcode/errorx"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/service/once"
 	"github.com/oleanderspool/oleanderspool/internal/standin"
 )
@@ -57,3 +61,56 @@
 		Expect(server.Requests()).To(Equal(2))
 	})
 })
+
+var _ = Describe("KeptSender", func() {
+	// Guards against a request that hangs on a connection that went silent while
+	// it was kept, against one that is repeated although a part of its answer
+	// arrived, and against a bound on an answer that is slow for another reason.
+	cases := []struct {
+		name     string
+		point    standin.BreakPoint
+		healthy  int // requests that are answered first, on the same connection
+		stale    bool
+		requests int
+	}{
+		{"kept and silent", standin.BreakSilent, 1, true, 2},
+		{"kept and reset", standin.BreakAfterRequest, 1, true, 2},
+		{"kept and reset within the header", standin.BreakInHeader, 1, false, 2},
+		{"new and silent", standin.BreakSilent, 0, false, 1},
+		{"new and reset", standin.BreakAfterRequest, 0, false, 1},
+	}
+	for _, c := range cases {
+		It("judges a connection that is "+c.name, func(ctx context.Context) {
+			server, err := standin.NewBroken(c.point, "ok", c.healthy)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(server.Close)
+			sender := once.NewKeptSender(once.DefaultDialTimeout, 50)
+			send := func() (*http.Response, error) {
+				ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+				DeferCleanup(cancel)
+				request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+server.Address(), strings.NewReader("body"))
+				Expect(err).NotTo(HaveOccurred())
+				return sender.Send(request)
+			}
+			for range c.healthy {
+				response, err := send()
+				Expect(err).NotTo(HaveOccurred())
+				Expect(once.ReadBody(response.Body, 2)).To(Equal([]byte("ok")))
+				Expect(response.Body.Close()).To(Succeed())
+			}
+			begin := time.Now()
+			response, err := send()
+			if err == nil {
+				_, err = once.ReadBody(response.Body, 2)
+				Expect(response.Body.Close()).To(Succeed())
+			}
+			Expect(err).To(HaveOccurred())
+			Expect(errorx.IsOfType(err, once.ErrStale)).To(Equal(c.stale), "%v", err)
+			Expect(errorx.IsOfType(err, oleanderspool.ErrUncertain)).To(BeTrue(), "%v", err)
+			Expect(server.Requests()).To(Equal(c.requests))
+			if c.stale {
+				Expect(time.Since(begin)).To(BeNumerically("<", 400*time.Millisecond))
+			}
+		})
+	}
+})
