--- a/internal/openai/bench_test.go
+++ b/internal/openai/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -29,3 +30,40 @@
 		})
 	}
 }
+
+// BenchmarkChunk measures what each generated token costs the codec: an event of
+// the engine read and parsed by the agent, and one written by the entry.
+func BenchmarkChunk(b *testing.B) {
+	event := `data: {"id":"a-0001","object":"chat.completion.chunk","model":"ode","choices":[{"index":0,"delta":{"role":"assistant","content":"w123"},"finish_reason":null}],"usage":{"prompt_tokens":1000,"completion_tokens":7,"total_tokens":1007}}` + "\n\n"
+	b.Run("read", func(b *testing.B) {
+		b.ReportAllocs()
+		events := openai.NewEventReader(strings.NewReader(strings.Repeat(event, b.N)))
+		b.ResetTimer()
+		for range b.N {
+			e, err := events.Next()
+			if err != nil {
+				b.Fatal(err)
+			}
+			if c, err := openai.ParseChunk(e.Data); err != nil || c.Text == "" {
+				b.Fatal(c, err)
+			}
+		}
+	})
+	b.Run("write", func(b *testing.B) {
+		b.ReportAllocs()
+		s := openai.NewStream(discardResponse{}, form(true))
+		for b.Loop() {
+			if err := s.Text("w123"); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// discardResponse is a response that nobody reads.
+type discardResponse struct{}
+
+func (discardResponse) Header() http.Header         { return http.Header{} }
+func (discardResponse) Write(p []byte) (int, error) { return len(p), nil }
+func (discardResponse) WriteHeader(int)             {}
+func (discardResponse) Flush()                      {}
--- a/internal/openai/event.go
+++ b/internal/openai/event.go
@@ -29,6 +29,8 @@
 // EventReader reads server-sent events.
 type EventReader struct {
 	reader *bufio.Reader
+	data   []byte // of the last event
+	long   []byte // the last line, if it was longer than the reader's buffer
 }
 
 // NewEventReader returns a reader of the events in r.
@@ -36,11 +38,12 @@
 	return &EventReader{reader: bufio.NewReader(r)}
 }
 
-// Next returns the next event or comment. It returns [io.EOF] at the end of the
+// Next returns the next event or comment, whose data is valid until the next
+// call. It returns [io.EOF] at the end of the
 // input, [io.ErrUnexpectedEOF] when the input ends within an event, and an error
 // of type ErrInvalid for an event that is too long.
 func (r *EventReader) Next() (Event, error) {
-	var data []byte
+	data := r.data[:0]
 	found := false
 	for {
 		line, err := r.line()
@@ -52,6 +55,7 @@
 		}
 		switch {
 		case len(line) == 0 && found:
+			r.data = data
 			return Event{Data: data}, nil
 		case len(line) == 0:
 		case line[0] == ':' && !found:
@@ -69,24 +73,34 @@
 	}
 }
 
-// line returns the next line without its end.
+// line returns the next line without its end. It is valid until the next call.
 func (r *EventReader) line() ([]byte, error) {
-	var line []byte
+	line, err := r.reader.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		line, err = r.longLine(line)
+	}
+	switch {
+	case err == nil:
+		line = bytes.TrimSuffix(line, []byte("\n"))
+		return bytes.TrimSuffix(line, []byte("\r")), nil
+	case errors.Is(err, io.EOF) && len(line) > 0:
+		return nil, io.ErrUnexpectedEOF
+	default:
+		return nil, err
+	}
+}
+
+// longLine returns a line of which the reader's buffer held only the first part.
+func (r *EventReader) longLine(part []byte) ([]byte, error) {
+	r.long = append(r.long[:0], part...)
 	for {
 		part, err := r.reader.ReadSlice('\n')
-		line = append(line, part...)
-		if len(line) > maxEventBytes {
-			return nil, errEventTooLong()
-		}
+		r.long = append(r.long, part...)
 		switch {
-		case err == nil:
-			line = bytes.TrimSuffix(line, []byte("\n"))
-			return bytes.TrimSuffix(line, []byte("\r")), nil
-		case errors.Is(err, bufio.ErrBufferFull):
-		case errors.Is(err, io.EOF) && len(line) > 0:
-			return nil, io.ErrUnexpectedEOF
-		default:
-			return nil, err
+		case len(r.long) > maxEventBytes:
+			return nil, errEventTooLong()
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return r.long, err
 		}
 	}
 }
--- a/internal/openai/fuzz_test.go
+++ b/internal/openai/fuzz_test.go
@@ -1,7 +1,11 @@
 package openai_test
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"unicode/utf8"
@@ -130,3 +134,101 @@
 		}
 	}
 }
+
+// chunkFields are the fields of a chunk as encoding/json reads them.
+type chunkFields struct {
+	Choices []struct {
+		Delta struct {
+			Content *string `json:"content"`
+		} `json:"delta"`
+		Text         *string `json:"text"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *struct {
+		CompletionTokens int `json:"completion_tokens"`
+	} `json:"usage"`
+	Error *struct {
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+// drawFields returns an object with some of the fields, each once and either
+// with its own value or with any other.
+func drawFields(t *rapid.T, fields map[string]string) string {
+	var list []string
+	for _, key := range slices.Sorted(maps.Keys(fields)) {
+		switch rapid.IntRange(0, 29).Draw(t, key) {
+		case 0:
+			list = append(list, fmt.Sprintf("%q: %s", key, rapid.SampledFrom([]string{"null", "true", "3", `"x"`, "[]", "[{}]", "{}", `{"x": 1}`}).Draw(t, "value")))
+		case 1:
+		default:
+			list = append(list, fmt.Sprintf("%q: %s", key, fields[key]))
+		}
+	}
+	return "{" + strings.Join(list, ",") + "}"
+}
+
+// Guards against text, counts or ends of an engine's answer that are lost or
+// read from a malformed chunk.
+func TestChunksAgreeWithEncodingJSON(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := func() string {
+			if rapid.IntRange(0, 19).Draw(t, "other") == 0 {
+				return drawJSON(t, 0)
+			}
+			return rapid.SampledFrom([]string{`"ode"`, `"\ud83d\ude00"`, `"\ud83d\n"`, `""`, `null`, "\"\xff\"", `"é"`}).Draw(t, "text")
+		}
+		choices := drawList(t, 0, func() string {
+			return drawFields(t, map[string]string{
+				"delta": drawFields(t, map[string]string{"content": text()}), "text": text(), "finish_reason": text(), "index": "0",
+			})
+		})
+		fields := map[string]string{
+			"choices": "[" + strings.Join(choices, ",") + "]", "id": text(),
+			"usage": drawFields(t, map[string]string{"completion_tokens": rapid.SampledFrom([]string{"7", "8", "9", "0", "1.5"}).Draw(t, "tokens")}),
+		}
+		if rapid.IntRange(0, 9).Draw(t, "fails") == 0 {
+			fields["error"] = drawFields(t, map[string]string{"message": text()})
+		}
+		data := damage(t, []byte(drawFields(t, fields)))
+		if otherCase(data) {
+			return // encoding/json alone takes such a key for the field
+		}
+		var want chunkFields
+		failure := json.Unmarshal(data, &want)
+		got, err := openai.ParseChunk(data)
+		if (failure != nil || want.Error != nil) != (err != nil) {
+			t.Fatalf("error %v, want %v or a reported one from %q", err, failure, data)
+		}
+		if err != nil {
+			return
+		}
+		var chunk openai.Chunk
+		if want.Usage != nil {
+			chunk.Generated = want.Usage.CompletionTokens
+		}
+		for _, c := range want.Choices {
+			for _, part := range []*string{c.Delta.Content, c.Text} {
+				if part != nil {
+					chunk.Text += *part
+				}
+			}
+			if c.FinishReason != nil && *c.FinishReason != "" {
+				chunk.Finish = *c.FinishReason
+			}
+		}
+		if got != chunk {
+			t.Fatalf("got %+v, want %+v from %q", got, chunk, data)
+		}
+	})
+}
+
+// otherCase reports whether a key of a chunk is there in capital letters.
+func otherCase(data []byte) bool {
+	for _, key := range []string{"choices", "delta", "content", "text", "finish_reason", "usage", "completion_tokens", "error", "message"} {
+		if bytes.Count(bytes.ToLower(data), []byte(key)) != bytes.Count(data, []byte(key)) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/openai/scan.go
+++ b/internal/openai/scan.go
@@ -62,14 +62,22 @@
 // scan returns the nodes of a JSON text, the first being the whole.
 func scan(data []byte) ([]node, error) {
 	s := &scanner{data: data}
-	if err := s.value(0, 0, 0); err != nil {
+	if err := s.whole(); err != nil {
 		return nil, err
 	}
+	return s.nodes, nil
+}
+
+// whole parses the text as one value.
+func (s *scanner) whole() error {
+	if err := s.value(0, 0, 0); err != nil {
+		return err
+	}
 	s.space()
 	if s.at < len(s.data) {
-		return nil, s.fail("text after the end of the value")
+		return s.fail("text after the end of the value")
 	}
-	return s.nodes, nil
+	return nil
 }
 
 func (s *scanner) fail(format string, args ...any) error {
@@ -134,7 +142,7 @@
 		count, err = s.array(depth)
 		return kindArray, count, err
 	case '"':
-		return kindString, 0, s.text()
+		return kindString, 0, s.quoted()
 	case 't':
 		return kindBool, 0, s.word("true")
 	case 'f':
@@ -165,7 +173,7 @@
 			return 0, s.unexpected("instead of a key")
 		}
 		keyStart := s.at
-		if err := s.text(); err != nil {
+		if err := s.quoted(); err != nil {
 			return 0, err
 		}
 		keyEnd := s.at
@@ -212,8 +220,8 @@
 	}
 }
 
-// text parses a string.
-func (s *scanner) text() error {
+// quoted parses a string.
+func (s *scanner) quoted() error {
 	s.at++
 	for {
 		s.at += plainLength(s.data[s.at:])
--- a/internal/openai/writer_test.go
+++ b/internal/openai/writer_test.go
@@ -1,6 +1,7 @@
 package openai_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http/httptest"
@@ -118,6 +119,36 @@
 		}
 	})
 
+	// Guards against chunks that are put together from parts and differ from those
+	// that encoding/json makes of the whole.
+	It("writes the same chunk for every kind of text", func() {
+		for _, chat := range []bool{true, false} {
+			w := httptest.NewRecorder()
+			f := form(chat)
+			f.ID = `text "text"`
+			s := openai.NewStream(w, f)
+			texts := []string{"first", "plain", "text", "<&>", "\"", "\\", "\n", "é", "\u2028", "\x7f", "again"}
+			for _, text := range texts {
+				Expect(s.Text(text)).To(Succeed())
+			}
+			for i, line := range strings.Split(strings.TrimSpace(w.Body.String()), "\n\n") {
+				choice, object := any(map[string]any{"text": texts[i], "index": 0., "finish_reason": nil}), "text_completion"
+				if chat {
+					delta := map[string]any{"content": texts[i]}
+					if i == 0 {
+						delta["role"] = "assistant"
+					}
+					choice, object = map[string]any{"delta": delta, "index": 0., "finish_reason": nil}, "chat.completion.chunk"
+				}
+				var got any
+				Expect(json.Unmarshal([]byte(strings.TrimPrefix(line, "data: ")), &got)).To(Succeed())
+				Expect(got).To(Equal(map[string]any{
+					"id": f.ID, "object": object, "created": 1.7e9, "model": f.Model, "choices": []any{choice},
+				}))
+			}
+		}
+	})
+
 	// Guards against chunks that the module's own reader cannot read.
 	It("writes streams that the event reader reads", func() {
 		for _, chat := range []bool{true, false} {
@@ -165,6 +196,8 @@
 		{"several lines", "event: x\ndata: a\ndata: b\nid: 3\n\n", []string{"a\nb"}, "EOF"},
 		{"comments", ": c\n\ndata: a\n\n", []string{" c", "a"}, "EOF"},
 		{"empty data", "data:\n\n", []string{""}, "EOF"},
+		{"a line longer than the buffer", "data: " + strings.Repeat("a", 5000) + "\ndata: b\n\ndata: c\n\n", []string{strings.Repeat("a", 5000) + "\nb", "c"}, "EOF"},
+		{"cut in a line longer than the buffer", "data: " + strings.Repeat("a", 5000), nil, "unexpected EOF"},
 		{"cut in a line", "data: a\n\ndata: b", []string{"a"}, "unexpected EOF"},
 		{"cut in an event", "data: a\n", nil, "unexpected EOF"},
 		{"too long a line", "data: " + strings.Repeat("a", 2<<20), nil, "longer"},
