Measure with the report intervals of the entry

Cause: the measurement sent a report each 100 ms to all entries at the same instant. An entry asks for one each 250 ms with up to 10 watched agents, 500 ms with up to 20 and 750 ms with up to 30, and each entry has its own stream. Both users' deployments have 20 model and 3 application runners, so the interval is 750 ms. Agents now look at their queues each 50 ms, as in the process, and not only when they report.

--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -15,11 +15,15 @@
 
 // The fleet's parameters, in milliseconds.
 const (
-	entryCount     = 3
-	networkDelay   = 1
-	reportInterval = 100
-	reportLag      = 200
-	staleLag       = 3000
+	entryCount = 3
+	// applicationRunners are watched too, so they count for the interval.
+	applicationRunners = 3
+	networkDelay       = 1
+	reportLag          = 200
+	// pumpInterval is the interval at which an agent looks at its queue even
+	// without an event.
+	pumpInterval = 50
+	staleLag     = 3000
 	// forecastInterval equals the tick of the entry's membership table.
 	forecastInterval = 200
 	detectionSpan    = 1000 // until entries notice a dead server
@@ -32,6 +36,21 @@
 	partTokens = engineMemory * 9 / 10
 )
 
+// reportInterval returns the interval at which an entry asks each of its watched
+// agents for a report. It follows the steps of the entry process.
+func reportInterval(agents int) oleanderspool.Millis {
+	switch {
+	case agents <= 10:
+		return 250
+	case agents <= 20:
+		return 500
+	case agents <= 30:
+		return 750
+	default:
+		return oleanderspool.Second
+	}
+}
+
 // All servers are in one data centre and serve one model.
 const (
 	dataCentre oleanderspool.DataCentreID = "dc"
@@ -214,9 +233,7 @@
 			f.forecast(e)
 		}
 	}
-	for _, s := range f.servers {
-		f.after(oleanderspool.Millis(s.number)*reportInterval/oleanderspool.Millis(len(f.servers)), func() { f.tick(s) })
-	}
+	f.watch()
 	for f.open > 0 && len(f.events) > 0 {
 		e := heap.Pop(&f.events).(event)
 		f.now = e.at
@@ -242,12 +259,35 @@
 	}
 }
 
-// tick reports a server's load and lets its agent look at its queue.
-func (f *fleet) tick(s *server) {
+// watch starts the reports and the timers of the agents. Each entry has its own
+// stream of reports from each agent, so the phases differ.
+func (f *fleet) watch() {
+	interval := reportInterval(len(f.servers) + applicationRunners)
+	phase := func(number, of int) oleanderspool.Millis {
+		return interval * oleanderspool.Millis(number) / oleanderspool.Millis(of)
+	}
+	for _, s := range f.servers {
+		f.after(phase(s.number, len(f.servers)), func() { f.pump(s) })
+		for i, e := range f.entries {
+			f.after(phase(s.number*entryCount+i, len(f.servers)*entryCount), func() { f.send(e, s, interval) })
+		}
+	}
+}
+
+// pump lets a server's agent look at its queue.
+func (f *fleet) pump(s *server) {
 	if s.dead {
 		return
 	}
 	f.kick(s)
+	f.after(pumpInterval, func() { f.pump(s) })
+}
+
+// send reports a server's load to an entry, now and after each interval.
+func (f *fleet) send(e *entry, s *server, interval oleanderspool.Millis) {
+	if s.dead {
+		return
+	}
 	load := s.queue.Load(f.now)
 	if _, plain := s.queue.(*fcfs); plain {
 		load.RunningTokens = s.engine.remaining()
@@ -255,8 +295,8 @@
 	load.SizeTokens = engineMemory
 	load.FreeTokens = max(0, engineMemory-s.engine.used-s.queue.WaitingMemory())
 	taken := f.now
-	f.after(f.lag(), func() { f.report(s, load, taken) })
-	f.after(reportInterval, func() { f.tick(s) })
+	f.after(f.lag(), func() { e.report(s, load, f.now, taken) })
+	f.after(interval, func() { f.send(e, s, interval) })
 }
 
 func (f *fleet) lag() oleanderspool.Millis {
@@ -266,13 +306,11 @@
 	return reportLag
 }
 
-// report hands a load to the entries. They know its age, as the entry process
-// does from the agent's clock.
-func (f *fleet) report(s *server, load oleanderspool.Load, taken oleanderspool.Millis) {
-	for _, e := range f.entries {
-		e.known[s.number] = e.known[s.number].WithLoad(load, f.now)
-		e.known[s.number].ReportAge = f.now - taken
-	}
+// report takes a load that arrives now. The entry knows its age, as the entry
+// process does from the agent's clock.
+func (e *entry) report(s *server, load oleanderspool.Load, now, taken oleanderspool.Millis) {
+	e.known[s.number] = e.known[s.number].WithLoad(load, now)
+	e.known[s.number].ReportAge = now - taken
 }
 
 // forecast brings the admission control of an entry up to date.
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -4,13 +4,13 @@
 // its seed.
 //
 // Simplifications: prefill costs the same for every token; there is no jitter
-// in the network or the engine; three entries see all reports at the same
-// time; accounts have neither rates nor shares, and callers do not resend. A
-// prompt that exceeds one engine is split evenly; its parts are routed and
-// queued independently instead of being reserved together, and the parts beyond
-// the first free their memory at the end of their prefill. A retried attempt
-// starts again from the prompt. Agents know their engine's prefix cache exactly
-// when an attempt arrives.
+// in the network or the engine; three entries watch all agents at fixed phases
+// of the interval; accounts have neither rates nor shares, and callers do not
+// resend. A prompt that exceeds one engine is split evenly; its parts are routed
+// and queued independently instead of being reserved together, and the parts
+// beyond the first free their memory at the end of their prefill. A retried
+// attempt starts again from the prompt. Agents know their engine's prefix cache
+// exactly when an attempt arrives.
 package measure
 
 import (
