Let longer work decide for short requests only between equal servers

The router charged a short request 0.002 of the longer work, up to 100 ms, although it costs at most one step of the engine. So the entries sent short requests to the same few servers.

--- a/internal/routing/scorers.go
+++ b/internal/routing/scorers.go
@@ -25,9 +25,12 @@
 
 // The weights of longer work, which a request does not wait for but delays, for
 // prompts of the shortest class and for others. Higher values keep requests away
-// from servers with long prompts, so they wait for each other more often.
+// from servers with long prompts, so they wait for each other more often. A long
+// prompt costs a short one a step of the engine at most, whatever its length:
+// with 0.002 for the shortest class, its requests met on the few servers with the
+// least long work. 0.0002 decides only between equal servers.
 const (
-	longerWeightShort = 0.002
+	longerWeightShort = 0.0002
 	longerWeight      = 0.01
 )
 
