Halve the random cost of short requests

Cause: up to 60 ms at random outweigh a cached prefix (30 ms) and half a short request ahead (50 ms), which decide the p99 of short requests. Less is enough to keep three entries from choosing the same server.

--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -27,7 +27,7 @@
 	// of queue.
 	DefaultAffinityLimit oleanderspool.Millis = 500
 	// DefaultSpread bounds the cost that differs by request and server at random,
-	// in milliseconds.
+	// in milliseconds. For prompts of the shortest class the bound is half as much.
 	DefaultSpread oleanderspool.Millis = 60
 	// DefaultUnknownDistance is the one-way distance of a data centre that the
 	// settings do not name, in milliseconds.
--- a/internal/routing/scorers.go
+++ b/internal/routing/scorers.go
@@ -111,16 +111,26 @@
 	})
 }
 
+// shortSpread is the part of the random cost that applies to prompts of the
+// shortest class. With the whole cost they often went to a server where another
+// short prompt was ahead, or past one that holds their prefix.
+const shortSpread = 0.5
+
 // Spread costs up to limit milliseconds, at random by the fingerprint of the
-// request and the server. Entries that know the same stale reports then do not
-// all choose the same one of several nearly equal servers, and copies of a
-// request still agree. A service call costs nothing: it is too short for that.
+// request and the server, and half of it for the shortest class. Entries that
+// know the same stale reports then do not all choose the same one of several
+// nearly equal servers, and copies of a request still agree. A service call costs
+// nothing: it is too short for that.
 func Spread(limit oleanderspool.Millis) oleanderspool.Scorer {
 	return ScorerFunc(func(r oleanderspool.Request, b oleanderspool.BackendServer, _ oleanderspool.Millis) float64 {
 		if limit <= 0 || r.Kind == oleanderspool.KindService {
 			return 0
 		}
+		bound := float64(limit)
+		if oleanderspool.WorkClass(int64(r.PromptCount)) == 0 {
+			bound *= shortSpread
+		}
 		weight := Weight(uint64(r.Fingerprint), Hash(b.Instance))
-		return float64(limit) * float64(weight) / math.MaxUint64
+		return bound * float64(weight) / math.MaxUint64
 	})
 }
