Keep prompts below the memory reserve from filling it

Long prompts leave the reserve of 6% free, but prompts a little smaller than the reserve took all of it. They also left no memory for cached prefixes: 54% of the requests around the p99 found theirs, and 84% without long prompts.

Change: an item leaves as much memory free as it takes, up to the reserve.

--- a/internal/queue/next.go
+++ b/internal/queue/next.go
@@ -116,14 +116,16 @@
 	return q.bypass(best, room, now)
 }
 
-// fits reports whether an item fits into the free memory. Large items leave
-// the reserve free, unless they need it on an empty engine.
+// fits reports whether an item fits into the free memory. Unless the engine is
+// empty, an item leaves as much memory free as it takes itself, up to the
+// reserve. Otherwise prompts a little smaller than the reserve fill it, and
+// shorter ones wait until their answers end.
 func (q *Queue) fits(w *waitingItem, room int64) bool {
-	reserve := int64(q.settings.reserve * float64(q.settings.memory))
-	if w.MemoryTokens <= reserve || len(q.running.items) == 0 {
+	if len(q.running.items) == 0 {
 		return w.MemoryTokens <= room
 	}
-	return w.MemoryTokens+reserve <= room
+	reserve := int64(q.settings.reserve * float64(q.settings.memory))
+	return w.MemoryTokens+min(reserve, w.MemoryTokens) <= room
 }
 
 // firstEligible returns the item that is due first among the heads of the
--- a/internal/queue/options.go
+++ b/internal/queue/options.go
@@ -35,7 +35,8 @@
 	// fit into memory.
 	DefaultBypassBound = 10 * oleanderspool.Second
 	// DefaultMemoryReserve is the part of the engine's memory that items larger
-	// than it leave free, so that short work does not wait for memory.
+	// than it leave free, so that short work does not wait for memory. Smaller
+	// items leave as much free as they take.
 	DefaultMemoryReserve = 0.06
 	// DefaultPrefillRate is the rate assumed before any was observed, in
 	// tokens per millisecond.
@@ -223,8 +224,8 @@
 }
 
 // WithMemoryReserve sets the part of the engine's memory, between 0 and 1,
-// that items larger than it leave free. It has an effect only together with
-// [WithMemory].
+// that items larger than it leave free. Smaller items leave as much free as they
+// take. It has an effect only together with [WithMemory].
 func WithMemoryReserve(part float64) Option {
 	return func(s *settings) { s.reserve = min(1, max(0, part)) }
 }
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -177,6 +177,18 @@
 		Expect(q.Next(20_000, 9100).Start).To(BeEmpty())
 		Expect(started(q.Next(25_000, 9100))).To(Equal([]string{"large"}))
 	})
+
+	It("is not filled by items a little smaller than it", func() {
+		q := queue.New(queue.WithMemory(100_000), queue.WithMemoryReserve(0.1))
+		Expect(q.Push(item("first", 80_000), 0)).To(Succeed())
+		Expect(started(q.Next(100_000, 0))).To(Equal([]string{"first"}))
+		q.FirstToken("first", 9000)
+		Expect(q.Push(item("medium", 9000), 9000)).To(Succeed())
+		Expect(q.Push(item("small", 1000), 9000)).To(Succeed())
+		Expect(started(q.Next(10_000, 9000))).To(Equal([]string{"small"}))
+		Expect(q.Next(17_999, 9100).Start).To(BeEmpty())
+		Expect(started(q.Next(18_000, 9100))).To(Equal([]string{"medium"}))
+	})
 })
 
 // Guards against short work that starves long work which is due.
