Run a request elsewhere whose agent barred its attempt

Cause: a leaving agent bars the attempts that it declines. When its answer is late, the entry attaches over a new connection and learns only "the attempt is barred", which it passed on to the caller as backend_server_failed, not_run, although other servers could run the request.

The failure of a barred attempt now carries the retry reason "barred", as the bar of the entry itself does. Ruled out: storing each refusal of a declined attempt, which would cost memory for what the state already says.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -71,6 +71,9 @@
 		Execution: executionOf(reply.State),
 		Message:   "the attempt is " + reply.State.String(),
 	}
+	if reply.State == attempt.StateBarred {
+		f.Refusal.Retry = oleanderspool.RetryBarred
+	}
 	return f
 }
 
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -109,6 +109,26 @@
 	})
 })
 
+// Guards against a refusal to a caller whose request another server can run,
+// when the word of an agent that it leaves is late and the entry then learns
+// only that the attempt never starts (P1).
+var _ = Describe("A request that a leaving agent declined", func() {
+	It("runs elsewhere though the answer was late", func() {
+		const tokens = 300
+		w := newWorld(plan{engines: 2})
+		long := w.open(w.question(prompt, tokens))
+		long.received(5)
+		holder := w.holder()
+		holder.front.Cut(link.Backward)
+		holder.stop()
+		s := w.open(w.question(prompt, 5)) // goes where its prompt is in progress
+		time.Sleep(firstEventBound + 100*time.Millisecond)
+		holder.front.Heal()
+		whole(s.wait(), prompt, 5)
+		whole(long.wait(), prompt, tokens)
+	})
+})
+
 // Guards against requests that a balancer sends to a new entry which does not
 // know its agents yet.
 var _ = Describe("An entry that starts", func() {
