Move long streams of a leaving agent with their KV cache

Cause: nothing used Export and Import of the engine, so a leaving agent waited for its longest stream.

The agent offers a stream to its reader (event Move). The entry chooses the server and asks its agent to Import; that agent reserves ledger and engine memory (owner import, with an expiry), reads the cache from the leaving agent (Export, chunks of 1 MiB with a checksum) and gives it to its engine. The stream runs on meanwhile. Then the entry starts an attempt there from the text so far, for which the engine prefills only the tokens generated during the transfer. The attempt at the leaving agent ends with the first piece from the other one; without a piece within 5 s the entry goes back to it (Assembler.Revert), and the leaving agent keeps a whole answer for that span. An import that is not used in time lapses, and its attempt is barred, so that nothing starts under a name whose memory is being cancelled. A cache moves only between engines whose version of the model is known and the same.

"A long stream of an agent that stops" (internal/entry, 14 cases at the same time, 15 s): 20,000 prompt tokens and 300 answer tokens. All engine memory is free after every case.

The test of the stand-in's control interface expects the new field prefilled_tokens.

--- a/errors.go
+++ b/errors.go
@@ -8,6 +8,8 @@
 var (
 	// ErrUncertain marks an action whose effect is unknown.
 	ErrUncertain = errorNamespace.NewType("uncertain")
+	// ErrTooLarge marks an uncertain call whose response exceeds its limit.
+	ErrTooLarge = ErrUncertain.NewSubtype("too_large")
 	// ErrUnavailable marks an action that had no effect because the peer could
 	// not be reached or refused it for now.
 	ErrUnavailable = errorNamespace.NewType("unavailable")
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -8,6 +8,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"log/slog"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/oleanderspool/oleanderspool/internal/attempt"
 	"github.com/oleanderspool/oleanderspool/internal/broadcast"
 	"github.com/oleanderspool/oleanderspool/internal/clock"
+	"github.com/oleanderspool/oleanderspool/internal/handover"
 	"github.com/oleanderspool/oleanderspool/internal/memory"
 	"github.com/oleanderspool/oleanderspool/internal/observe"
 	"github.com/oleanderspool/oleanderspool/internal/order"
@@ -53,6 +55,7 @@
 	heartbeat    oleanderspool.Millis
 	reportEvery  oleanderspool.Millis
 	limits       attempt.Limits
+	transfers    handover.Limits
 	queueOptions []queue.Option
 	maxCalls     int
 	maxWork      int64 // prompt work that may wait, in tokens; 0 for no bound
@@ -70,6 +73,10 @@
 	calls         map[oleanderspool.AttemptID]peer.RunCall              // attempts that have not ended
 	same          map[oleanderspool.Fingerprint]oleanderspool.AttemptID // running prompts
 	cancels       map[oleanderspool.AttemptID]context.CancelFunc        // attempts that the engine or service runs
+	source        *handover.Source                                      // streams that leave
+	target        *handover.Target                                      // streams that come
+	imports       map[oleanderspool.AttemptID]*cacheImport              // caches that wait for their attempts to be handed to the engine
+	unreadUntil   map[oleanderspool.AttemptID]oleanderspool.Millis      // whole answers that a reader may come back for after a transfer
 	running       int                                                   // attempts that have not ended
 	serviceCalls  int                                                   // calls of the plain service in progress
 	leaving       bool
@@ -128,6 +135,11 @@
 	return func(a *Agent) { a.limits = l }
 }
 
+// WithTransfers sets the limits of transfers of KV caches.
+func WithTransfers(l handover.Limits) Option {
+	return func(a *Agent) { a.transfers = l }
+}
+
 // WithQueue sets options of the queue.
 func WithQueue(options ...queue.Option) Option {
 	return func(a *Agent) { a.queueOptions = append(a.queueOptions, options...) }
@@ -170,11 +182,14 @@
 		heartbeat:   DefaultHeartbeat,
 		reportEvery: DefaultReportInterval,
 		limits:      attempt.DefaultLimits,
+		transfers:   handover.DefaultLimits,
 		maxCalls:    DefaultMaxServiceCalls,
 		peers:       peer.NewClient(),
 		calls:       make(map[oleanderspool.AttemptID]peer.RunCall),
 		same:        make(map[oleanderspool.Fingerprint]oleanderspool.AttemptID),
 		cancels:     make(map[oleanderspool.AttemptID]context.CancelFunc),
+		imports:     make(map[oleanderspool.AttemptID]*cacheImport),
+		unreadUntil: make(map[oleanderspool.AttemptID]oleanderspool.Millis),
 		feeds:       make(map[oleanderspool.AttemptID]*feed),
 		wake:        make(chan struct{}, 1),
 		reorder:     make(chan struct{}, 1),
@@ -188,6 +203,8 @@
 	a.identity.Incarnation = a.incarnation
 	a.crashes.history = suspect.NewHistory(a.identity.Instance, a.incarnation)
 	a.attempts = attempt.NewTable(a.incarnation, a.limits)
+	a.source = handover.NewSource(a.transfers)
+	a.target = handover.NewTarget(a.transfers)
 	a.queue = queue.New(a.queueOptions...)
 	a.ledger = memory.NewLedger(0, memory.WithListLag(DefaultReportLag))
 	a.configuration = replica.New(a.logger, a.metrics, a.configured)
@@ -256,11 +273,13 @@
 func (a *Agent) drain(ctx context.Context) {
 	a.mu.Lock()
 	a.leaving = true
+	a.source.Leave()
 	a.changed.Notify()
 	a.mu.Unlock()
 	a.metrics.Changed("leaving")
 	a.logger.Info("agent leaving", "instance", a.identity.Instance)
 	for a.busy() {
+		a.offerStream()
 		select {
 		case <-ctx.Done():
 			return
@@ -273,7 +292,13 @@
 func (a *Agent) busy() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.running > 0 || a.ledger.Owned(memory.OwnerGroup) > 0
+	now := a.clock.Now()
+	for id, until := range a.unreadUntil {
+		if now >= until {
+			delete(a.unreadUntil, id)
+		}
+	}
+	return a.running > 0 || len(a.unreadUntil) > 0 || a.ledger.Owned(memory.OwnerGroup) > 0 || a.ledger.Owned(memory.OwnerImport) > 0
 }
 
 // tick forgets old attempts and stops work that nobody reads.
@@ -285,6 +310,9 @@
 		a.stopWork(id)
 		a.ended(id)
 	}
+	for _, id := range a.target.Lapsed(now) {
+		a.endImport(id, handover.ReasonTime, now)
+	}
 }
 
 // stopWork ends the work of an attempt that the table no longer runs.
@@ -309,6 +337,14 @@
 		a.planner.Release(used)
 		delete(a.uses, id)
 	}
+	if a.source.Ended(id) {
+		a.metrics.Transferred(observe.TransferExport, observe.TransferDone)
+		if a.attempts.Pieces(id, math.MaxInt64).State == attempt.StateFinished {
+			// It has no reader while the other server is to go on with it.
+			a.unreadUntil[id] = a.clock.Now() + a.limits.ReaderTimeout
+		}
+	}
+	a.dropCache(id)
 	a.running--
 	a.metrics.Ended()
 	a.notify(id)
--- /dev/null
+++ b/internal/agent/export.go
@@ -0,0 +1,169 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/attempt"
+	"github.com/oleanderspool/oleanderspool/internal/handover"
+	"github.com/oleanderspool/oleanderspool/internal/memory"
+	"github.com/oleanderspool/oleanderspool/internal/observe"
+	"github.com/oleanderspool/oleanderspool/internal/peer"
+	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
+)
+
+// chunkBytes is the size of a part of a KV cache. A part must be sent within
+// the silence bound even on a link of 10 Mbit/s.
+const chunkBytes = 1 << 20
+
+// streamOf describes an attempt to the decision which streams move.
+func streamOf(call peer.RunCall) handover.Stream {
+	r := call.Request
+	return handover.Stream{
+		Attempt:      call.Attempt,
+		Idempotent:   r.Idempotent,
+		Bound:        call.Trial || call.Group != "",
+		PromptTokens: int64(promptTokens(r)),
+		OutputTokens: int64(r.MaxTokens),
+		Deadline:     r.Deadline,
+	}
+}
+
+// offerStream offers a stream of a leaving agent to its reader.
+func (a *Agent) offerStream() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if id, ok := a.source.Next(a.queue.Rate(), a.clock.Now()); ok {
+		a.notify(id)
+	}
+}
+
+// Export streams the KV cache of an attempt that was offered.
+func (h *handler) Export(m *peerpb.ExportRequest, s peerpb.DRPCAgent_ExportStream) error {
+	a := h.Agent
+	id := oleanderspool.AttemptID(m.GetAttempt())
+	if reason := a.beginExport(m); reason != "" {
+		return s.Send(&peerpb.ExportChunk{Revision: int64(a.Revision()), Failure: string(reason)})
+	}
+	a.metrics.Transferred(observe.TransferExport, observe.TransferBegun)
+	data, err := a.exportCache(id, s)
+	if err == nil {
+		err = a.sendCache(data, s)
+	}
+	reason := a.endExport(id, int64(len(data)), err)
+	if reason == "" {
+		return nil
+	}
+	a.metrics.Transferred(observe.TransferExport, string(reason))
+	if reason == handover.ReasonLink {
+		return err
+	}
+	return s.Send(&peerpb.ExportChunk{Revision: int64(a.Revision()), Failure: string(reason)})
+}
+
+// beginExport marks the memory of an attempt as exported, or says why not.
+func (a *Agent) beginExport(m *peerpb.ExportRequest) handover.Reason {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	id := oleanderspool.AttemptID(m.GetAttempt())
+	call, ok := a.calls[id]
+	if !ok || oleanderspool.Incarnation(m.GetIncarnation()) != a.incarnation {
+		return handover.ReasonEnded
+	}
+	// A cache of an unknown version may belong to other weights.
+	if version := a.uses[id].Version; version == "" || oleanderspool.VersionID(m.GetVersion()) != version {
+		return handover.ReasonVersion
+	}
+	if !a.source.Begin(id, a.clock.Now()) {
+		return handover.ReasonNotOffered
+	}
+	// The attempt still runs, so that its memory must not lapse earlier.
+	_ = a.ledger.Transfer(string(id), memory.OwnerExport, call.Request.Deadline)
+	return ""
+}
+
+// exportCache reads the cache from the engine and sends empty chunks meanwhile,
+// so that the reader can tell a slow export from a silent connection.
+func (a *Agent) exportCache(id oleanderspool.AttemptID, s peerpb.DRPCAgent_ExportStream) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(s.Context(), a.transfers.TransferBound.Duration())
+	defer cancel()
+	type result struct {
+		data []byte
+		err  error
+	}
+	done := make(chan result, 1)
+	go func() {
+		data, err := a.engine.Export(ctx, string(id))
+		done <- result{data, err}
+	}()
+	ticker := time.NewTicker(a.heartbeat.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case r := <-done:
+			if r.err == nil && int64(len(r.data)) > a.transfers.MaxBytes {
+				return nil, oleanderspool.ErrTooLarge.New("KV cache has %d bytes", len(r.data))
+			}
+			return r.data, r.err
+		case <-ticker.C:
+			if err := s.Send(&peerpb.ExportChunk{Revision: int64(a.Revision())}); err != nil {
+				return nil, &linkError{err}
+			}
+		}
+	}
+}
+
+// linkError marks an export that failed because its reader was lost.
+type linkError struct{ error }
+
+// sendCache sends a cache in chunks, the last with its checksum.
+func (a *Agent) sendCache(data []byte, s peerpb.DRPCAgent_ExportStream) error {
+	sum := xxhash.Sum64(data)
+	for from := 0; ; from += chunkBytes {
+		to := min(from+chunkBytes, len(data))
+		chunk := &peerpb.ExportChunk{Revision: int64(a.Revision()), Data: data[from:to], Size: int64(len(data))}
+		if to == len(data) {
+			chunk.Checksum = sum
+		}
+		if err := s.Send(chunk); err != nil {
+			return &linkError{err}
+		}
+		if to == len(data) {
+			return nil
+		}
+	}
+}
+
+// endExport gives the memory back to the attempt, which runs on until its
+// reader cancels it.
+func (a *Agent) endExport(id oleanderspool.AttemptID, bytes int64, err error) handover.Reason {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	if r, ok := a.ledger.Reservation(string(id)); ok && r.Owner == memory.OwnerExport {
+		_ = a.ledger.Transfer(string(id), memory.OwnerAttempt, r.Expiry)
+	}
+	switch _, link := err.(*linkError); { //nolint:errorlint // it is never wrapped
+	case err == nil && a.source.Exported(id, bytes, now):
+		return ""
+	case err == nil:
+		return handover.ReasonTime
+	case errorx.IsOfType(err, oleanderspool.ErrTooLarge):
+		a.source.TooLarge(id, now)
+		return handover.ReasonTooLarge
+	case link:
+		a.source.Failed(id, now)
+		return handover.ReasonLink
+	default:
+		a.source.Failed(id, now)
+		return handover.ReasonExport
+	}
+}
+
+// silenceBound is the span without a chunk after which the connection counts as
+// silent.
+const silenceBound = attempt.SilenceBound
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/attempt"
+	"github.com/oleanderspool/oleanderspool/internal/handover"
 	"github.com/oleanderspool/oleanderspool/internal/peer"
 	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
 	"github.com/oleanderspool/oleanderspool/internal/suspect"
@@ -106,6 +107,7 @@
 		a.mu.Lock()
 		changed := f.Wait()
 		reply := a.attempts.Pieces(id, from)
+		move := a.source.Announce(id)
 		a.mu.Unlock()
 		for i := range reply.Pieces {
 			if err := a.send(s, peer.Event{Piece: &reply.Pieces[i]}); err != nil {
@@ -114,11 +116,17 @@
 			from = reply.Pieces[i].Sequence + 1
 		}
 		if reply.State == attempt.StateFinished {
+			a.wasRead(id)
 			return nil
 		}
 		if reply.State != attempt.StateRunning {
 			return a.send(s, peer.Event{Failure: failureOf(id, reply)})
 		}
+		if move {
+			if err := a.send(s, peer.Event{Move: true}); err != nil {
+				return err
+			}
+		}
 		select {
 		case <-changed:
 		case <-heartbeat.C:
@@ -133,6 +141,13 @@
 	}
 }
 
+// wasRead notes that nobody comes back for an answer.
+func (a *Agent) wasRead(id oleanderspool.AttemptID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.unreadUntil, id)
+}
+
 // lease counts the reader of a new stream for half of the reader timeout, so
 // that the other half is left for its next attach and work ends within the
 // timeout after its reader has last been heard of. The channel is closed when
@@ -183,7 +198,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	id := oleanderspool.AttemptID(m.GetAttempt())
-	_, stop := a.attempts.Cancel(id, oleanderspool.Incarnation(m.GetIncarnation()), a.clock.Now())
+	now := a.clock.Now()
+	if a.target.Drop(id) {
+		a.endImport(id, handover.ReasonEnded, now)
+	}
+	delete(a.unreadUntil, id)
+	_, stop := a.attempts.Cancel(id, oleanderspool.Incarnation(m.GetIncarnation()), now)
 	if stop {
 		a.stopWork(id)
 		a.ended(id)
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -69,7 +69,7 @@
 // resumable reports whether the attempt generates the whole answer of a prompt.
 func resumable(call peer.RunCall) bool {
 	r := call.Request
-	return r.Kind == oleanderspool.KindModel && r.Idempotent && r.Continued == "" && !call.Trial && call.Group == ""
+	return r.Kind == oleanderspool.KindModel && r.Idempotent && r.Continued == "" && !call.Trial && call.Group == "" && !call.Imported
 }
 
 // redirect names a running attempt instead of starting the one of the call.
@@ -114,10 +114,19 @@
 			WithRetry(oleanderspool.RetryBehindConfiguration)
 	}
 	a.uses[call.Attempt] = used
-	if refusal := a.refuseWork(call, now); refusal != nil {
+	item := itemOf(call)
+	if call.Imported {
+		cached, ok := a.takeImport(call, now)
+		if !ok {
+			return oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "the imported KV cache has lapsed").
+				WithRetry(oleanderspool.RetryBarred)
+		}
+		item.MemoryTokens = 0 // reserved by the import
+		item.PromptTokens = max(1, item.PromptTokens-cached)
+	} else if refusal := a.refuseWork(call, now); refusal != nil {
 		return refusal
 	}
-	err := a.queue.Push(itemOf(call), now)
+	err := a.queue.Push(item, now)
 	var full *queue.FullError
 	var refusal *oleanderspool.Refusal
 	switch {
@@ -206,15 +215,17 @@
 			WithRetry(oleanderspool.RetryQueueFull))
 		return
 	}
+	delete(a.imports, d.Attempt)
+	a.source.Started(streamOf(call))
 	ctx, cancel := context.WithTimeout(a.base, call.Request.Remaining(now).Duration())
 	a.cancels[d.Attempt] = cancel
 	go a.generate(ctx, cancel, call, d.EnginePriority, a.report.Started)
 }
 
-// reserve accounts for the memory of an attempt. The memory of a group is
-// accounted for by its own reservation.
+// reserve accounts for the memory of an attempt. The memory of a group or an
+// imported KV cache is accounted for by its own reservation.
 func (a *Agent) reserve(call peer.RunCall, tokens int64, now oleanderspool.Millis) error {
-	if call.Group != "" {
+	if call.Group != "" || call.Imported {
 		return nil
 	}
 	return a.ledger.Reserve(memory.Reservation{
@@ -278,6 +289,7 @@
 		a.metrics.Dropped("attempt_ended")
 		return
 	}
+	a.source.Generated(id, p.Tokens, now)
 	if p.Sequence == 1 {
 		a.queue.FirstToken(id, now)
 		a.wakePump()
--- a/internal/attempt/assembler.go
+++ b/internal/attempt/assembler.go
@@ -54,6 +54,7 @@
 	text       strings.Builder
 	tokens     int
 	counts     AssemblerCounts
+	resume     int64 // first missing piece of the latest earlier attempt
 }
 
 // NewAssembler returns an assembler of the answer of an attempt. request is
@@ -201,6 +202,7 @@
 		return "", ErrContinue.New("attempt %s was used before", id)
 	}
 	a.earlier = append(a.earlier, a.attempt)
+	a.resume = a.next
 	a.attempt = id
 	a.next = 1
 	a.highest = 0
@@ -208,3 +210,18 @@
 	clear(a.ahead)
 	return a.Text(), nil
 }
+
+// Revert goes back to the attempt before the latest Continue, which is then
+// resumed from the first missing piece on. It returns false once a piece of the
+// current attempt was accepted, or if there is no attempt to go back to.
+func (a *Assembler) Revert() bool {
+	if a.resume == 0 || a.highest > 0 {
+		return false
+	}
+	latest := len(a.earlier) - 1
+	a.earlier[latest], a.attempt = a.attempt, a.earlier[latest]
+	a.next = a.resume
+	a.highest = a.resume - 1
+	a.resume = 0
+	return true
+}
--- a/internal/attempt/fuzz_test.go
+++ b/internal/attempt/fuzz_test.go
@@ -223,7 +223,31 @@
 				got.WriteString(r.Text)
 			}
 		}
-		for _, i := range rapid.SliceOfN(rapid.IntRange(0, count-1), 0, 60).Draw(t, "order") {
+		// Another attempt is to go on and does not, or only after its first piece.
+		detour := func(piece bool) {
+			missing, _ := a.Missing()
+			if _, err := a.Continue("b"); err != nil {
+				return
+			}
+			if piece {
+				p := oleanderspool.Piece{Request: "r", Attempt: "b", Sequence: 2, Text: "b"}
+				if _, verdict := a.Accept(p); verdict != attempt.Accepted || a.Revert() {
+					t.Fatalf("reverts after a piece: %v", verdict)
+				}
+				t.Skip("the rest is another stream")
+			}
+			if !a.Revert() || a.Revert() {
+				t.Fatalf("reverts not once")
+			}
+			for i := missing; i <= int64(count); i++ {
+				accepted[i] = false
+			}
+		}
+		at := rapid.IntRange(0, 90).Draw(t, "detour")
+		for n, i := range rapid.SliceOfN(rapid.IntRange(0, count-1), 0, 60).Draw(t, "order") {
+			if n == at {
+				detour(rapid.IntRange(0, 20).Draw(t, "piece") == 0)
+			}
 			accept(pieces[i])
 		}
 		for missing, _ := a.Missing(); missing != 0; missing, _ = a.Missing() {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/admission"
@@ -81,12 +82,18 @@
 	expected  oleanderspool.Millis        // span until its first piece
 	sentAt    oleanderspool.Millis
 	group     *reservation // engines that serve the prompt together; nil for one
+	mover     *mover       // of the current attempt; nil if it cannot move
+
+	destination *destination            // where the request goes on; nil for anywhere
+	origin      *destination            // where it runs until a piece comes from there; nil otherwise
+	moved       oleanderspool.AttemptID // attempt at a destination without a piece so far
+	firstBound  *time.Timer             // ends the wait for its first piece
 }
 
 // run runs a request that needs no claim.
 func (x *exchange) run(ctx context.Context) *oleanderspool.Refusal {
 	for {
-		server, refusal := x.choose()
+		server, id, refusal := x.next()
 		if refusal != nil {
 			members, ok := x.plan()
 			if !ok {
@@ -97,11 +104,13 @@
 			}
 			continue
 		}
-		id := attempt.NewID(attempt.ClassUnkeyed, server.Instant, unique())
 		if err := x.begin(id); err != nil {
 			return x.refuse(oleanderspool.RefusalBackendServerFailed, err.Error())
 		}
 		done, refusal := x.runOn(ctx, server, id)
+		if x.moved == id {
+			done, refusal = x.goBack(ctx, done, refusal)
+		}
 		if done {
 			return refusal
 		}
@@ -138,6 +147,7 @@
 		Incarnation: server.Incarnation,
 		Attempt:     id,
 		Request:     r,
+		Imported:    x.moved == id,
 	}
 	if x.group != nil {
 		call.Group = x.group.name()
--- /dev/null
+++ b/internal/entry/move_test.go
@@ -0,0 +1,155 @@
+package entry_test
+
+import (
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/agent"
+	"github.com/oleanderspool/oleanderspool/internal/handover"
+	"github.com/oleanderspool/oleanderspool/internal/standin"
+	standengine "github.com/oleanderspool/oleanderspool/internal/standin/engine"
+	"github.com/oleanderspool/oleanderspool/internal/standin/link"
+)
+
+// ledger is a prompt of 20,000 tokens, which takes an engine 1 s to prefill.
+var ledger = strings.Repeat("peg ", 20_000)
+
+const (
+	ledgerTokens = 20_000
+	// moveTokens is the length of an answer that takes an engine 6 s.
+	moveTokens = 300
+)
+
+// moving starts a world whose agents move streams of more than 2 s, and a long
+// stream in it. Its transfers of about 1.6 MB take at most 3 s.
+func moving(options ...standengine.Option) (w *world, s *stream, source, target *runner) {
+	limits := handover.DefaultLimits
+	limits.MinRemaining, limits.MinPrefill = 2*oleanderspool.Second, 500
+	limits.TransferBound, limits.SwitchBound = 3*oleanderspool.Second, oleanderspool.Second
+	options = append([]standengine.Option{standengine.WithExportBytes(80), standengine.WithLoadTime(20)}, options...)
+	w = newWorld(plan{engines: 2, options: options, agents: []agent.Option{agent.WithTransfers(limits)}})
+	for _, r := range w.runners {
+		// Only a cache of a known version of the model is moved.
+		Eventually(func() float64 { return sample(r.metrics, "engine_orders_total", "applied") }, settle, poll).Should(BeNumerically(">", 0))
+	}
+	s = w.open(w.question(ledger, moveTokens))
+	s.received(10)
+	source = w.holder()
+	target = w.runners[0]
+	if source == target {
+		target = w.runners[1]
+	}
+	return w, s, source, target
+}
+
+// prefilled returns the tokens that the engines prefilled of long prompts.
+func (w *world) prefilled() int64 {
+	total := int64(0)
+	for _, q := range w.requests() {
+		total += q.Prefilled
+	}
+	return total
+}
+
+func (w *world) moves(result string) float64 {
+	return sample(w.metrics, "cache_transfers_total", result)
+}
+
+// Guards against a leaving agent that waits for its longest stream, and against
+// a transfer that cuts or repeats the stream, prefills its prompt again although
+// it need not, or leaves engine memory behind (P2, P3, P7). The cases run at the
+// same time.
+var _ = Describe("A long stream of an agent that stops", func() {
+	type transfer struct {
+		name   string
+		fault  func(w *world, s *stream, source, target *runner) // before the agent stops
+		during func(w *world, s *stream, source, target *runner) // while the engine exports
+		result string                                            // that the entry counts
+		once   bool                                              // the prompt is prefilled once
+		gone   bool                                              // the caller leaves
+	}
+	slowExport := func(_ *world, _ *stream, source, _ *runner) {
+		source.engine.Add(standin.Fault{Kind: standin.FaultSlow, Path: "/v1/export", Delay: 500})
+	}
+	failing := func(kind standin.FaultKind, path string) func(*world, *stream, *runner, *runner) {
+		return func(_ *world, _ *stream, source, target *runner) {
+			for _, r := range []*runner{source, target} {
+				r.engine.Add(standin.Fault{Kind: kind, Path: path})
+			}
+		}
+	}
+	cases := []transfer{
+		{name: "moves with its cache", result: "done", once: true},
+		{name: "no memory at the target", fault: failing(standin.FaultOutage, "/v1/reserve"), result: "no_memory", once: true},
+		{name: "export fails", fault: failing(standin.FaultBreak, "/v1/export"), result: "export", once: true},
+		{name: "export hangs", fault: failing(standin.FaultHang, "/v1/export"), result: "time", once: true},
+		{name: "import fails", fault: failing(standin.FaultBreak, "/v1/import"), result: "import", once: true},
+		{name: "import is carried out without an answer", fault: failing(standin.FaultSilence, "/v1/import"), result: "time", once: true},
+		{name: "start is refused", fault: failing(standin.FaultOutage, "/v1/chat"), result: "not_started", once: true},
+		{name: "start hangs", fault: failing(standin.FaultHang, "/v1/chat"), result: "not_started", once: true},
+		{name: "connections break", fault: slowExport, during: func(_ *world, _ *stream, source, _ *runner) { source.front.Break() }, result: "begun", once: true},
+		{name: "target goes silent", fault: slowExport, during: func(_ *world, _ *stream, _, target *runner) { target.front.Cut(link.Backward) }, result: "begun", once: true},
+		{name: "source goes silent", fault: slowExport, during: func(_ *world, _ *stream, source, _ *runner) { cutBoth(source.front) }, result: "begun"},
+		{name: "engine of the target crashes", fault: slowExport, during: func(_ *world, _ *stream, _, target *runner) { target.engine.Crash() }, result: "begun", once: true},
+		{name: "engine of the source crashes", fault: slowExport, during: func(_ *world, _ *stream, source, _ *runner) { source.engine.Crash() }, result: "begun"},
+		{name: "caller leaves", fault: slowExport, during: func(_ *world, s *stream, _, _ *runner) { s.cancel() }, result: "ended", gone: true},
+	}
+	It("goes on elsewhere or ends where it runs", func() {
+		parallel(cases, func(c transfer) {
+			w, s, source, target := moving()
+			if c.fault != nil {
+				c.fault(w, s, source, target)
+			}
+			began := time.Now()
+			source.stop()
+			if c.during != nil {
+				Eventually(func() float64 { return sample(source.metrics, "cache_transfers_total", "begun") }, settle, time.Millisecond).Should(BeNumerically(">", 0), c.name)
+				c.during(w, s, source, target)
+			}
+			if c.result == "done" {
+				// The agent does not wait for the end of the answer.
+				Eventually(source.stopped, settle, poll).Should(BeClosed(), c.name)
+				Expect(closed(s.done)).To(BeFalse(), c.name)
+			}
+			a := s.wait()
+			ended := time.Since(began)
+			if c.gone {
+				Expect(a.refusal).NotTo(BeNil(), c.name)
+			} else {
+				whole(a, ledger, moveTokens)
+			}
+			Eventually(func() float64 { return w.moves(c.result) }, settle, poll).Should(BeNumerically(">", 0), c.name+": "+strings.Join(w.counted(), " "))
+			if c.once {
+				// The tokens generated during the transfer are prefilled again.
+				Expect(w.prefilled()).To(BeNumerically("<", ledgerTokens+2*moveTokens), c.name)
+			}
+			source.front.Heal()
+			target.front.Heal()
+			for _, r := range w.runners {
+				r.engine.Clear()
+				Eventually(r.free, settle, poll).Should(BeNumerically("==", standengine.DefaultSizeTokens), c.name)
+			}
+			Eventually(source.stopped, settle, poll).Should(BeClosed(), c.name)
+			if c.result == "done" {
+				AddReportEntry("answer ended after", ended)
+				AddReportEntry("tokens prefilled", w.prefilled())
+				AddReportEntry("longest gap", a.gaps)
+			}
+		})
+	})
+})
+
+// counted lists the results that the entry has counted.
+func (w *world) counted() []string {
+	var seen []string
+	for _, r := range append([]handover.Reason{"begun", "done"}, handover.Reasons...) {
+		if w.moves(string(r)) > 0 {
+			seen = append(seen, string(r))
+		}
+	}
+	return seen
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/attempt"
@@ -36,15 +37,27 @@
 		return true, refusal
 	}
 	r := &run{exchange: x, server: server, id: id, trial: trial}
+	x.entry.bringUpToDate(ctx, server)
+	return r.toEnd(ctx, r.start)
+}
+
+// toEnd follows the attempt from the stream that begin opens to its end.
+func (r *run) toEnd(ctx context.Context, begin func(context.Context) ending) (done bool, refusal *oleanderspool.Refusal) {
+	x, server, id := r.exchange, r.server, r.id
 	x.chosen, x.sentAt = server, x.entry.clock.Now()
 	x.expected = x.entry.router.Expect(x.request, server, x.sentAt)
 	assignments := x.entry.router.Assignments()
 	assignments.Start(id, x.request, server.Instance, x.sentAt)
 	defer assignments.End(id)
-	x.entry.bringUpToDate(ctx, server)
 	running, stop := r.watchSuspicion(ctx)
 	defer stop()
-	end := r.start(running)
+	streams, endMove := r.movable(running)
+	defer endMove()
+	if x.moved == id {
+		x.firstBound = time.AfterFunc(firstPieceBound.Duration(), r.mover.interrupt)
+		defer x.firstBound.Stop()
+	}
+	end := begin(streams)
 	defer func() { r.endTrial(end.complete) }()
 	for {
 		switch {
@@ -54,9 +67,12 @@
 			return true, x.abandon(ctx, server, r.id)
 		case running.Err() != nil:
 			go x.cancel(server, r.id)
+			x.leaveOrigin()
 			return false, nil // runs again as a trial
+		case streams.Err() != nil:
+			return r.interrupted(ctx)
 		}
-		next := r.react(running, end)
+		next := r.react(streams, end)
 		if next.follow == nil {
 			clock.Sleep(ctx, next.delay)
 			return next.done, next.refusal
@@ -82,6 +98,11 @@
 
 // react decides what to do after a stream ended before its answer was complete.
 func (r *run) react(ctx context.Context, end ending) reaction {
+	if r.moved == r.id {
+		r.noteCrash(&end)
+		go r.cancel(r.server, r.id)
+		return reaction{} // no piece came, so that the stream goes back
+	}
 	if end.state == attempt.StateUnknown {
 		return reaction{follow: func() ending { return r.bar(ctx, r.server, r.id) }}
 	}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -186,6 +186,10 @@
 			end := failed(server, event.Failure)
 			end.progress = progress
 			return end
+		case event.Move:
+			if x.mover != nil {
+				x.mover.offered()
+			}
 		case event.Piece != nil:
 			pieces, verdict := x.assembler.Accept(*event.Piece)
 			if verdict != attempt.Accepted {
@@ -193,6 +197,7 @@
 				continue
 			}
 			progress = true
+			x.arrivedAt(event.Piece.Attempt)
 			if err := x.pass(pieces); err != nil {
 				return ending{failure: retry.Failure{Reason: oleanderspool.RetryStreamSilent, Instance: server.Instance}}
 			}
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -80,6 +80,7 @@
 	engines  int
 	services int
 	options  []standengine.Option
+	agents   []agent.Option
 	scripts  []script // agents that send what the test says
 }
 
@@ -88,7 +89,7 @@
 	w := &world{platform: standplatform.New(standplatform.WithInstanceLag(0)), metrics: observe.New()}
 	w.client = platform.NewClient(serve(w.platform))
 	for range p.engines {
-		w.startEngine(p.options)
+		w.startEngine(p.options, p.agents...)
 	}
 	for range p.services {
 		w.startService()
@@ -125,12 +126,12 @@
 	return l
 }
 
-func (w *world) startEngine(options []standengine.Option) {
+func (w *world) startEngine(options []standengine.Option, agents ...agent.Option) {
 	options = append([]standengine.Option{standengine.WithModels(model), standengine.WithReportLag(20)}, options...)
 	e := standengine.New(options...)
 	DeferCleanup(e.Close)
 	r := &runner{id: oleanderspool.InstanceID(fmt.Sprintf("runner-%d", len(w.runners)+1)), engine: e, back: relayTo(serve(e))}
-	w.startAgent(r, "model", agent.WithEngine(engine.NewClient(r.back.Address())))
+	w.startAgent(r, "model", append(agents, agent.WithEngine(engine.NewClient(r.back.Address())))...)
 }
 
 func (w *world) startService() {
@@ -139,11 +140,12 @@
 	w.startAgent(r, "service", agent.WithService(service.NewClient(r.back.Address()), "pegs", "stock"))
 }
 
-func (w *world) startAgent(r *runner, role string, backend agent.Option) {
+func (w *world) startAgent(r *runner, role string, options ...agent.Option) {
 	limits := attempt.DefaultLimits
 	limits.ReaderTimeout = readerTimeout
 	r.metrics = observe.New()
-	r.agent = agent.New(r.id, "dc-a", backend, agent.WithLimits(limits), agent.WithMetrics(r.metrics))
+	options = append(options, agent.WithLimits(limits), agent.WithMetrics(r.metrics))
+	r.agent = agent.New(r.id, "dc-a", options...)
 	l := listen()
 	r.front = relayTo(l.Addr().String())
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -46,6 +46,7 @@
 	dropped      *prometheus.CounterVec
 	transitions  *prometheus.CounterVec
 	orders       *prometheus.CounterVec
+	transfers    *prometheus.CounterVec
 	firstToken   *prometheus.HistogramVec
 	revision     prometheus.Gauge
 	running      prometheus.Gauge
@@ -64,6 +65,7 @@
 		dropped:     counter("pieces_dropped_total", "Dropped pieces of answers by cause.", "cause"),
 		transitions: counter("state_changes_total", "Changes of state by name.", "change"),
 		orders:      counter("engine_orders_total", "Engine orders by kind and result.", "kind", "result"),
+		transfers:   counter("cache_transfers_total", "Transfers of KV caches by part and result; a failure has its reason.", "part", "result"),
 		firstToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace,
 			Name:      "first_token_seconds",
@@ -92,7 +94,7 @@
 	m.registry.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.admitted, m.finished, m.refused, m.retried, m.dropped, m.transitions, m.orders,
+		m.admitted, m.finished, m.refused, m.retried, m.dropped, m.transitions, m.orders, m.transfers,
 		m.firstToken, m.revision, m.running, m.engineMemory,
 	)
 	for _, r := range oleanderspool.RefusalReasons {
@@ -154,6 +156,26 @@
 	m.orders.WithLabelValues(string(kind), result).Inc()
 }
 
+// The parts of a transfer of a KV cache: the whole, as the entry sees it, and
+// the work of each agent.
+const (
+	TransferMove   = "move"
+	TransferExport = "export"
+	TransferImport = "import"
+)
+
+// The results of a part besides the reasons of failures.
+const (
+	TransferBegun = "begun"
+	TransferDone  = "done"
+)
+
+// Transferred counts a part of a transfer. result is TransferBegun,
+// TransferDone or the reason of a failure.
+func (m *Metrics) Transferred(part, result string) {
+	m.transfers.WithLabelValues(part, result).Inc()
+}
+
 // FirstToken records the time to the first token of a prompt of the given
 // length in tokens.
 func (m *Metrics) FirstToken(tokens int, span oleanderspool.Millis) {
--- a/internal/peer/mapping.go
+++ b/internal/peer/mapping.go
@@ -17,6 +17,7 @@
 	Trial       bool // run alone on the engine
 	Group       string
 	Members     []oleanderspool.InstanceID
+	Imported    bool // the KV cache was imported for the attempt
 }
 
 // EncodeRun maps a call to its message. now turns the deadline into the
@@ -48,6 +49,7 @@
 		Trial:        c.Trial,
 		Group:        c.Group,
 		Members:      stringsOf(c.Members),
+		Imported:     c.Imported,
 	}
 }
 
@@ -60,6 +62,7 @@
 		Trial:       m.GetTrial(),
 		Group:       m.GetGroup(),
 		Members:     idsOf[oleanderspool.InstanceID](m.GetMembers()),
+		Imported:    m.GetImported(),
 		Request: oleanderspool.Request{
 			ID:          oleanderspool.RequestID(m.GetRequest()),
 			Account:     oleanderspool.ClientAccountID(m.GetAccount()),
@@ -104,6 +107,7 @@
 type Event struct {
 	Piece   *oleanderspool.Piece
 	Failure *Failure
+	Move    bool // the agent leaves and offers the KV cache of the attempt
 }
 
 // EncodeEvent maps an event to its message.
@@ -114,6 +118,8 @@
 		m.Kind = &peerpb.Event_Piece{Piece: encodePiece(e.Piece)}
 	case e.Failure != nil:
 		m.Kind = &peerpb.Event_Failure{Failure: encodeFailure(e.Failure)}
+	case e.Move:
+		m.Kind = &peerpb.Event_Move{Move: &peerpb.Move{}}
 	default:
 		m.Kind = &peerpb.Event_Heartbeat{Heartbeat: &peerpb.Heartbeat{}}
 	}
@@ -127,6 +133,8 @@
 		return Event{Piece: decodePiece(k.Piece)}
 	case *peerpb.Event_Failure:
 		return Event{Failure: decodeFailure(k.Failure)}
+	case *peerpb.Event_Move:
+		return Event{Move: true}
 	default:
 		return Event{}
 	}
@@ -218,6 +226,54 @@
 	return crashes
 }
 
+// ImportCall asks an agent to import the KV cache of an attempt of another
+// agent.
+type ImportCall struct {
+	Revision    oleanderspool.Revision
+	Incarnation oleanderspool.Incarnation
+	Attempt     oleanderspool.AttemptID // that starts after the import
+	Model       oleanderspool.ModelID
+	Adapter     oleanderspool.AdapterID
+	Tokens      int64 // engine memory that the attempt needs, in tokens
+	Cached      int64 // length of the prompt and of the answer so far, in tokens
+
+	Source            string // IP number and port of the agent that exports
+	SourceIncarnation oleanderspool.Incarnation
+	SourceAttempt     oleanderspool.AttemptID
+}
+
+// EncodeImport maps a call to its message.
+func EncodeImport(c ImportCall) *peerpb.ImportRequest {
+	return &peerpb.ImportRequest{
+		Revision:          int64(c.Revision),
+		Incarnation:       string(c.Incarnation),
+		Attempt:           string(c.Attempt),
+		Model:             string(c.Model),
+		Adapter:           string(c.Adapter),
+		Tokens:            c.Tokens,
+		CachedTokens:      c.Cached,
+		Source:            c.Source,
+		SourceIncarnation: string(c.SourceIncarnation),
+		SourceAttempt:     string(c.SourceAttempt),
+	}
+}
+
+// DecodeImport maps a message to a call.
+func DecodeImport(m *peerpb.ImportRequest) ImportCall {
+	return ImportCall{
+		Revision:          oleanderspool.Revision(m.GetRevision()),
+		Incarnation:       oleanderspool.Incarnation(m.GetIncarnation()),
+		Attempt:           oleanderspool.AttemptID(m.GetAttempt()),
+		Model:             oleanderspool.ModelID(m.GetModel()),
+		Adapter:           oleanderspool.AdapterID(m.GetAdapter()),
+		Tokens:            m.GetTokens(),
+		Cached:            m.GetCachedTokens(),
+		Source:            m.GetSource(),
+		SourceIncarnation: oleanderspool.Incarnation(m.GetSourceIncarnation()),
+		SourceAttempt:     oleanderspool.AttemptID(m.GetSourceAttempt()),
+	}
+}
+
 // Names of the backend server roles on the wire and in settings.
 const (
 	RoleNameModel   = "model"
--- a/internal/standin/control_test.go
+++ b/internal/standin/control_test.go
@@ -118,7 +118,7 @@
 			{"POST", "/control/engine", `{"action":"dance"}`, 400, ""},
 			{"POST", "/control/engine", `{"action":"crash"}`, 200, ""},
 			{"GET", "/v1/report", "", 0, ""},
-			{"GET", "/control/requests", "", 200, `{"crashes":1,"requests":[{"request_id":"a","model":"ode","prompt_tokens":1,"cached_tokens":0,"generated":2,"outcome":"length"}]}`},
+			{"GET", "/control/requests", "", 200, `{"crashes":1,"requests":[{"request_id":"a","model":"ode","prompt_tokens":1,"cached_tokens":0,"prefilled_tokens":1,"generated":2,"outcome":"length"}]}`},
 		})
 	})
 })
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -153,6 +153,7 @@
 			return
 		}
 		q.prefill -= s.tokens[i]
+		q.prefilled += s.tokens[i]
 		if q.prefill == 0 {
 			e.cache.insert(q.prefixes)
 		}
--- a/internal/standin/engine/codec.go
+++ b/internal/standin/engine/codec.go
@@ -156,6 +156,7 @@
 	Model        string `json:"model"`
 	PromptTokens int64  `json:"prompt_tokens"`
 	CachedTokens int64  `json:"cached_tokens"`
+	Prefilled    int64  `json:"prefilled_tokens"`
 	Generated    int    `json:"generated"`
 	Outcome      string `json:"outcome"`
 }
@@ -170,7 +171,7 @@
 	for _, r := range requests {
 		body.Requests = append(body.Requests, requestBody{
 			RequestID: r.ID, Model: r.Model, PromptTokens: r.PromptTokens,
-			CachedTokens: r.CachedTokens, Generated: r.Generated, Outcome: r.Outcome,
+			CachedTokens: r.CachedTokens, Prefilled: r.Prefilled, Generated: r.Generated, Outcome: r.Outcome,
 		})
 	}
 	return body
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -23,8 +23,8 @@
 //	POST /control/engine       {"action": "crash", "pause", "resume" or "slow",
 //	                           "factor"}
 //	GET  /control/requests     -> {"crashes", "requests": [{"request_id", "model",
-//	                           "prompt_tokens", "cached_tokens", "generated",
-//	                           "outcome"}]}
+//	                           "prompt_tokens", "cached_tokens",
+//	                           "prefilled_tokens", "generated", "outcome"}]}
 //	     /control/faults       see package standin
 //
 // A refusal is {"error": {"message", "code", "effect"}}.
@@ -86,6 +86,7 @@
 	crashMarker     string
 	maxWaiting      int
 	answerTokens    int
+	tokenBytes      int64 // of an exported KV cache
 	fencing         bool
 	leak            bool
 	initialModels   []string
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -159,6 +160,13 @@
 		return
 	}
 	standin.WriteJSON(w, http.StatusOK, body)
+	// White space leaves the description readable.
+	padding := bytes.Repeat([]byte(" "), 1<<16)
+	for left := e.tokenBytes * body.Tokens; left > 0; left -= int64(len(padding)) {
+		if _, err := w.Write(padding[:min(left, int64(len(padding)))]); err != nil {
+			return
+		}
+	}
 }
 
 func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/engine/history.go
+++ b/internal/standin/engine/history.go
@@ -15,6 +15,7 @@
 	Model        string // with adapter, as the request names it
 	PromptTokens int64
 	CachedTokens int64
+	Prefilled    int64 // tokens
 	Generated    int
 	Outcome      string
 }
@@ -57,7 +58,7 @@
 func describe(q *sequence) Request {
 	r := Request{
 		ID: q.owner, Model: q.model, PromptTokens: countTokens(q.prompt),
-		CachedTokens: q.cached, Generated: q.generated, Outcome: OutcomeRunning,
+		CachedTokens: q.cached, Prefilled: q.prefilled, Generated: q.generated, Outcome: OutcomeRunning,
 	}
 	switch {
 	case q.crashed:
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -82,6 +82,12 @@
 	return func(e *Engine) { e.answerTokens = tokens }
 }
 
+// WithExportBytes sets the size of an exported KV cache, in bytes per token;
+// 0 exports only its description.
+func WithExportBytes(perToken int64) Option {
+	return func(e *Engine) { e.tokenBytes = perToken }
+}
+
 // WithoutFencing makes the engine ignore the fencing number of orders.
 func WithoutFencing() Option {
 	return func(e *Engine) { e.fencing = false }
--- a/internal/standin/engine/sequence.go
+++ b/internal/standin/engine/sequence.go
@@ -16,6 +16,7 @@
 
 	cached    int64 // tokens of the prompt found in the prefix cache
 	prefill   int64 // tokens left to prefill on this engine
+	prefilled int64 // tokens prefilled on this engine
 	generated int
 	finish    string // set when generation has ended
 	failure   string // set when the engine has given the request up
