Bound transfers of KV cache and the memory of keys in the agent's settings

Cause: an agent holds a whole KV cache while it moves one, up to 1 GiB, which a small instance may not have; and it remembered keyed attempts for 24 h whatever the entries' key_lifetime_ms was.

transfer_bytes (default 1 GiB, 0 for none) bounds the engine's export and the decision what moves. key_lifetime_ms (default 24 h, as before) is the span that the agent remembers keyed attempts. Ruled out for the lifetime: sending it from the entries, whose values may differ, and a key of the configuration, which the claim stream would have to follow. A shorter span than the entries' is safe: a resend gets may_have_run, as after an eviction.

No test runs an agent with other than the default values.

--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -10,6 +10,7 @@
 	"github.com/oleanderspool/oleanderspool/internal/agent"
 	"github.com/oleanderspool/oleanderspool/internal/attempt"
 	"github.com/oleanderspool/oleanderspool/internal/engine"
+	"github.com/oleanderspool/oleanderspool/internal/handover"
 	"github.com/oleanderspool/oleanderspool/internal/observe"
 	"github.com/oleanderspool/oleanderspool/internal/platform"
 	"github.com/oleanderspool/oleanderspool/internal/queue"
@@ -53,11 +54,15 @@
 	metrics := observe.New()
 	limits := attempt.DefaultLimits
 	limits.ReaderTimeout = s.Reattach
+	limits.KeyLifetime = s.KeyLifetime
+	transfers := handover.DefaultLimits
+	transfers.MaxBytes = s.Transfer
 	options := []agent.Option{
 		agent.WithLogger(logger),
 		agent.WithMetrics(metrics),
 		agent.WithHeartbeat(s.Heartbeat),
 		agent.WithLimits(limits),
+		agent.WithTransfers(transfers),
 		agent.WithQueue(queueOptions(s.Queue)...),
 		agent.WithMaxWork(s.Queue.Tokens),
 		agent.WithWeightStore(platform.NewClient(s.Platform.String())),
@@ -67,7 +72,7 @@
 	if s.Role == oleanderspool.RoleService {
 		options = append(options, agent.WithService(service.NewClient(s.Service.String()), s.Routes...))
 	} else {
-		options = append(options, agent.WithEngine(engine.NewClient(s.Engine.String())))
+		options = append(options, agent.WithEngine(engine.NewClient(s.Engine.String(), engine.WithMaxExport(s.Transfer))))
 	}
 	a := agent.New(s.Instance, s.DataCentre, options...)
 
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -13,7 +13,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/attempt"
 	"github.com/oleanderspool/oleanderspool/internal/entry"
+	"github.com/oleanderspool/oleanderspool/internal/handover"
 	"github.com/oleanderspool/oleanderspool/internal/platform"
 	"github.com/oleanderspool/oleanderspool/internal/queue"
 	"github.com/oleanderspool/oleanderspool/internal/settings"
@@ -169,6 +171,9 @@
 		Queue:     settings.Queue{Requests: 10_000, ShortRequestWeight: queue.DefaultShortRequestWeight},
 		Heartbeat: oleanderspool.Second,
 		Reattach:  10 * oleanderspool.Second,
+
+		KeyLifetime: attempt.DefaultLimits.KeyLifetime,
+		Transfer:    handover.DefaultLimits.MaxBytes,
 	}
 }
 
--- a/internal/handover/limits.go
+++ b/internal/handover/limits.go
@@ -11,7 +11,8 @@
 	// MinPrefill is the prefill span below which a prompt is cheap to prefill
 	// again, so that its stream stays.
 	MinPrefill oleanderspool.Millis
-	// MaxBytes bounds one KV cache. An agent holds one whole cache at a time.
+	// MaxBytes bounds one KV cache; 0 moves none. An agent holds one whole cache
+	// at a time.
 	MaxBytes int64
 	// LinkRate is the assumed speed of a transfer in bytes per millisecond
 	// until one was measured.
--- a/internal/handover/source.go
+++ b/internal/handover/source.go
@@ -142,7 +142,7 @@
 
 // worth reports whether a stream is to be moved.
 func (s *Source) worth(x *stream, prefillRate float64, now oleanderspool.Millis) bool {
-	if !x.Idempotent || x.Bound || x.generated < minTokens || x.offers >= s.limits.MaxOffers || now < x.retryAt {
+	if s.limits.MaxBytes == 0 || !x.Idempotent || x.Bound || x.generated < minTokens || x.offers >= s.limits.MaxOffers || now < x.retryAt {
 		return false
 	}
 	bytes := s.density * float64(x.tokens())
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -5,6 +5,7 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/attempt"
+	"github.com/oleanderspool/oleanderspool/internal/handover"
 )
 
 // Agent holds the settings of an agent.
@@ -22,6 +23,8 @@
 	Queue       Queue
 	Heartbeat   oleanderspool.Millis // span between heartbeats on a stream
 	Reattach    oleanderspool.Millis // span that an attempt is kept without a reader
+	KeyLifetime oleanderspool.Millis // span that a keyed attempt is remembered after its end
+	Transfer    int64                // largest KV cache that is moved, in bytes; 0 for none
 }
 
 // Queue bounds the agent's queue.
@@ -58,6 +61,8 @@
 	readAgentTarget(r, role, &a)
 	a.Heartbeat = r.millis("heartbeat_ms", oleanderspool.Second, 100, attempt.SilenceBound/3)
 	a.Reattach = r.millis("reattach_ms", 10*oleanderspool.Second, attempt.MinReaderTimeout, 5*oleanderspool.Minute)
+	a.KeyLifetime = r.millis("key_lifetime_ms", attempt.DefaultLimits.KeyLifetime, oleanderspool.Minute, 15*day)
+	a.Transfer = r.integer("transfer_bytes", "bytes", handover.DefaultLimits.MaxBytes, 0, handover.DefaultLimits.MaxBytes)
 	a.Log = readLog(r)
 	a.Queue = Queue{
 		Requests: int(r.integer("queue.requests", "requests", 1000, 1, 1_000_000)),
