Prove transfers of KV cache with processes and describe them

The test now waits for the version, and such a stream is no longer offered, which saved nothing but useless imports.

--- a/internal/agent/export.go
+++ b/internal/agent/export.go
@@ -20,13 +20,15 @@
 // the silence bound even on a link of 10 Mbit/s.
 const chunkBytes = 1 << 20
 
-// streamOf describes an attempt to the decision which streams move.
-func streamOf(call peer.RunCall) handover.Stream {
+// streamOf describes an attempt to the decision which streams move. One whose
+// model had an unknown version at its start stays, since no engine takes its
+// cache.
+func streamOf(call peer.RunCall, version oleanderspool.VersionID) handover.Stream {
 	r := call.Request
 	return handover.Stream{
 		Attempt:      call.Attempt,
 		Idempotent:   r.Idempotent,
-		Bound:        call.Trial || call.Group != "",
+		Bound:        call.Trial || call.Group != "" || version == "",
 		PromptTokens: int64(promptTokens(r)),
 		OutputTokens: int64(r.MaxTokens),
 		Deadline:     r.Deadline,
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -216,7 +216,7 @@
 		return
 	}
 	delete(a.imports, d.Attempt)
-	a.source.Started(streamOf(call))
+	a.source.Started(streamOf(call, a.uses[d.Attempt].Version))
 	ctx, cancel := context.WithTimeout(a.base, call.Request.Remaining(now).Duration())
 	a.cancels[d.Attempt] = cancel
 	go a.generate(ctx, cancel, call, d.EnginePriority, a.report.Started)
--- a/internal/command/rolling_test.go
+++ b/internal/command/rolling_test.go
@@ -130,10 +130,17 @@
 				}
 			})
 		}
+		d.awaitVersions()
+		callers.Go(func() {
+			defer GinkgoRecover()
+			load.followLong(d)
+		})
+		Eventually(d.prefilled, startBound, 50*time.Millisecond).Should(BeNumerically(">=", longPrompt))
 		began := time.Now()
 		for _, instance := range []string{"runner-1", "runner-2", "runner-3", "services-1", "services-2", "services-3"} {
 			d.replaceAgent(instance)
 		}
+		agents := time.Since(began)
 		for i := range d.entries {
 			d.replaceEntry(i)
 		}
@@ -142,6 +149,9 @@
 		callers.Wait()
 
 		Expect(load.faults).To(BeEmpty(), strings.Join(load.faults, "\n"))
+		// No agent waited for the long stream, and its prompt was prefilled once.
+		Expect(agents).To(BeNumerically("<", 15*time.Second))
+		Expect(d.prefilled()).To(BeNumerically("<", longPrompt+longestAnswer))
 		runs := d.runs()
 		refused := 0
 		for reference, refusal := range load.reservations {
@@ -159,7 +169,7 @@
 			refused++
 			GinkgoWriter.Println(reference, refusal)
 		}
-		AddReportEntry("rolling replacement", fmt.Sprintf("%v, %d streams, %d reservations, %d of them refused",
-			took, load.streams, len(load.reservations), refused))
+		AddReportEntry("rolling replacement", fmt.Sprintf("%v, agents %v, %d streams, %d reservations, %d of them refused, %d tokens of the long prompt prefilled",
+			took, agents, load.streams, len(load.reservations), refused, d.prefilled()))
 	})
 })
