--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -23,8 +23,8 @@
 //	POST /control/engine       {"action": "crash", "pause", "resume" or "slow",
 //	                           "factor"}
 //	GET  /control/requests     -> {"crashes", "requests": [{"request_id", "model",
-//	                           "prompt_tokens", "cached_tokens", "generated",
-//	                           "outcome"}]}
+//	                           "prompt_tokens", "cached_tokens",
+//	                           "prefilled_tokens", "generated", "outcome"}]}
 //	     /control/faults       see package standin
 //
 // A refusal is {"error": {"message", "code", "effect"}}.
@@ -87,6 +87,7 @@
 	maxWaiting      int
 	batch           int // requests in the batch; 0 for no limit
 	answerTokens    int
+	tokenBytes      int64 // of an exported KV cache
 	fencing         bool
 	leak            bool
 	initialModels   []string
