Test races of operators around an outage of the log

Six operators change one object against the same revision and six add objects, two of each before, during and after an outage of 1 s of the log. Exactly one rival wins, all others are rejected, all own changes are accepted, and every process has all of them within 13 s.

--- a/internal/command/publish_test.go
+++ b/internal/command/publish_test.go
@@ -9,11 +9,14 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/pkg/configuration"
 )
 
@@ -135,4 +138,53 @@
 		})
 		Eventually(func() int64 { return d.revisionOf("runner-1") }, 13*time.Second, 50*time.Millisecond).Should(Equal(int64(5)))
 	})
+
+	// Guards against a change that is lost, accepted twice or against an older
+	// object, or reported as something else than it is, when operators race
+	// before, during and after an outage of the log (P8).
+	It("settles races of operators around an outage of the log", func() {
+		const own, rivals = 2, 2 // operators in each of the three phases
+		var group sync.WaitGroup
+		var won atomic.Int32
+		publish := func(id string, put configuration.Put) int {
+			defer GinkgoRecover()
+			data, err := configuration.ChangeSet{ID: id, Puts: []configuration.Put{put}}.Print()
+			Expect(err).NotTo(HaveOccurred())
+			code, out, errOut := runCommand("publish", "--platform", d.platform, "--change-set", d.write(id+".json", data))
+			Expect(code).To(BeElementOf(ExitOK, ExitRejected), out+errOut)
+			return code
+		}
+		race := func(phase string) {
+			for i := range own {
+				id := fmt.Sprint("own-", phase, i)
+				object := account(id)
+				object.ID = oleanderspool.ClientAccountID(id)
+				group.Go(func() {
+					defer GinkgoRecover()
+					Expect(publish(id, configuration.Put{Object: object})).To(Equal(ExitOK))
+				})
+			}
+			for i := range rivals {
+				id := fmt.Sprint("rival-", phase, i)
+				group.Go(func() {
+					if publish(id, configuration.Put{Object: account(id), Revision: 5}) == ExitOK {
+						won.Add(1)
+					}
+				})
+			}
+		}
+		race("before")
+		d.addFault(d.platform, faultBody{Kind: "outage", Path: "/log"})
+		race("during")
+		time.Sleep(time.Second)
+		d.clearFaults(d.platform)
+		race("after")
+		group.Wait()
+		Expect(won.Load()).To(BeEquivalentTo(1))
+		// One revision for each accepted change, once everywhere.
+		last := int64(3*rivals + 5)
+		for _, name := range []string{"entry-1", "entry-2", "entry-3", "runner-1", "services-1"} {
+			Eventually(func() int64 { return d.revisionOf(name) }, 13*time.Second, 50*time.Millisecond).Should(BeNumerically(">=", last), name)
+		}
+	})
 })
