Let tests of separate processes listen on an address of their own

A process that a test restarted could not listen on its port ("address already in use"): while it was down, an outgoing connection of another program on the loaded machine had taken the port on 127.0.0.1. Outgoing connections use 127.0.0.1, so each test process now has its processes listen on a loopback address made from its own process number.

--- a/internal/command/deployment_test.go
+++ b/internal/command/deployment_test.go
@@ -46,10 +46,14 @@
 var drawn = make(map[string]bool)
 
 // freeAddress returns an address that nothing listens on and that it has not
-// returned before: the kernel may give the same port twice in a row.
+// returned before: the kernel may give the same port twice in a row. The host is
+// one of this test process alone, because on 127.0.0.1 an outgoing connection
+// can take the port of a process that is being restarted.
 func freeAddress() string {
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16, pid>>8&0xff, pid&0xff)
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", host)
 		Expect(err).NotTo(HaveOccurred())
 		address := l.Addr().String()
 		Expect(l.Close()).To(Succeed())
