Draw planned stops and prompts of two engines among the failures

"Two failures at a time" now also draws planned stops of agents and of an entry, each of which must exit 0 once the other failure ends, and one prompt in ten needs two engines.

Each reservation now takes an item of its own.

--- a/internal/command/crash_test.go
+++ b/internal/command/crash_test.go
@@ -113,8 +113,13 @@
 	},
 		Entry("when several callers send it at once", 1, 6, func() {}),
 		Entry("when an agent is killed during the trial", longPrompt, 2, func() {
-			before := crashes()
-			Eventually(crashes, startBound, 10*time.Millisecond).Should(BeNumerically(">", before))
+			// Once a trial runs, all copies besides it have ended.
+			trials := func() int {
+				const line = `retries_total{reason="suspect_trial"}`
+				return d.metric("entry-1", line) + d.metric("entry-2", line)
+			}
+			before := trials()
+			Eventually(trials, startBound, 10*time.Millisecond).Should(BeNumerically(">", before))
 			var victim string
 			Eventually(func() bool { victim = d.runnerOf(longPrompt); return victim != "" }, startBound, 10*time.Millisecond).Should(BeTrue())
 			d.killed(victim, "agent")()
--- a/internal/command/deployment_test.go
+++ b/internal/command/deployment_test.go
@@ -309,11 +309,12 @@
 	}
 }
 
-// reservation returns a reservation under a key.
+// reservation returns a reservation under a key, of an item of its own, whose
+// stock does not run out.
 func (d *deployment) reservation(entry int, reference string) callerRequest {
 	return callerRequest{
 		entry: d.entries[entry], apiKey: fleetKey, route: "pegs/reserve", method: http.MethodPost,
-		body: []byte(fmt.Sprintf(`{"reference":%q,"item":"straps","count":1}`, reference)),
+		body: []byte(fmt.Sprintf(`{"reference":%q,"item":%q,"count":1}`, reference, "straps-"+reference)),
 		key:  oleanderspool.IdempotencyKey("key-" + reference), timeout: 10 * oleanderspool.Second,
 	}
 }
--- a/internal/command/faults_test.go
+++ b/internal/command/faults_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
 
 	"github.com/oleanderspool/oleanderspool"
 )
@@ -30,6 +31,13 @@
 	answerGrace  = 3 * oleanderspool.Second
 )
 
+// One prompt in groupEvery needs two engines of the size that the test gives
+// them.
+const (
+	groupEvery = 10
+	groupWords = 10_000
+)
+
 // maxComplaints bounds what a failed run prints.
 const maxComplaints = 20
 
@@ -59,6 +67,19 @@
 	}
 }
 
+// stopOf stops a process in order while the other failure lasts. The stop may
+// take until that failure ends.
+func stopOf(name, role string) failure {
+	return failure{
+		name:  "stop " + name,
+		start: func(d *deployment) { d.signal(name, syscall.SIGTERM) },
+		end: func(d *deployment) {
+			Eventually(d.sessions[name], stopWait).Should(gexec.Exit(0))
+			d.restart(name, role)
+		},
+	}
+}
+
 func platformFault(kind string, delay int64) failure {
 	return failure{
 		name:  kind + " of the log",
@@ -67,13 +88,14 @@
 	}
 }
 
-// failures lists the faults that are drawn from. Two faults of one group are
+// failures lists the faults that are drawn from, while prompts of one and of two
+// engines are sent. Two faults of one group are
 // not drawn together, because they would act on the same process.
 var failures = [][]failure{
-	{pauseOf("runner-1"), killOf("runner-1", "agent")},
-	{pauseOf("runner-2"), killOf("runner-2", "agent")},
-	{pauseOf("services-1"), killOf("services-1", "agent")},
-	{pauseOf("entry-2"), killOf("entry-2", "entry")},
+	{pauseOf("runner-1"), killOf("runner-1", "agent"), stopOf("runner-1", "agent")},
+	{pauseOf("runner-2"), killOf("runner-2", "agent"), stopOf("runner-2", "agent")},
+	{pauseOf("services-1"), killOf("services-1", "agent"), stopOf("services-1", "agent")},
+	{pauseOf("entry-2"), killOf("entry-2", "entry"), stopOf("entry-2", "entry")},
 	{pauseOf("platform"), platformFault("outage", 0), platformFault("lose_response", 0), platformFault("slow", 400), platformFault("late", 1500)},
 	{{
 		name: "crash of engine runner-2",
@@ -128,7 +150,11 @@
 // stream asks a question and checks that the answer is whole or refused.
 func (c *callers) stream(id string, source *rand.Rand) {
 	tokens := 5 + source.IntN(60)
-	prompt := "verse " + id + " " + strings.Repeat("word ", source.IntN(2000))
+	words := source.IntN(2000)
+	if source.IntN(groupEvery) == 0 {
+		words = groupWords
+	}
+	prompt := "verse " + id + " " + strings.Repeat("word ", words)
 	r := c.d.question(source.IntN(2), prompt, tokens)
 	text, result, err := c.timed(r, id)
 	if err != nil || result.refusal != nil {
@@ -186,7 +212,12 @@
 // what the engine stand-in generates.
 var _ = Describe("Two failures at a time", func() {
 	It("breaks no promise", func() {
-		d := newDeployment(3)
+		d := newDeployment(0, func(d *deployment) {
+			d.memory = 10_000
+			for _, name := range []string{"runner-1", "runner-2", "runner-3"} {
+				d.startRunner(name)
+			}
+		})
 		c := &callers{d: d, book: make(map[string]*ledgerEntry)}
 		stop := make(chan struct{})
 		var group sync.WaitGroup
