--- a/internal/command/deployment_test.go
+++ b/internal/command/deployment_test.go
@@ -20,6 +20,7 @@
 	"github.com/onsi/gomega/gexec"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/standin/engine"
 )
 
 const (
@@ -38,16 +39,21 @@
 	engines   map[string]string // address by instance
 	service   string
 	list      []oleanderspool.InstanceState
+	memory    int64 // of an engine, in tokens
 }
 
 // drawn holds the addresses that freeAddress has returned.
 var drawn = make(map[string]bool)
 
 // freeAddress returns an address that nothing listens on and that it has not
-// returned before: the kernel may give the same port twice in a row.
+// returned before: the kernel may give the same port twice in a row. The host is
+// one of this test process alone, because on 127.0.0.1 an outgoing connection
+// can take the port of a process that is being restarted.
 func freeAddress() string {
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16, pid>>8&0xff, pid&0xff)
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", host)
 		Expect(err).NotTo(HaveOccurred())
 		address := l.Addr().String()
 		Expect(l.Close()).To(Succeed())
@@ -69,6 +75,7 @@
 		settings:  make(map[string]string),
 		engines:   make(map[string]string),
 		platform:  freeAddress(),
+		memory:    100_000,
 	}
 	DeferCleanup(d.kill)
 	d.start("platform", fmt.Sprintf("listen = %q\nretention_ms = 86400000\nappends_per_sec = 500\nlist_lag_ms = 100\nloads_per_sec = 10.0\n", d.platform), "standin", "platform")
@@ -111,7 +118,7 @@
 func (d *deployment) startRunner(instance string) {
 	address, peers := freeAddress(), freeAddress()
 	d.engines[instance] = address
-	d.start("engine-"+instance, fmt.Sprintf("listen = %q\nmemory_tokens = 100000\nprefill_per_milli = 20.0\nstep_ms = 20\nbatch_requests = 32\nload_ms = 100\nreport_lag_ms = 100\nfencing = \"reject\"\n", address), "standin", "engine", "--model", fleetModel)
+	d.start("engine-"+instance, fmt.Sprintf("listen = %q\nmemory_tokens = %d\nprefill_per_milli = 20.0\nstep_ms = 20\nbatch_requests = 32\nload_ms = 100\nreport_lag_ms = 100\nfencing = \"reject\"\n", address, d.memory), "standin", "engine", "--model", fleetModel)
 	d.waitFor(address)
 	d.startAgent(instance, peers, "model", fmt.Sprintf("engine = %q\n", address))
 }
@@ -231,26 +238,49 @@
 	return counts
 }
 
-// freeTokens returns the free memory that an engine reports.
+// freeTokens returns the free memory that an engine reports, or -1 while it is
+// down.
 func (d *deployment) freeTokens(address string) int64 {
 	var report struct {
 		Free int64 `json:"free_tokens"`
 	}
-	Expect(json.Unmarshal(d.control(http.MethodGet, address, "/v1/report", nil), &report)).To(Succeed())
+	code, body := get("http://" + address + "/v1/report")
+	if code != http.StatusOK {
+		return -1
+	}
+	Expect(json.Unmarshal([]byte(body), &report)).To(Succeed())
 	return report.Free
 }
 
-// longRuns returns how many requests of at least the given prompt length an
-// engine took that a prompt of that length alone accounts for.
-func (d *deployment) longRuns(address string, tokens int64) int {
+// expectFree expects that every engine gets all its memory back.
+func (d *deployment) expectFree() {
+	GinkgoHelper()
+	for instance, address := range d.engines {
+		Eventually(func() int64 { return d.freeTokens(address) }, startBound, 50*time.Millisecond).
+			Should(Equal(d.memory), "memory of engine %s", instance)
+	}
+}
+
+// engineRequest is a request that an engine took.
+type engineRequest struct {
+	PromptTokens int64  `json:"prompt_tokens"`
+	Outcome      string `json:"outcome"`
+}
+
+// requests returns the requests that an engine took.
+func (d *deployment) requests(address string) []engineRequest {
 	var answer struct {
-		Requests []struct {
-			PromptTokens int64 `json:"prompt_tokens"`
-		} `json:"requests"`
+		Requests []engineRequest `json:"requests"`
 	}
 	Expect(json.Unmarshal(d.control(http.MethodGet, address, "/control/requests", nil), &answer)).To(Succeed())
+	return answer.Requests
+}
+
+// longRuns returns how many requests of at least the given prompt length an
+// engine took that a prompt of that length alone accounts for.
+func (d *deployment) longRuns(address string, tokens int64) int {
 	runs := 0
-	for _, r := range answer.Requests {
+	for _, r := range d.requests(address) {
 		if r.PromptTokens >= tokens && r.PromptTokens < 2*tokens {
 			runs++
 		}
@@ -258,6 +288,19 @@
 	return runs
 }
 
+// runnerOf returns the instance that runs a prompt of at least the given
+// length, or "".
+func (d *deployment) runnerOf(tokens int64) string {
+	for instance, address := range d.engines {
+		for _, r := range d.requests(address) {
+			if r.PromptTokens >= tokens && r.Outcome == engine.OutcomeRunning {
+				return instance
+			}
+		}
+	}
+	return ""
+}
+
 // question returns a chat request to an entry.
 func (d *deployment) question(entry int, prompt string, tokens int) callerRequest {
 	return callerRequest{
@@ -266,11 +309,12 @@
 	}
 }
 
-// reservation returns a reservation under a key.
+// reservation returns a reservation under a key, of an item of its own, whose
+// stock does not run out.
 func (d *deployment) reservation(entry int, reference string) callerRequest {
 	return callerRequest{
 		entry: d.entries[entry], apiKey: fleetKey, route: "pegs/reserve", method: http.MethodPost,
-		body: []byte(fmt.Sprintf(`{"reference":%q,"item":"straps","count":1}`, reference)),
+		body: []byte(fmt.Sprintf(`{"reference":%q,"item":%q,"count":1}`, reference, "straps-"+reference)),
 		key:  oleanderspool.IdempotencyKey("key-" + reference), timeout: 10 * oleanderspool.Second,
 	}
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -92,6 +92,7 @@
 	origin      *destination            // where it runs until a piece comes from there; nil otherwise
 	moved       oleanderspool.AttemptID // attempt at a destination without a piece so far
 	firstBound  *time.Timer             // ends the wait for its first piece
+	grouped     bool                    // a group was made for the request before
 }
 
 // run runs a request that needs no claim.
@@ -106,6 +107,7 @@
 			if !ok {
 				return refusal
 			}
+			x.withoutServer = 0
 			if done, refusal := x.runTogether(ctx, members); done {
 				return refusal
 			}
@@ -207,11 +209,11 @@
 	return members, ok && len(members) > 1
 }
 
-// awaitServer waits for a server of a request whose attempt was lost. It
-// returns false when none has returned for too long. A request without an
-// attempt is refused at once.
+// awaitServer waits for servers of a request whose attempt or group was lost. It
+// returns false when none has returned for too long. A request that no server
+// has taken is refused at once.
 func (x *exchange) awaitServer(ctx context.Context) bool {
-	if x.assembler == nil {
+	if x.assembler == nil && !x.grouped {
 		return false
 	}
 	now := x.entry.clock.Now()
@@ -236,6 +238,9 @@
 // to the number of retries that make sense.
 func (x *exchange) untried(failed oleanderspool.InstanceID) int {
 	e := x.entry
+	if x.group != nil {
+		return 1 // another group, perhaps with the same servers
+	}
 	tried := append([]oleanderspool.InstanceID{failed}, x.history.Tried...)
 	return e.router.CountExcept(x.request, e.members.table.Snapshot(), tried, retry.DefaultMaxRetries, e.clock.Now())
 }
