End calls of engines and services by their caller's limit alone

The agent bounds a request by a context, and the engine's client bounded it once more by the remaining time, rounded down to milliseconds. When the client's limit ended first, the agent saw a broken stream before its own limit had passed, asked the engine for another second whether it had crashed, and counted a hung engine as crashed by the request.

Ruled out: the kept connections (the repeat after 300 ms of silence is bound to the same context) and the longer bound of engine reports.

A context with a deadline now keeps it. Before: a client test whose caller has 100 ms more than the remaining time ends at the client's limit, in each run. After: it ends at the caller's; the failing test passed six times with -race.

--- a/internal/engine/generate.go
+++ b/internal/engine/generate.go
@@ -37,11 +37,8 @@
 	if err != nil {
 		return err
 	}
-	if request.Remaining > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, request.Remaining.Duration())
-		defer cancel()
-	}
+	ctx, cancel := once.WithLimit(ctx, request.Remaining)
+	defer cancel()
 	ctx, guard := guardSilence(ctx, c.firstPart, c.silence)
 	defer guard.stop()
 	response, err := c.submit(ctx, m, string(request.Attempt))
--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -206,4 +206,16 @@
 		Expect(err).To(MatchError(ContainSubstring("deadline")))
 		Expect(isType(err, oleanderspool.ErrUncertain)).To(BeTrue(), "%v", err)
 	})
+
+	// Guards against a time limit that is taken for a crash of the engine,
+	// because the rounded limit of the client ends before that of its caller.
+	It("is not ended before its caller's own limit", func(ctx context.Context) {
+		f := start(standinHang())
+		ctx, cancel := context.WithTimeout(ctx, 150*time.Millisecond)
+		defer cancel()
+		q := request("a", "p", 5)
+		q.Remaining = 50
+		Expect(f.client.Generate(ctx, q, ignore)).To(MatchError(ContainSubstring("deadline")))
+		Expect(ctx.Err()).To(MatchError(context.DeadlineExceeded))
+	})
 })
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -68,7 +68,7 @@
 // and of type ErrUncertain if the call may have run; a response that is too long
 // or ends early is also uncertain.
 func (c *Client) Call(ctx context.Context, request oleanderspool.ServiceRequest) (oleanderspool.ServiceAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeoutOf(request).Duration())
+	ctx, cancel := c.limit(ctx, request)
 	defer cancel()
 	outgoing, err := c.encode(ctx, request)
 	if err != nil {
@@ -90,11 +90,11 @@
 	}, nil
 }
 
-func (c *Client) timeoutOf(request oleanderspool.ServiceRequest) oleanderspool.Millis {
+func (c *Client) limit(ctx context.Context, request oleanderspool.ServiceRequest) (context.Context, context.CancelFunc) {
 	if request.Remaining > 0 {
-		return request.Remaining
+		return once.WithLimit(ctx, request.Remaining)
 	}
-	return c.timeout
+	return context.WithTimeout(ctx, c.timeout.Duration())
 }
 
 func (c *Client) encode(ctx context.Context, request oleanderspool.ServiceRequest) (*http.Request, error) {
