Set seeds and lengths of fuzz tests in one place

Cause: thirteen test packages set the flags of rapid each in its own way, seven of them without rapid.nofailfile, so that a failing run left a file behind that the next run replays first: its verdict then depends on what an earlier run left. The package fuzz sets all of them.

Seeds, checks and steps are unchanged; flags on the command line still override them, because init runs before they are parsed. Ruled out: one number of checks for all, since a check over HTTP costs a hundred times one of a table. The golden session of handover uses the package golden too.

--- a/internal/attempt/suite_test.go
+++ b/internal/attempt/suite_test.go
@@ -1,7 +1,6 @@
 package attempt_test
 
 import (
-	"flag"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -10,23 +9,11 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderspool/oleanderspool/internal/attempt"
+	"github.com/oleanderspool/oleanderspool/internal/fuzz"
 	"github.com/oleanderspool/oleanderspool/internal/golden"
 )
 
-// The seed makes each run of the fuzz tests the same; -rapid.seed on the
-// command line replaces it.
-func init() {
-	for name, value := range map[string]string{
-		"rapid.seed":       "20261204",
-		"rapid.checks":     "200",
-		"rapid.steps":      "100",
-		"rapid.nofailfile": "true",
-	} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-}
+func init() { fuzz.Configure(200, 100) }
 
 func TestAttempt(t *testing.T) {
 	RegisterFailHandler(Fail)
--- a/internal/claim/fuzz_test.go
+++ b/internal/claim/fuzz_test.go
@@ -1,7 +1,6 @@
 package claim_test
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 
@@ -9,22 +8,10 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/claim"
+	"github.com/oleanderspool/oleanderspool/internal/fuzz"
 )
 
-// The seed makes each run of the fuzz test the same; -rapid.seed on the
-// command line replaces it.
-func init() {
-	for name, value := range map[string]string{
-		"rapid.seed":       "20261204",
-		"rapid.checks":     "1000",
-		"rapid.steps":      "400",
-		"rapid.nofailfile": "true",
-	} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-}
+func init() { fuzz.Configure(1000, 400) }
 
 // TestResolversAgainstOracle guards P4 and P5: several entries and agents run
 // keyed requests under faults, and the world compares what they do with the
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -1,34 +1,24 @@
 package handover_test
 
 import (
-	"flag"
-	"os"
-	"path/filepath"
 	"testing"
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/fuzz"
+	"github.com/oleanderspool/oleanderspool/internal/golden"
 	"github.com/oleanderspool/oleanderspool/internal/handover"
 	"github.com/oleanderspool/oleanderspool/internal/memory"
 )
 
-var update = flag.Bool("update", false, "write the golden file")
-
-func init() {
-	// The same runs every time; flags on the command line override these.
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "500", "rapid.steps": "80", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-}
+func init() { fuzz.Configure(500, 80) }
 
 // Guards against unintended changes of what is moved, in which order and after
 // which spans.
 func TestSession(t *testing.T) {
-	g := NewWithT(t)
+	RegisterTestingT(t)
 	w := newWorld()
 	long := w.start(40_000, 800, true, false)
 	w.start(500, 800, true, false)   // cheap to prefill again
@@ -61,14 +51,8 @@
 	w.advance(30_000)
 	w.tick()
 	w.advance(60_000)
-	golden := filepath.Join("testdata", "session.golden")
-	if *update {
-		g.Expect(os.WriteFile(golden, []byte(w.text.String()), 0o600)).To(Succeed())
-	}
-	want, err := os.ReadFile(golden)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(w.text.String()).To(Equal(string(want)))
-	g.Expect(w.problems).To(BeEmpty())
+	golden.Match("testdata/session.golden", w.text.String())
+	Expect(w.problems).To(BeEmpty())
 }
 
 // Guards against transfers that are never ended, two at a time, offers of work
--- a/internal/membership/fuzz_test.go
+++ b/internal/membership/fuzz_test.go
@@ -1,27 +1,20 @@
 package membership_test
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/fuzz"
 	"github.com/oleanderspool/oleanderspool/internal/membership"
 	"github.com/oleanderspool/oleanderspool/internal/routing"
 )
 
-func init() {
-	// The same runs every time; flags on the command line override these. Runs
-	// of 30 steps, the default, are too short for a restart, a reconnection and
-	// a late report in one run.
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "1000", "rapid.steps": "150"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-}
+// Runs of 30 steps, the default, are too short for a restart, a reconnection and
+// a late report in one run.
+func init() { fuzz.Configure(1000, 150) }
 
 const (
 	// p6Bound is the span of P6 after which a leaving server gets no work.
--- a/internal/memory/suite_test.go
+++ b/internal/memory/suite_test.go
@@ -1,20 +1,15 @@
 package memory_test
 
 import (
-	"flag"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool/internal/fuzz"
 )
 
-// The seed is fixed, so that every run checks the same sessions. A longer run
-// with other seeds: go test ./internal/memory -rapid.seed=N -rapid.checks=N.
-func init() {
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "150")
-	_ = flag.Set("rapid.steps", "60")
-}
+func init() { fuzz.Configure(150, 60) }
 
 func TestMemory(t *testing.T) {
 	RegisterFailHandler(Fail)
--- a/internal/revision/suite_test.go
+++ b/internal/revision/suite_test.go
@@ -1,20 +1,15 @@
 package revision
 
 import (
-	"flag"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool/internal/fuzz"
 )
 
-func init() {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.steps": "300", "rapid.checks": "50"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-}
+func init() { fuzz.Configure(50, 300) }
 
 func TestRevision(t *testing.T) {
 	RegisterFailHandler(Fail)
--- a/internal/settings/suite_test.go
+++ b/internal/settings/suite_test.go
@@ -1,18 +1,15 @@
 package settings_test
 
 import (
-	"flag"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool/internal/fuzz"
 )
 
-func init() {
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
-	}
-}
+func init() { fuzz.Configure(0, 0) }
 
 func TestSettings(t *testing.T) {
 	RegisterFailHandler(Fail)
--- a/internal/suspect/fuzz_test.go
+++ b/internal/suspect/fuzz_test.go
@@ -1,22 +1,15 @@
 package suspect_test
 
 import (
-	"flag"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/fuzz"
 )
 
-func init() {
-	// The same runs every time; flags on the command line override these.
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "200", "rapid.steps": "80"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-}
+func init() { fuzz.Configure(200, 80) }
 
 // copies sends the poisonous request one copy after another, the next one when
 // the last one was answered or its caller has given up, or at any time.
