Prove the retry budget when half of the agents are lost

docs/promises.md listed two combinations without a test: half of the agents lost with the retry budget used up, and an entry that stops while a connection is silent.

The first test loses three of six agents under 72 streams with a limit of 20 s: each stream ends whole or is refused may_have_run with Retry-After, and second runs stay within the budget. The second is a case of the test of silent connections. No fault was found.

The fields of an exchange are grouped by what they belong to, and the agent uses the silence bound of package attempt directly.

--- a/internal/agent/export.go
+++ b/internal/agent/export.go
@@ -8,7 +8,6 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/oleanderspool/oleanderspool"
-	"github.com/oleanderspool/oleanderspool/internal/attempt"
 	"github.com/oleanderspool/oleanderspool/internal/handover"
 	"github.com/oleanderspool/oleanderspool/internal/memory"
 	"github.com/oleanderspool/oleanderspool/internal/observe"
@@ -165,7 +164,3 @@
 		return handover.ReasonExport
 	}
 }
-
-// silenceBound is the span without a chunk after which the connection counts as
-// silent.
-const silenceBound = attempt.SilenceBound
--- a/internal/agent/import.go
+++ b/internal/agent/import.go
@@ -8,6 +8,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/attempt"
 	"github.com/oleanderspool/oleanderspool/internal/handover"
 	"github.com/oleanderspool/oleanderspool/internal/memory"
 	"github.com/oleanderspool/oleanderspool/internal/observe"
@@ -128,7 +129,7 @@
 func (a *Agent) pullCache(ctx context.Context, call peer.ImportCall, version oleanderspool.VersionID) ([]byte, handover.Reason) {
 	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(silenceBound.Duration(), cancel)
+	silence := time.AfterFunc(attempt.SilenceBound.Duration(), cancel)
 	defer silence.Stop()
 	source, disconnect, err := a.peers.DialAgent(bounded, call.Source)
 	if err != nil {
@@ -157,7 +158,7 @@
 		case chunk.GetSize() > a.transfers.MaxBytes || int64(len(data)+len(chunk.GetData())) > chunk.GetSize():
 			return nil, handover.ReasonTooLarge
 		}
-		silence.Reset(silenceBound.Duration())
+		silence.Reset(attempt.SilenceBound.Duration())
 		if len(chunk.GetData()) == 0 {
 			continue
 		}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -82,17 +82,18 @@
 	chosen    oleanderspool.BackendServer // server of the current attempt
 	expected  oleanderspool.Millis        // span until its first piece
 	sentAt    oleanderspool.Millis
-	group     *reservation // engines that serve the prompt together; nil for one
 	// withoutServer is the instant since which no server may run the request;
 	// 0 while there is one.
 	withoutServer oleanderspool.Millis
-	mover         *mover // of the current attempt; nil if it cannot move
 
+	group   *reservation // engines that serve the prompt together; nil for one
+	grouped bool         // a group was made for the request before
+
+	mover       *mover                  // of the current attempt; nil if it cannot move
 	destination *destination            // where the request goes on; nil for anywhere
 	origin      *destination            // where it runs until a piece comes from there; nil otherwise
 	moved       oleanderspool.AttemptID // attempt at a destination without a piece so far
 	firstBound  *time.Timer             // ends the wait for its first piece
-	grouped     bool                    // a group was made for the request before
 }
 
 // run runs a request that needs no claim.
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/retry"
 	standengine "github.com/oleanderspool/oleanderspool/internal/standin/engine"
 	"github.com/oleanderspool/oleanderspool/internal/standin/link"
 )
@@ -56,16 +57,18 @@
 
 	// Guards against a stream that hangs or runs again when its connection goes
 	// silent for good while new connections work (P1, P3), also when the agent
-	// last heard of the reader almost half of its reader timeout before. The
-	// cases run at the same time.
+	// last heard of the reader almost half of its reader timeout before, and
+	// when the entry stops meanwhile (P7). The cases run at the same time.
 	It("resumes over a new connection without a second run", func() {
 		type silence struct {
 			name  string
 			after time.Duration // from the first piece on
+			stop  bool          // the entry stops
 		}
 		cases := []silence{
-			{"soon after the start", 0},
-			{"just before the reader attaches again", readerTimeout.Duration()/2 - 300*time.Millisecond},
+			{"soon after the start", 0, false},
+			{"just before the reader attaches again", readerTimeout.Duration()/2 - 300*time.Millisecond, false},
+			{"while the entry stops", 0, true},
 		}
 		parallel(cases, func(c silence) {
 			w := newWorld(plan{engines: 2})
@@ -74,6 +77,9 @@
 			holder := w.holder()
 			time.Sleep(c.after)
 			holder.front.BlackHole()
+			if c.stop {
+				w.stop()
+			}
 			a := s.wait()
 			whole(a, prompt, tokens)
 			Expect(w.requests()).To(HaveLen(1), c.name)
@@ -161,3 +167,43 @@
 		})
 	})
 })
+
+// Guards against retries that outrun their budget, and against requests that
+// miss their limits or are refused without a time to come back, when half of the
+// agents are lost at once (P1).
+var _ = Describe("Streams when half of the agents are lost", func() {
+	It("end whole or are refused with a time to come back, in time", func() {
+		const tokens, streams = 100, 72
+		w := newWorld(plan{engines: 6})
+		var open []*stream
+		for i := range streams {
+			r := w.question(fmt.Sprint(i, prompt), tokens)
+			open = append(open, w.open(r.WithDeadline(w.entry.Now()+20*oleanderspool.Second)))
+		}
+		for _, s := range open {
+			s.received(5)
+		}
+		free := 0.0 // retries of the first lost agent, before the second loss is known
+		for _, r := range w.runners[:3] {
+			free = max(free, r.running())
+			r.front.Refuse()
+			r.front.Break()
+		}
+		refused := 0
+		for i, s := range open {
+			a := s.wait()
+			if a.refusal == nil {
+				whole(a, fmt.Sprint(i, prompt), tokens)
+				continue
+			}
+			refused++
+			Expect(a.refusal.Execution).To(Equal(oleanderspool.MayHaveRun))
+			Expect(a.refusal.RetryAfter).To(BeNumerically(">", 0))
+		}
+		again := len(w.requests()) - streams
+		admitted := sample(w.metrics, "requests_admitted_total", "model")
+		Expect(float64(again)).To(BeNumerically("<=", free+retry.DefaultConstant+retry.DefaultFraction*admitted))
+		Expect(again + refused).To(BeNumerically(">", 0))
+		AddReportEntry("run again and refused", fmt.Sprint(again, " and ", refused))
+	})
+})
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -72,6 +72,7 @@
 	runners  []*runner
 	list     []oleanderspool.InstanceState
 	entry    *entry.Entry
+	stop     context.CancelFunc // of the entry
 	metrics  *observe.Metrics
 }
 
@@ -169,6 +170,7 @@
 	l := listen()
 	e := w.entry // a test may start another
 	processes.Go(func() error { return e.Run(ctx, l) })
+	w.stop = stop
 	DeferCleanup(stop)
 }
 
