Make and activate accounts in one place

ChangeAccounts repeated two pieces of ApplyAccounts: a new account with a full bucket, and the activation of an account's shares. Both are functions now, beside deactivate. A comment on barred attempts names both ways in which an attempt comes to be barred. Behaviour is unchanged.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -111,9 +111,7 @@
 	for _, configured := range accounts {
 		a := c.accounts[configured.ID]
 		if a == nil {
-			a = &account{}
-			a.configure(configured)
-			a.bucket = bucket{level: c.burst(a), at: now}
+			a = c.newAccount(configured, now)
 		}
 		kept[configured.ID] = a
 	}
@@ -128,10 +126,7 @@
 	for _, configured := range accounts {
 		a := kept[configured.ID]
 		a.configure(configured)
-		c.requests.activate(a.requests, a.share)
-		for class := range c.tokens {
-			c.tokens[class].activate(a.tokens[class], a.share)
-		}
+		c.activate(a)
 	}
 }
 
@@ -145,18 +140,13 @@
 	for _, configured := range put {
 		a := c.accounts[configured.ID]
 		if a == nil {
-			a = &account{}
-			a.configure(configured)
-			a.bucket = bucket{level: c.burst(a), at: now}
+			a = c.newAccount(configured, now)
 			c.accounts[configured.ID] = a
 			continue
 		}
 		c.deactivate(a)
 		a.configure(configured)
-		c.requests.activate(a.requests, a.share)
-		for class := range c.tokens {
-			c.tokens[class].activate(a.tokens[class], a.share)
-		}
+		c.activate(a)
 	}
 	for _, id := range removed {
 		if a := c.accounts[id]; a != nil {
@@ -167,6 +157,22 @@
 	}
 }
 
+// newAccount returns an account with a full bucket.
+func (c *Controller) newAccount(configured configuration.ClientAccount, now oleanderspool.Millis) *account {
+	a := &account{}
+	a.configure(configured)
+	a.bucket = bucket{level: c.burst(a), at: now}
+	return a
+}
+
+// activate adds the shares of an account that holds anything.
+func (c *Controller) activate(a *account) {
+	c.requests.activate(a.requests, a.share)
+	for class := range c.tokens {
+		c.tokens[class].activate(a.tokens[class], a.share)
+	}
+}
+
 // deactivate takes out the shares of an account that holds anything.
 func (c *Controller) deactivate(a *account) {
 	c.requests.deactivate(a.requests, a.share)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -238,8 +238,8 @@
 		RetryAfter: f.Refusal.RetryAfter,
 	}
 	if f.Refusal.Retry == oleanderspool.RetryBarred {
-		// The attempt ended for want of a reader, so the server may be chosen
-		// again.
+		// The attempt never starts, or ended for want of a reader, so the server
+		// may be chosen again.
 		end.failure.Instance = ""
 	}
 	if end.state == attempt.StateOtherIncarnation || end.state == attempt.StateForgotten {
