--- /dev/null
+++ b/internal/command/forward.go
@@ -0,0 +1,145 @@
+package command
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oleanderspool/oleanderspool/internal/clock"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
+	"github.com/oleanderspool/oleanderspool/internal/forward"
+	"github.com/oleanderspool/oleanderspool/internal/gossip"
+	"github.com/oleanderspool/oleanderspool/internal/observe"
+	"github.com/oleanderspool/oleanderspool/platform"
+)
+
+// memoryPart is the part of an instance's memory at which the garbage collector
+// works harder. The rest covers memory outside the heap.
+const memoryPart = 0.6
+
+// forwardCommand runs an entry on the platform.
+type forwardCommand struct {
+	LogLevel string `long:"log-level" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info" description:"Lowest level of log lines"`
+}
+
+func (c *forwardCommand) run(env environment, _ []string) error {
+	s, err := platform.ReadSettings()
+	if err != nil {
+		return withCode(ExitInvalid, err)
+	}
+	logger, err := observe.NewLogger(env.stdout, "json", c.LogLevel)
+	if err != nil {
+		return err
+	}
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryPart))
+	}
+	logger.Info("start", "instance", s.Instance, "data_centre", s.DataCentre, "listen", s.Listen.String(), "version", Version, "process", os.Getpid())
+	defer logger.Info("stop", "instance", s.Instance)
+	go logReloads(env.ctx, s, logger)
+	return runForward(env, s, logger)
+}
+
+// runForward runs an entry until the environment's context ends.
+func runForward(env environment, s platform.Settings, logger *slog.Logger) error {
+	clock := clock.NewBoot()
+	metrics := observe.New()
+	view := directory.NewView()
+	gateway := forward.New(view, platform.Headers{}, clock,
+		forward.WithLogger(logger),
+		forward.WithMetrics(metrics),
+		forward.WithInstance(s.Instance, s.DataCentre),
+		forward.WithRetryBudget(s.Retry.Ratio, s.Retry.Extra),
+		forward.WithKeyFreshness(s.KeyFreshness),
+	)
+	store := platform.NewStore(s.StoreAddress)
+	follower := directory.NewFollower(view, platform.NewConfigurationFeed(store), platform.NewServerFeed(store, clock), clock, logger, func() {})
+
+	callers, err := listen(s.Listen)
+	if err != nil {
+		return err
+	}
+	ready, err := listen(s.ReadyListen)
+	if err != nil {
+		return err
+	}
+	node, err := listenGossip(s, gateway.State(), clock, logger)
+	if err != nil {
+		return err
+	}
+	gateway.Connect(node.Wake, node.Alive)
+
+	// Everything but the callers' server goes on until that has stopped.
+	after, stop := context.WithCancel(context.WithoutCancel(env.ctx))
+	group, after := errgroup.WithContext(after)
+	run := func(f func(context.Context)) {
+		group.Go(func() error {
+			f(after)
+			return nil
+		})
+	}
+	run(follower.RunConfigurations)
+	run(follower.RunServers)
+	run(gateway.Run)
+	run(node.Run)
+	group.Go(func() error { return serveHTTP(after, ready, readyHandler(gateway), logger) })
+	if s.AdminListen.IsValid() {
+		admin, err := listen(s.AdminListen)
+		if err != nil {
+			stop()
+			return err
+		}
+		group.Go(func() error { return serveHTTP(after, admin, metrics.Handler(), logger) })
+	}
+	group.Go(func() error {
+		defer stop()
+		defer node.Leave()
+		return forward.NewServer(gateway).Serve(env.ctx, callers, s.StopGrace)
+	})
+	return group.Wait()
+}
+
+// readyHandler answers questions whether the entry takes connections.
+func readyHandler(g *forward.Gateway) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !g.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func listenGossip(s platform.Settings, state gossip.State, clock *clock.Boot, logger *slog.Logger) (*gossip.Node, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.PeerListen))
+	if err != nil {
+		return nil, err
+	}
+	return gossip.NewNode(conn, s.PeerListen, s.Seeds, state, clock, logger), nil
+}
+
+// logReloads reads the settings again on SIGHUP and logs what it finds. All
+// settings that can change while an instance runs come from the store.
+func logReloads(ctx context.Context, s platform.Settings, logger *slog.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			next, err := platform.ReadSettings()
+			if err != nil {
+				logger.Error("reload", "error", err.Error())
+				continue
+			}
+			logger.Info("reload", "instance", next.Instance, "address_changed", next.Listen != s.Listen)
+		}
+	}
+}
--- a/internal/command/registrations.go
+++ b/internal/command/registrations.go
@@ -7,6 +7,10 @@
 			"entry", "Serve callers", "Runs an entry: serves callers and sends their requests to agents. SIGTERM stops it without cutting a request.",
 			&entryCommand{},
 		},
+		{
+			"forward", "Serve callers on the platform", "Runs an entry on the users' platform: follows the platform's store and forwards requests to the registered backend servers. The platform names the settings file. SIGTERM stops it without cutting a request.",
+			&forwardCommand{},
+		},
 		{
 			"agent", "Run beside a backend server", "Runs the agent beside a model engine or a plain service. SIGTERM stops it without cutting a request.",
 			&agentCommand{},
--- /dev/null
+++ b/internal/directory/follow.go
@@ -0,0 +1,185 @@
+package directory
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
+)
+
+// Change is a record of a feed.
+type Change struct {
+	Offset        oleanderspool.Offset
+	Configuration *Configuration           // of a configuration feed; nil when it cannot be read
+	Instance      oleanderspool.InstanceID // of a server feed
+	Server        *Server                  // nil when it was removed or cannot be read
+	Removed       bool
+	Err           error // why the record cannot be read
+}
+
+// Feed reads a sequence of changes.
+type Feed interface {
+	// Newest returns the newest change of each key and the offset to read from
+	// next. Some changes may be newer than that offset.
+	Newest(ctx context.Context) ([]Change, oleanderspool.Offset, error)
+	// Read returns the changes from an offset on and the offset to read from
+	// next. Without a change it waits up to the given span.
+	Read(ctx context.Context, from oleanderspool.Offset, wait oleanderspool.Millis) ([]Change, oleanderspool.Offset, error)
+	// Compacted reports whether a read failed because its offset was deleted.
+	Compacted(err error) bool
+}
+
+const (
+	// configurationWait is how long a read waits for a new configuration. Each
+	// reply confirms the configuration, so it bounds the age of that.
+	configurationWait = oleanderspool.Second
+	// serverInterval is the span between two reads of the registry. A server that
+	// leaves is known within it; records of one interval share a read.
+	serverInterval = 600 * oleanderspool.Millis(1)
+	// retryInterval is the span between reads that fail.
+	retryInterval = 250 * oleanderspool.Millis(1)
+	// lapseGrace is the span after an outage of the store in which a server whose
+	// entry lapsed may come back. Entries that lapsed meanwhile are written again
+	// within two seconds.
+	lapseGrace = 2 * oleanderspool.Second
+)
+
+// Follower keeps a view up to date from two feeds.
+type Follower struct {
+	view    *View
+	clock   oleanderspool.Clock
+	logger  *slog.Logger
+	changed func()
+
+	configurations feedState
+	servers        feedState
+}
+
+// feedState is how far a feed was read.
+type feedState struct {
+	name  string
+	feed  Feed
+	next  oleanderspool.Offset
+	known bool // Newest was read and nothing was deleted since
+	// lost is the instant of the first failed read since the last good one; 0
+	// while the store answers.
+	lost       oleanderspool.Millis
+	regainedAt oleanderspool.Millis
+	listEnd    oleanderspool.Offset // end of the last reply of Newest, which may be old
+}
+
+// NewFollower returns a follower. changed is called after each change of the
+// view.
+func NewFollower(view *View, configurations, servers Feed, clock oleanderspool.Clock, logger *slog.Logger, changed func()) *Follower {
+	return &Follower{
+		view: view, clock: clock, logger: logger, changed: changed,
+		configurations: feedState{name: "configuration", feed: configurations},
+		servers:        feedState{name: "servers", feed: servers},
+	}
+}
+
+// RunConfigurations follows the configuration until ctx ends.
+func (f *Follower) RunConfigurations(ctx context.Context) {
+	for ctx.Err() == nil {
+		sentAt := f.clock.Now()
+		changes, ok := f.read(ctx, &f.configurations, configurationWait)
+		for _, c := range changes {
+			f.configure(c)
+		}
+		if ok {
+			f.view.Confirm(sentAt)
+		} else {
+			clock.Sleep(ctx, retryInterval)
+		}
+	}
+}
+
+// RunServers follows the registry until ctx ends.
+func (f *Follower) RunServers(ctx context.Context) {
+	for ctx.Err() == nil {
+		complete := !f.servers.known
+		changes, ok := f.read(ctx, &f.servers, 0)
+		listed := make(map[oleanderspool.InstanceID]bool, len(changes))
+		for _, c := range changes {
+			listed[c.Instance] = true
+			f.register(c)
+		}
+		if ok && complete {
+			for _, id := range f.view.Keep(listed, f.servers.listEnd) {
+				f.logger.Info("server gone", "instance", id, "cause", "not listed", "offset", f.servers.listEnd)
+			}
+			f.changed()
+		}
+		if ok {
+			clock.Sleep(ctx, serverInterval)
+		} else {
+			clock.Sleep(ctx, retryInterval)
+		}
+	}
+}
+
+// read reads the next changes of a feed, from the newest of each key when
+// nothing is known or records were deleted.
+func (f *Follower) read(ctx context.Context, s *feedState, wait oleanderspool.Millis) ([]Change, bool) {
+	var changes []Change
+	var next oleanderspool.Offset
+	var err error
+	if s.known {
+		changes, next, err = s.feed.Read(ctx, s.next, wait)
+	} else {
+		changes, next, err = s.feed.Newest(ctx)
+	}
+	now := f.clock.Now()
+	if err != nil {
+		if s.feed.Compacted(err) {
+			f.logger.Info("records deleted", "feed", s.name, "offset", s.next)
+			s.known = false
+		}
+		if s.lost == 0 && ctx.Err() == nil {
+			s.lost = now
+			f.logger.Warn("store lost", "feed", s.name, "error", err.Error())
+		}
+		return nil, false
+	}
+	if s.lost != 0 {
+		f.logger.Info("store regained", "feed", s.name, "after_ms", int64(now-s.lost))
+		s.lost, s.regainedAt = 0, now
+	}
+	if !s.known {
+		s.listEnd = next
+	}
+	s.known = true
+	// A reply of Newest may be older than what was read before.
+	s.next = max(s.next, next)
+	return changes, true
+}
+
+func (f *Follower) configure(c Change) {
+	if c.Err != nil {
+		f.logger.Warn("configuration unreadable", "offset", c.Offset, "error", c.Err.Error())
+		return
+	}
+	if f.view.Configure(c.Configuration, c.Offset) {
+		f.logger.Info("configuration in force", "version", c.Configuration.Version, "offset", c.Offset)
+		f.changed()
+	}
+}
+
+func (f *Follower) register(c Change) {
+	if c.Err != nil {
+		f.logger.Debug("server unreadable", "instance", c.Instance, "offset", c.Offset, "error", c.Err.Error())
+	}
+	if !f.view.Register(c.Instance, c.Server, c.Offset) {
+		return
+	}
+	switch {
+	case c.Server == nil:
+		f.logger.Info("server gone", "instance", c.Instance, "cause", "removed", "offset", c.Offset)
+	case c.Server.Draining:
+		f.logger.Info("server draining", "instance", c.Instance, "offset", c.Offset)
+	default:
+		f.logger.Info("server ready", "instance", c.Instance, "address", c.Server.Address, "service", c.Server.Service, "started", c.Server.Started, "offset", c.Offset)
+	}
+	f.changed()
+}
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -30,20 +30,34 @@
 	runs      int                     // at most; exactly when the call is answered
 }
 
-// slowService makes every reservation take long enough to break its connection.
+// slowService holds every reservation in its service until release. The span of
+// the fault is longer than the test.
 func slowService(w *world) {
 	for _, r := range w.runners {
-		r.service.Add(standin.Fault{Kind: standin.FaultSlow, Path: "/pegs", Delay: oleanderspool.Second})
+		r.service.Add(standin.Fault{Kind: standin.FaultSlow, Path: "/pegs", Delay: oleanderspool.Hour})
+	}
+}
+
+// release lets the services run the reservations that they hold.
+func (b *breakage) release() {
+	for _, r := range b.w.runners {
+		r.service.Clear()
 	}
 }
 
 // Guards against a second run of a call that is not idempotent, and against a
 // refusal that says "not run" of a call that ran (P4, P5).
 var _ = Describe("A call that is not idempotent", func() {
-	working := func(b *breakage) { b.holder = b.w.holder() }
-	ran := func(b *breakage) {
+	// An agent counts an attempt before it is connected to its service, so the
+	// service itself tells when it has the call.
+	working := func(b *breakage) {
 		b.holder = b.w.holder()
+		Eventually(b.holder.service.Held, settle, poll).Should(Equal(1))
+	}
+	ran := func(b *breakage) {
+		working(b)
 		b.holder.front.Cut(link.Backward)
+		b.release()
 		Eventually(func() int { return b.w.runs("peg") }, settle, poll).Should(Equal(1))
 	}
 	breakFront := func(b *breakage) {
@@ -90,6 +104,7 @@
 		if c.reach != nil {
 			c.reach(b)
 			c.fault(b)
+			b.release()
 		}
 		a := b.stream.wait()
 		for _, r := range w.runners {
--- /dev/null
+++ b/internal/forward/admit.go
@@ -0,0 +1,155 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
+)
+
+const (
+	// keyMargin is kept between the age of a key's confirmation and its limit,
+	// for the way of the caller's request.
+	keyMargin = 800 * oleanderspool.Millis(1)
+	// denyFreshness is the age of the configuration above which an unknown route
+	// or key is not refused for good: it may have been added meanwhile.
+	denyFreshness = 2200 * oleanderspool.Millis(1)
+	// defaultTimeout bounds a request whose caller and route state no time.
+	defaultTimeout = 2 * oleanderspool.Minute
+	// comeBack is the mean span after which a caller should send a request again
+	// that could not be served for a moment.
+	comeBack = 400 * oleanderspool.Millis(1)
+)
+
+// admit checks a request and reads its body. The ticket is never nil.
+func (g *Gateway) admit(r *http.Request) (*ticket, *oleanderspool.Refusal) {
+	t := &ticket{
+		g: g, request: r, call: g.format.DecodeCall(r.Header),
+		receivedAt: g.clock.Now(), snapshot: g.view.Snapshot(),
+	}
+	t.confirmedAge = t.receivedAt - g.view.ConfirmedAt()
+	c := t.snapshot.Configuration
+	if c == nil {
+		return t, g.unavailable(oleanderspool.RefusalNoBackendServer, "no configuration is known yet")
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route, found := c.Route(r.Host, path)
+	if !found {
+		return t, t.deny(oleanderspool.RefusalUnknownRoute, "no route has this host and path")
+	}
+	t.route = route
+	if refusal := t.authenticate(c); refusal != nil {
+		return t, refusal
+	}
+	t.bound(route)
+	if refusal := t.readBody(c.Limits.BodyBytes); refusal != nil {
+		return t, refusal
+	}
+	t.chooseService(c)
+	if n := g.shared.crashCount(t.fingerprint); n >= blockAfter {
+		return t, oleanderspool.Refuse(oleanderspool.RefusalCrashesServer, "the request crashed several backend servers").WithRetryAfter(blockSpan)
+	}
+	if t.remaining() <= 0 {
+		return t, t.late()
+	}
+	g.shared.admit(t.service.Name)
+	return t, nil
+}
+
+// deny refuses a request that the configuration does not allow. While the
+// configuration is not confirmed the caller is asked to come back instead.
+func (t *ticket) deny(reason oleanderspool.RefusalReason, message string) *oleanderspool.Refusal {
+	if t.confirmedAge > denyFreshness {
+		return t.g.unavailable(oleanderspool.RefusalLogUnavailable, "the configuration is not confirmed")
+	}
+	return oleanderspool.Refuse(reason, message)
+}
+
+func (t *ticket) authenticate(c *directory.Configuration) *oleanderspool.Refusal {
+	account, known := c.Account(t.call.Key)
+	if known {
+		t.account = account
+	}
+	if !c.Keyed() || t.route.Public {
+		return nil
+	}
+	if !known {
+		return t.deny(oleanderspool.RefusalUnknownAccount, "the key is unknown")
+	}
+	if limit := t.g.keyFreshness; limit > 0 && t.confirmedAge > limit-keyMargin {
+		return t.g.unavailable(oleanderspool.RefusalLogUnavailable, "the key cannot be confirmed")
+	}
+	return nil
+}
+
+// bound sets the instant at which the request ends in any case.
+func (t *ticket) bound(route directory.Route) {
+	span := defaultTimeout
+	if route.Timeout > 0 {
+		span = min(span, route.Timeout)
+	}
+	if t.call.Deadline > 0 {
+		span = min(span, t.call.Deadline)
+	}
+	t.endsAt = t.receivedAt + span
+}
+
+func (t *ticket) readBody(limit int64) *oleanderspool.Refusal {
+	if limit <= 0 {
+		limit = 4 << 20
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, t.request.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return oleanderspool.Refuse(oleanderspool.RefusalBodyTooLarge, "the body is too large")
+	case err != nil:
+		return oleanderspool.Refuse(oleanderspool.RefusalBadRequest, "the body is incomplete")
+	}
+	t.body = body
+	h := xxhash.New()
+	for _, part := range []string{t.account.Name, "\x00", t.request.Method, "\x00", t.request.RequestURI, "\x00"} {
+		_, _ = h.WriteString(part) // hashing does not fail
+	}
+	_, _ = h.Write(body)
+	t.fingerprint = oleanderspool.Fingerprint(h.Sum64())
+	return nil
+}
+
+// chooseService draws a service of the route by weight.
+func (t *ticket) chooseService(c *directory.Configuration) {
+	sum := 0.0
+	for _, s := range t.route.Shares {
+		sum += max(0, s.Weight)
+	}
+	name := t.route.Shares[0].Service
+	draw := rand.Float64() * sum
+	for _, s := range t.route.Shares {
+		if draw -= max(0, s.Weight); draw < 0 {
+			name = s.Service
+			break
+		}
+	}
+	service, found := c.Service(name)
+	if !found {
+		service = directory.Service{Name: name}
+	}
+	t.service = service
+}
+
+// unavailable refuses a request that has not run and may be sent again soon.
+func (g *Gateway) unavailable(reason oleanderspool.RefusalReason, message string) *oleanderspool.Refusal {
+	return oleanderspool.Refuse(reason, message).WithRetryAfter(jitter(comeBack))
+}
+
+// jitter returns a span between half and one and a half of a mean, so that
+// callers that were refused together do not return together.
+func jitter(mean oleanderspool.Millis) oleanderspool.Millis {
+	return mean/2 + rand.N(mean+1)
+}
--- /dev/null
+++ b/internal/forward/gateway.go
@@ -0,0 +1,140 @@
+// Package forward passes requests of callers on to backend servers and returns
+// their answers. It decides how often a request is sent, and what its caller
+// may be told when no complete answer came.
+package forward
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/backend"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
+	"github.com/oleanderspool/oleanderspool/internal/gossip"
+	"github.com/oleanderspool/oleanderspool/internal/observe"
+	"github.com/oleanderspool/oleanderspool/internal/placement"
+	"github.com/oleanderspool/oleanderspool/internal/retry"
+)
+
+// Option configures a [Gateway].
+type Option func(*Gateway)
+
+// WithLogger sets the logger.
+func WithLogger(logger *slog.Logger) Option {
+	return func(g *Gateway) { g.logger = logger }
+}
+
+// WithMetrics sets the counters.
+func WithMetrics(metrics *observe.Metrics) Option {
+	return func(g *Gateway) { g.metrics = metrics }
+}
+
+// WithInstance sets the name and the data centre of the entry.
+func WithInstance(instance oleanderspool.InstanceID, dataCentre oleanderspool.DataCentreID) Option {
+	return func(g *Gateway) { g.shared.name, g.dataCentre = instance, dataCentre }
+}
+
+// WithRetryBudget bounds the requests that all entries send once more to the
+// servers of a service in ten seconds: a part of the requests for it, and a
+// number in addition that the entries share.
+func WithRetryBudget(ratio, extra float64) Option {
+	return func(g *Gateway) { g.shared.ratio, g.shared.extra = ratio, extra }
+}
+
+// WithKeyFreshness sets how old the confirmation of a key may be when a request
+// arrives; 0 means any age.
+func WithKeyFreshness(limit oleanderspool.Millis) Option {
+	return func(g *Gateway) { g.keyFreshness = limit }
+}
+
+// Gateway forwards requests. It is an [http.Handler].
+type Gateway struct {
+	view         *directory.View
+	pool         *backend.Pool
+	format       oleanderspool.ExchangeFormat
+	clock        oleanderspool.Clock
+	logger       *slog.Logger
+	metrics      *observe.Metrics
+	dataCentre   oleanderspool.DataCentreID
+	keyFreshness oleanderspool.Millis
+	shared       *shared
+	stopping     atomic.Bool
+	running      atomic.Int64
+}
+
+// New returns a gateway that serves what the view contains.
+func New(view *directory.View, format oleanderspool.ExchangeFormat, clock oleanderspool.Clock, options ...Option) *Gateway {
+	g := &Gateway{
+		view: view, pool: backend.NewPool(clock), format: format, clock: clock,
+		logger: slog.New(slog.DiscardHandler), metrics: observe.New(),
+		shared: &shared{
+			clock: clock, entry: rand.Uint64() | 1, wake: func() {}, others: func() int { return 0 },
+			board: placement.NewBoard(), crashes: newCrashLedger(),
+			budgets: make(map[string]*retry.Budget), changed: make(map[placement.WorkID]bool),
+		},
+	}
+	for _, o := range options {
+		o(g)
+	}
+	return g
+}
+
+// State returns what the entry exchanges with the others.
+func (g *Gateway) State() gossip.State {
+	return g.shared
+}
+
+// Connect sets how changes of the state are announced and how many other
+// entries there are. It is called before the first request.
+func (g *Gateway) Connect(wake func(), others func() int) {
+	g.shared.wake, g.shared.others = wake, others
+}
+
+// Run maintains the connections to backend servers until ctx ends.
+func (g *Gateway) Run(ctx context.Context) {
+	g.pool.Run(ctx)
+}
+
+// Ready reports whether the entry can serve: it knows a configuration and does
+// not stop.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.view.Snapshot().Configuration != nil
+}
+
+// Stop makes the entry ask its callers to use other connections.
+func (g *Gateway) Stop() {
+	g.stopping.Store(true)
+}
+
+// Running returns the number of requests in progress.
+func (g *Gateway) Running() int {
+	return int(g.running.Load())
+}
+
+// ServeHTTP implements [http.Handler].
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.running.Add(1)
+	defer g.running.Add(-1)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	t, refusal := g.admit(r)
+	if refusal != nil {
+		g.refuse(w, t, refusal)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), t.remaining().Duration())
+	defer cancel()
+	t.ctx = ctx
+	if t.route.Kind == directory.KindStream {
+		refusal = t.runStream(w)
+	} else {
+		refusal = t.runPlain(w)
+	}
+	if refusal != nil {
+		g.refuse(w, t, refusal)
+	}
+}
--- /dev/null
+++ b/internal/forward/server.go
@@ -0,0 +1,123 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/oleanderspool/oleanderspool"
+)
+
+const (
+	// idleMargin is the part of the configured idle limit for which an idle
+	// connection of a caller is kept in addition, so that a request does not cross
+	// its end.
+	idleMargin = 1.25
+	// defaultIdleLimit applies until a configuration is known.
+	defaultIdleLimit = 30 * oleanderspool.Second
+	// defaultHeaderTimeout bounds the header of a request.
+	defaultHeaderTimeout = 5 * oleanderspool.Second
+	// maxHeader bounds the header of a request in bytes.
+	maxHeader = 64 << 10
+	// serveAfterStop is how long a stopping entry serves new requests: until the
+	// load balancer has asked twice whether it is ready.
+	serveAfterStop = 3200 * oleanderspool.Millis(1)
+	// stopMargin is the end of the stop grace that is kept for the exit.
+	stopMargin = 500 * oleanderspool.Millis(1)
+)
+
+// Server serves callers over HTTP/1.1.
+type Server struct {
+	gateway *Gateway
+	server  *http.Server
+	clock   oleanderspool.Clock
+	logger  *slog.Logger
+
+	mu   sync.Mutex
+	idle map[net.Conn]oleanderspool.Millis
+}
+
+// NewServer returns a server of a gateway.
+func NewServer(g *Gateway) *Server {
+	s := &Server{gateway: g, clock: g.clock, logger: g.logger, idle: make(map[net.Conn]oleanderspool.Millis)}
+	s.server = &http.Server{
+		Handler:           g,
+		ReadHeaderTimeout: defaultHeaderTimeout.Duration(),
+		MaxHeaderBytes:    maxHeader,
+		ConnState:         s.track,
+		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+		// The library closes idle connections after this limit; the configured
+		// one applies before it.
+		IdleTimeout: (5 * oleanderspool.Minute).Duration(),
+	}
+	return s
+}
+
+func (s *Server) track(conn net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateIdle || state == http.StateNew {
+		s.idle[conn] = s.clock.Now()
+	} else {
+		delete(s.idle, conn)
+	}
+}
+
+// Serve serves callers until ctx ends, and then stops within the grace without
+// cutting a request that can end in it.
+func (s *Server) Serve(ctx context.Context, listener net.Listener, grace oleanderspool.Millis) error {
+	done := make(chan error, 1)
+	go func() { done <- s.server.Serve(listener) }()
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-ticker.C:
+			s.sweep()
+		case <-ctx.Done():
+			return s.stop(grace)
+		}
+	}
+}
+
+// sweep closes connections that were idle for longer than the configuration
+// allows.
+func (s *Server) sweep() {
+	limit := defaultIdleLimit
+	if c := s.gateway.view.Snapshot().Configuration; c != nil && c.Limits.IdleTimeout > 0 {
+		limit = oleanderspool.Millis(float64(c.Limits.IdleTimeout) * idleMargin)
+	}
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn, since := range s.idle {
+		if now-since > limit {
+			_ = conn.Close() // it is idle
+			delete(s.idle, conn)
+		}
+	}
+}
+
+// stop serves new requests until the load balancer sends none, ends idle
+// connections, and waits for the requests in progress.
+func (s *Server) stop(grace oleanderspool.Millis) error {
+	startedAt := s.clock.Now()
+	s.gateway.Stop()
+	s.logger.Info("stopping", "running", s.gateway.Running(), "grace_ms", int64(grace))
+	time.Sleep(min(serveAfterStop, grace/2).Duration())
+	left := max(0, grace-stopMargin-(s.clock.Now()-startedAt))
+	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
+	defer cancel()
+	err := s.server.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		s.logger.Warn("requests cut by the end of the grace", "running", s.gateway.Running())
+		return s.server.Close()
+	}
+	return err
+}
--- /dev/null
+++ b/internal/forward/shared.go
@@ -0,0 +1,233 @@
+package forward
+
+import (
+	"sync"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
+	"github.com/oleanderspool/oleanderspool/internal/gossip"
+	"github.com/oleanderspool/oleanderspool/internal/placement"
+	"github.com/oleanderspool/oleanderspool/internal/retry"
+)
+
+// shared is what all requests of the entry share: the work of all entries, the
+// suspects and the retry budgets. It is safe for concurrent use.
+type shared struct {
+	clock  oleanderspool.Clock
+	entry  uint64
+	name   oleanderspool.InstanceID
+	ratio  float64
+	extra  float64
+	wake   func()
+	others func() int
+
+	mu       sync.Mutex
+	board    *placement.Board
+	crashes  *crashLedger
+	budgets  map[string]*retry.Budget
+	lastID   uint64
+	changed  map[placement.WorkID]bool
+	ended    []placement.WorkID
+	troubles []gossip.Trouble // with the instant of the end in For
+}
+
+var _ gossip.State = (*shared)(nil)
+
+// placed is a request on its servers.
+type placed struct {
+	placement.Decision
+	ids []placement.WorkID
+}
+
+// place chooses servers and notes the work.
+func (s *shared) place(servers []directory.Server, e *directory.Engine, r placement.Request) (placed, bool) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d, found := s.board.Choose(servers, e, r, now)
+	if !found {
+		return placed{}, false
+	}
+	p := placed{Decision: d}
+	for _, w := range placement.Works(d, e, r, now) {
+		s.lastID++
+		w.ID = placement.WorkID(s.entry<<24 ^ s.lastID)
+		w.Entry = s.entry
+		s.board.Add(w)
+		s.changed[w.ID] = true
+		p.ids = append(p.ids, w.ID)
+	}
+	s.wake()
+	return p, true
+}
+
+// write notes that the first token of a request has come and its helpers are
+// done.
+func (s *shared) write(p placed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.board.Write(p.ids[0], s.clock.Now())
+	s.changed[p.ids[0]] = true
+	s.remove(p.ids[1:])
+	s.wake()
+}
+
+// end notes that a request has left its servers.
+func (s *shared) end(p placed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(p.ids)
+	s.wake()
+}
+
+func (s *shared) remove(ids []placement.WorkID) {
+	for _, id := range ids {
+		if _, found := s.board.Work(id); found {
+			s.board.Remove(id)
+			s.ended = append(s.ended, id)
+			delete(s.changed, id)
+		}
+	}
+}
+
+// avoid notes that a server failed.
+func (s *shared) avoid(server oleanderspool.InstanceID) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until := s.board.Avoid(server, now)
+	s.troubles = append(s.troubles, gossip.Trouble{Server: server, For: until})
+	s.wake()
+}
+
+func (s *shared) forgive(server oleanderspool.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.board.Forgive(server)
+}
+
+// admit counts a request for the budget of its service.
+func (s *shared) admit(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget(service).Admit(s.clock.Now())
+}
+
+// takeRetry draws a retry from the budget of a service.
+func (s *shared) takeRetry(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.budget(service)
+	// One more share than entries are known leaves room for one that has just
+	// started.
+	b.SetConstant(int(s.extra * budgetPart / float64(s.others()+2)))
+	return b.Take(s.clock.Now())
+}
+
+// budgetPart is the part of the fleet's retry budget that is used. The rest
+// covers entries that count the window differently.
+const budgetPart = 0.8
+
+func (s *shared) budget(service string) *retry.Budget {
+	b := s.budgets[service]
+	if b == nil {
+		b = retry.NewBudget(s.ratio*budgetPart, 0)
+		s.budgets[service] = b
+	}
+	return b
+}
+
+func (s *shared) crashed(f oleanderspool.Fingerprint, server oleanderspool.InstanceID) int {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes.see(f, server, now)
+	s.wake()
+	return s.crashes.count(f, now)
+}
+
+func (s *shared) crashCount(f oleanderspool.Fingerprint) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes.count(f, s.clock.Now())
+}
+
+func (s *shared) clear(f oleanderspool.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes.clear(f)
+}
+
+// Report implements [gossip.State].
+func (s *shared) Report(complete bool) gossip.Message {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := gossip.Message{Entry: s.entry, Name: s.name, Complete: complete, Ended: s.ended}
+	if complete {
+		s.board.Expire(now)
+		s.crashes.expire(now)
+		for _, w := range s.board.Of(s.entry) {
+			m.Works = append(m.Works, aged(w, now))
+		}
+	} else {
+		for id := range s.changed {
+			if w, found := s.board.Work(id); found {
+				m.Works = append(m.Works, aged(w, now))
+			}
+		}
+	}
+	m.Crashes = s.crashes.told(now)
+	for _, t := range s.troubles {
+		if t.For > now {
+			m.Troubles = append(m.Troubles, gossip.Trouble{Server: t.Server, For: t.For - now})
+		}
+	}
+	s.troubles, s.ended = nil, nil
+	clear(s.changed)
+	return m
+}
+
+func aged(w placement.Work, now oleanderspool.Millis) gossip.Work {
+	g := gossip.Work{Work: w, PlacedAgo: now - w.PlacedAt}
+	if w.Writing {
+		g.WritingAgo = now - w.WritingAt
+	}
+	return g
+}
+
+// Learn implements [gossip.State].
+func (s *shared) Learn(m gossip.Message) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	keep := make(map[placement.WorkID]bool, len(m.Works))
+	for _, g := range m.Works {
+		w := g.Work
+		w.Entry, w.PlacedAt = m.Entry, now-g.PlacedAgo
+		if w.Writing {
+			w.WritingAt = now - g.WritingAgo
+		}
+		keep[w.ID] = true
+		s.board.Add(w)
+	}
+	for _, id := range m.Ended {
+		s.board.Remove(id)
+	}
+	if m.Complete {
+		s.board.Retain(m.Entry, keep)
+	}
+	for _, c := range m.Crashes {
+		s.crashes.add(c.Fingerprint, c.Server, now-c.Ago)
+	}
+	for _, t := range m.Troubles {
+		s.board.AvoidUntil(t.Server, now+t.For, now)
+	}
+}
+
+// Lose implements [gossip.State].
+func (s *shared) Lose(entry uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.board.Retain(entry, nil)
+}
--- /dev/null
+++ b/internal/gossip/codec.go
@@ -0,0 +1,289 @@
+package gossip
+
+import (
+	"math"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/placement"
+)
+
+// Fields of a message.
+const (
+	fieldEntry protowire.Number = iota + 1
+	fieldName
+	fieldComplete
+	fieldLeaving
+	fieldWork
+	fieldEnded
+	fieldCrash
+	fieldTrouble
+	fieldPeer
+)
+
+// Fields of a piece of work.
+const (
+	fieldWorkID protowire.Number = iota + 1
+	fieldWorkServer
+	fieldWorkTokens
+	fieldWorkMemory
+	fieldWorkAnswer
+	fieldWorkRead
+	fieldWorkLargest
+	fieldWorkValue
+	fieldWorkGoal
+	fieldWorkPauseGoal
+	fieldWorkPlacedAgo
+	fieldWorkWriting
+	fieldWorkWritingAgo
+)
+
+// Fields of a crash and of a trouble.
+const (
+	fieldServer protowire.Number = iota + 1
+	fieldFingerprint
+	fieldSpan
+)
+
+// encoder appends fields and leaves out those that are zero.
+type encoder struct {
+	data []byte
+}
+
+func (e *encoder) number(n protowire.Number, value uint64) {
+	if value == 0 {
+		return
+	}
+	e.data = protowire.AppendTag(e.data, n, protowire.VarintType)
+	e.data = protowire.AppendVarint(e.data, value)
+}
+
+func (e *encoder) span(n protowire.Number, span oleanderspool.Millis) {
+	e.number(n, uint64(max(0, span)))
+}
+
+func (e *encoder) float(n protowire.Number, value float64) {
+	if value == 0 {
+		return
+	}
+	e.data = protowire.AppendTag(e.data, n, protowire.Fixed32Type)
+	e.data = protowire.AppendFixed32(e.data, math.Float32bits(float32(value)))
+}
+
+func (e *encoder) fixed(n protowire.Number, value uint64) {
+	e.data = protowire.AppendTag(e.data, n, protowire.Fixed64Type)
+	e.data = protowire.AppendFixed64(e.data, value)
+}
+
+func (e *encoder) flag(n protowire.Number, value bool) {
+	if value {
+		e.number(n, 1)
+	}
+}
+
+func (e *encoder) text(n protowire.Number, value string) {
+	e.data = protowire.AppendTag(e.data, n, protowire.BytesType)
+	e.data = protowire.AppendString(e.data, value)
+}
+
+func (e *encoder) nested(n protowire.Number, build func(*encoder)) {
+	var inner encoder
+	build(&inner)
+	e.data = protowire.AppendTag(e.data, n, protowire.BytesType)
+	e.data = protowire.AppendBytes(e.data, inner.data)
+}
+
+// Encode returns the datagram of a message.
+func Encode(m Message) []byte {
+	var e encoder
+	e.fixed(fieldEntry, m.Entry)
+	e.text(fieldName, string(m.Name))
+	e.flag(fieldComplete, m.Complete)
+	e.flag(fieldLeaving, m.Leaving)
+	for _, w := range m.Works {
+		e.nested(fieldWork, func(e *encoder) { encodeWork(e, w) })
+	}
+	for _, id := range m.Ended {
+		e.fixed(fieldEnded, uint64(id))
+	}
+	for _, c := range m.Crashes {
+		e.nested(fieldCrash, func(e *encoder) {
+			e.text(fieldServer, string(c.Server))
+			e.fixed(fieldFingerprint, uint64(c.Fingerprint))
+			e.span(fieldSpan, c.Ago)
+		})
+	}
+	for _, t := range m.Troubles {
+		e.nested(fieldTrouble, func(e *encoder) {
+			e.text(fieldServer, string(t.Server))
+			e.span(fieldSpan, t.For)
+		})
+	}
+	for _, p := range m.Peers {
+		e.text(fieldPeer, p)
+	}
+	return e.data
+}
+
+func encodeWork(e *encoder, w Work) {
+	e.fixed(fieldWorkID, uint64(w.ID))
+	e.text(fieldWorkServer, string(w.Server))
+	e.number(fieldWorkTokens, uint64(max(0, w.Tokens)))
+	e.number(fieldWorkMemory, uint64(max(0, w.Memory)))
+	e.number(fieldWorkAnswer, uint64(max(0, w.Answer)))
+	e.float(fieldWorkRead, w.Read)
+	e.float(fieldWorkLargest, w.Largest)
+	e.float(fieldWorkValue, w.Value)
+	e.span(fieldWorkGoal, w.Goal)
+	e.span(fieldWorkPauseGoal, w.PauseGoal)
+	e.span(fieldWorkPlacedAgo, w.PlacedAgo)
+	e.flag(fieldWorkWriting, w.Writing)
+	e.span(fieldWorkWritingAgo, w.WritingAgo)
+}
+
+// value is a decoded field.
+type value struct {
+	number uint64
+	bytes  []byte
+}
+
+func (v value) millis() oleanderspool.Millis {
+	return oleanderspool.Millis(min(v.number, uint64(oleanderspool.Hour)))
+}
+
+func (v value) float() float64 {
+	f := float64(math.Float32frombits(uint32(v.number)))
+	if math.IsNaN(f) || math.IsInf(f, 0) {
+		return 0
+	}
+	return f
+}
+
+func (v value) instance() oleanderspool.InstanceID {
+	return oleanderspool.InstanceID(v.bytes)
+}
+
+// fields calls take for each field of an encoded message.
+func fields(data []byte, take func(protowire.Number, value) error) error {
+	for len(data) > 0 {
+		n, kind, size := protowire.ConsumeTag(data)
+		if size < 0 {
+			return invalid(size)
+		}
+		data = data[size:]
+		var v value
+		switch kind {
+		case protowire.VarintType:
+			v.number, size = protowire.ConsumeVarint(data)
+		case protowire.Fixed32Type:
+			var f uint32
+			f, size = protowire.ConsumeFixed32(data)
+			v.number = uint64(f)
+		case protowire.Fixed64Type:
+			v.number, size = protowire.ConsumeFixed64(data)
+		case protowire.BytesType:
+			v.bytes, size = protowire.ConsumeBytes(data)
+		default:
+			size = protowire.ConsumeFieldValue(n, kind, data)
+		}
+		if size < 0 {
+			return invalid(size)
+		}
+		data = data[size:]
+		if err := take(n, v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func invalid(size int) error {
+	return oleanderspool.ErrInvalid.Wrap(protowire.ParseError(size), "unreadable datagram")
+}
+
+// Decode returns the message of a datagram.
+func Decode(data []byte) (Message, error) {
+	var m Message
+	err := fields(data, func(n protowire.Number, v value) error {
+		switch n {
+		case fieldEntry:
+			m.Entry = v.number
+		case fieldName:
+			m.Name = v.instance()
+		case fieldComplete:
+			m.Complete = v.number == 1
+		case fieldLeaving:
+			m.Leaving = v.number == 1
+		case fieldWork:
+			w, err := decodeWork(v.bytes)
+			m.Works = append(m.Works, w)
+			return err
+		case fieldEnded:
+			m.Ended = append(m.Ended, placement.WorkID(v.number))
+		case fieldCrash:
+			server, fingerprint, span, err := decodeEvent(v.bytes)
+			m.Crashes = append(m.Crashes, Crash{Fingerprint: fingerprint, Server: server, Ago: span})
+			return err
+		case fieldTrouble:
+			server, _, span, err := decodeEvent(v.bytes)
+			m.Troubles = append(m.Troubles, Trouble{Server: server, For: span})
+			return err
+		case fieldPeer:
+			m.Peers = append(m.Peers, string(v.bytes))
+		}
+		return nil
+	})
+	return m, err
+}
+
+func decodeEvent(data []byte) (server oleanderspool.InstanceID, fingerprint oleanderspool.Fingerprint, span oleanderspool.Millis, err error) {
+	err = fields(data, func(n protowire.Number, v value) error {
+		switch n {
+		case fieldServer:
+			server = v.instance()
+		case fieldFingerprint:
+			fingerprint = oleanderspool.Fingerprint(v.number)
+		case fieldSpan:
+			span = v.millis()
+		}
+		return nil
+	})
+	return server, fingerprint, span, err
+}
+
+func decodeWork(data []byte) (Work, error) {
+	var w Work
+	err := fields(data, func(n protowire.Number, v value) error {
+		switch n {
+		case fieldWorkID:
+			w.ID = placement.WorkID(v.number)
+		case fieldWorkServer:
+			w.Server = v.instance()
+		case fieldWorkTokens:
+			w.Tokens = int64(v.number)
+		case fieldWorkMemory:
+			w.Memory = int64(v.number)
+		case fieldWorkAnswer:
+			w.Answer = int64(v.number)
+		case fieldWorkRead:
+			w.Read = v.float()
+		case fieldWorkLargest:
+			w.Largest = v.float()
+		case fieldWorkValue:
+			w.Value = v.float()
+		case fieldWorkGoal:
+			w.Goal = v.millis()
+		case fieldWorkPauseGoal:
+			w.PauseGoal = v.millis()
+		case fieldWorkPlacedAgo:
+			w.PlacedAgo = v.millis()
+		case fieldWorkWriting:
+			w.Writing = v.number == 1
+		case fieldWorkWritingAgo:
+			w.WritingAgo = v.millis()
+		}
+		return nil
+	})
+	return w, err
+}
--- /dev/null
+++ b/internal/gossip/message.go
@@ -0,0 +1,44 @@
+// Package gossip tells the other entries over UDP what work this entry has on
+// the backend servers and what it found out about them. Datagrams may be lost,
+// so each entry repeats its whole state every second; nothing depends on their
+// arrival.
+package gossip
+
+import (
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/placement"
+)
+
+// Message is what an entry tells the others. Spans replace instants, since
+// entries share no clock.
+type Message struct {
+	Entry    uint64 // random for each run of an entry
+	Name     oleanderspool.InstanceID
+	Complete bool // Works lists all work of the entry
+	Leaving  bool // the entry stops
+	Works    []Work
+	Ended    []placement.WorkID
+	Crashes  []Crash
+	Troubles []Trouble
+	Peers    []string // addresses of entries that the sender knows
+}
+
+// Work is work with the ages of its instants.
+type Work struct {
+	placement.Work
+	PlacedAgo  oleanderspool.Millis
+	WritingAgo oleanderspool.Millis
+}
+
+// Crash says that a request was in flight on a backend server that crashed.
+type Crash struct {
+	Fingerprint oleanderspool.Fingerprint
+	Server      oleanderspool.InstanceID
+	Ago         oleanderspool.Millis
+}
+
+// Trouble says that a backend server is to be avoided.
+type Trouble struct {
+	Server oleanderspool.InstanceID
+	For    oleanderspool.Millis
+}
--- /dev/null
+++ b/internal/gossip/node.go
@@ -0,0 +1,234 @@
+package gossip
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/oleanderspool/oleanderspool"
+)
+
+const (
+	// batchInterval is how long changes are collected before they are sent.
+	batchInterval = 3 * time.Millisecond
+	// repeatInterval is the span between two complete messages.
+	repeatInterval = time.Second
+	// aliveLimit is the span without a message after which an entry counts as
+	// gone: it missed three complete messages.
+	aliveLimit = 3500 * oleanderspool.Millis(1)
+	// forgetPeer is the span after which nothing is sent to a silent address.
+	forgetPeer = 30 * oleanderspool.Second
+	// maxDatagram bounds a datagram in bytes, so that it is rarely fragmented
+	// into more than a few packets.
+	maxDatagram = 16 << 10
+	// maxPeers bounds the addresses that are kept.
+	maxPeers = 64
+)
+
+// State is the part of the entry that the node reads and writes.
+type State interface {
+	// Report returns the changes since the last call, or everything.
+	Report(complete bool) Message
+	// Learn takes the message of another entry.
+	Learn(m Message)
+	// Lose ends the work of an entry that is gone.
+	Lose(entry uint64)
+}
+
+// peer is another address.
+type peer struct {
+	entry   uint64
+	name    oleanderspool.InstanceID
+	heardAt oleanderspool.Millis // 0 when never
+	addedAt oleanderspool.Millis
+	seed    bool
+}
+
+// Node exchanges messages with the other entries.
+type Node struct {
+	conn   *net.UDPConn
+	self   netip.AddrPort
+	state  State
+	clock  oleanderspool.Clock
+	logger *slog.Logger
+	wake   chan struct{}
+
+	mu    sync.Mutex
+	peers map[netip.AddrPort]*peer
+}
+
+// NewNode returns a node on an open socket. self is the address under which
+// others reach it; seeds may be stale.
+func NewNode(conn *net.UDPConn, self netip.AddrPort, seeds []string, state State, clock oleanderspool.Clock, logger *slog.Logger) *Node {
+	n := &Node{
+		conn: conn, self: self, state: state, clock: clock, logger: logger,
+		wake: make(chan struct{}, 1), peers: make(map[netip.AddrPort]*peer),
+	}
+	for _, s := range seeds {
+		n.add(s, true)
+	}
+	return n
+}
+
+func (n *Node) add(address string, seed bool) {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil || a == n.self || n.peers[a] != nil || len(n.peers) >= maxPeers {
+		return
+	}
+	n.peers[a] = &peer{addedAt: n.clock.Now(), seed: seed}
+}
+
+// Wake asks for the changes of the state to be sent soon.
+func (n *Node) Wake() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Alive returns the number of other entries that were heard of lately.
+func (n *Node) Alive() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	alive := 0
+	for _, p := range n.peers {
+		if p.entry != 0 {
+			alive++
+		}
+	}
+	return alive
+}
+
+// Run sends and receives until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = n.conn.Close() }) // ends receive
+	defer stop()
+	go n.send(ctx)
+	n.receive(ctx)
+}
+
+func (n *Node) send(ctx context.Context) {
+	ticker := time.NewTicker(repeatInterval)
+	defer ticker.Stop()
+	n.tell(n.state.Report(true))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.expire()
+			n.tell(n.state.Report(true))
+		case <-n.wake:
+			time.Sleep(batchInterval)
+			n.tell(n.state.Report(false))
+		}
+	}
+}
+
+// tell sends a message to every peer. Complete messages name the peers that are
+// alive and also go to silent addresses.
+func (n *Node) tell(m Message) {
+	n.mu.Lock()
+	var targets []netip.AddrPort
+	for a, p := range n.peers {
+		if p.entry != 0 {
+			m.Peers = append(m.Peers, a.String())
+		}
+		if p.entry != 0 || m.Complete {
+			targets = append(targets, a)
+		}
+	}
+	n.mu.Unlock()
+	if !m.Complete {
+		m.Peers = nil
+	}
+	data := Encode(m)
+	if len(data) > maxDatagram {
+		m.Works, m.Complete = nil, false // the changes were sent before
+		data = Encode(m)
+	}
+	for _, a := range targets {
+		// A datagram that cannot be sent is like one that is lost.
+		_, _ = n.conn.WriteToUDPAddrPort(data, a)
+	}
+}
+
+func (n *Node) receive(ctx context.Context) {
+	buffer := make([]byte, 64<<10)
+	for ctx.Err() == nil {
+		size, from, err := n.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				time.Sleep(batchInterval) // an error of an earlier send
+			}
+			continue
+		}
+		m, err := Decode(buffer[:size])
+		if err != nil || m.Entry == 0 {
+			n.logger.Warn("datagram dropped", "from", from.String())
+			continue
+		}
+		n.hear(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), m)
+	}
+}
+
+func (n *Node) hear(from netip.AddrPort, m Message) {
+	n.mu.Lock()
+	n.add(from.String(), false)
+	p := n.peers[from]
+	if p == nil {
+		n.mu.Unlock()
+		return
+	}
+	lost := uint64(0)
+	if p.entry != m.Entry && p.entry != 0 {
+		lost = p.entry
+	}
+	isNew := p.entry != m.Entry
+	p.entry, p.name, p.heardAt = m.Entry, m.Name, n.clock.Now()
+	for _, a := range m.Peers {
+		n.add(a, false)
+	}
+	if m.Leaving {
+		lost, p.entry, isNew = m.Entry, 0, false
+	}
+	n.mu.Unlock()
+	if lost != 0 {
+		n.state.Lose(lost)
+	}
+	if isNew {
+		n.logger.Info("entry found", "instance", m.Name, "address", from.String())
+	}
+	n.state.Learn(m)
+}
+
+// expire forgets entries that fell silent.
+func (n *Node) expire() {
+	now := n.clock.Now()
+	var lost []uint64
+	n.mu.Lock()
+	for a, p := range n.peers {
+		if p.entry != 0 && now-p.heardAt > aliveLimit {
+			n.logger.Warn("entry lost", "instance", p.name, "address", a.String(), "silent_ms", int64(now-p.heardAt))
+			lost = append(lost, p.entry)
+			p.entry = 0
+		}
+		if p.entry == 0 && !p.seed && now-max(p.heardAt, p.addedAt) > forgetPeer {
+			delete(n.peers, a)
+		}
+	}
+	n.mu.Unlock()
+	for _, entry := range lost {
+		n.state.Lose(entry)
+	}
+}
+
+// Leave tells the others that the entry stops.
+func (n *Node) Leave() {
+	m := n.state.Report(false)
+	m.Leaving = true
+	n.tell(m)
+}
--- /dev/null
+++ b/internal/placement/board.go
@@ -0,0 +1,189 @@
+// Package placement decides which backend server runs a request. It predicts
+// from a model of the engine when the first token comes and how long the pauses
+// of the streams on a server become, for the new request and for those that run
+// there, and weighs what all of them gain or lose.
+//
+// It has no I/O and no clock of its own.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
+)
+
+// WorkID identifies a piece of work among all entries.
+type WorkID uint64
+
+// Work is a request, or a part of its prompt, on a backend server.
+type Work struct {
+	ID        WorkID
+	Entry     uint64 // the entry that placed it
+	Server    oleanderspool.InstanceID
+	Tokens    int64                // prompt tokens that are read here
+	Memory    int64                // tokens of KV cache that it may need
+	Answer    int64                // expected tokens of the answer; 0 for a helper's part
+	Read      float64              // time to read on an idle engine, in ms
+	Largest   float64              // longest part of the reading within one pass, in ms
+	Value     float64              // loss when it is late
+	Goal      oleanderspool.Millis // time to the first token that is in time
+	PauseGoal oleanderspool.Millis // longest pause that is in time; 0 for any
+	PlacedAt  oleanderspool.Millis
+	Writing   bool // the first token has come
+	WritingAt oleanderspool.Millis
+}
+
+// forgetAfter bounds how long work counts whose end was not reported.
+const forgetAfter = 20 * oleanderspool.Second
+
+// Board holds the work on all backend servers. It is not safe for concurrent
+// use.
+type Board struct {
+	works   map[WorkID]*Work
+	servers map[oleanderspool.InstanceID]map[WorkID]*Work
+	avoided map[oleanderspool.InstanceID]avoidance
+}
+
+// NewBoard returns a board without work.
+func NewBoard() *Board {
+	return &Board{
+		works:   make(map[WorkID]*Work),
+		servers: make(map[oleanderspool.InstanceID]map[WorkID]*Work),
+		avoided: make(map[oleanderspool.InstanceID]avoidance),
+	}
+}
+
+// Add adds work, or replaces what was known of it.
+func (b *Board) Add(w Work) {
+	if old, found := b.works[w.ID]; found {
+		delete(b.servers[old.Server], w.ID)
+	}
+	list := b.servers[w.Server]
+	if list == nil {
+		list = make(map[WorkID]*Work)
+		b.servers[w.Server] = list
+	}
+	list[w.ID] = &w
+	b.works[w.ID] = &w
+}
+
+// Work returns a piece of work.
+func (b *Board) Work(id WorkID) (Work, bool) {
+	w, found := b.works[id]
+	if !found {
+		return Work{}, false
+	}
+	return *w, true
+}
+
+// Write notes that the first token of a request has come.
+func (b *Board) Write(id WorkID, now oleanderspool.Millis) {
+	if w, found := b.works[id]; found && !w.Writing {
+		w.Writing, w.WritingAt = true, now
+	}
+}
+
+// Remove ends work.
+func (b *Board) Remove(id WorkID) {
+	w, found := b.works[id]
+	if !found {
+		return
+	}
+	delete(b.works, id)
+	delete(b.servers[w.Server], id)
+	if len(b.servers[w.Server]) == 0 {
+		delete(b.servers, w.Server)
+	}
+}
+
+// Retain removes the work of an entry that keep does not contain.
+func (b *Board) Retain(entry uint64, keep map[WorkID]bool) {
+	for id, w := range b.works {
+		if w.Entry == entry && !keep[id] {
+			b.Remove(id)
+		}
+	}
+}
+
+// Expire removes work whose end was not reported.
+func (b *Board) Expire(now oleanderspool.Millis) {
+	for id, w := range b.works {
+		if now-w.PlacedAt > forgetAfter {
+			b.Remove(id)
+		}
+	}
+	for id, a := range b.avoided {
+		if now >= a.until+avoidMemory {
+			delete(b.avoided, id)
+		}
+	}
+}
+
+// Of returns the work of an entry, ordered by ID.
+func (b *Board) Of(entry uint64) []Work {
+	var list []Work
+	for _, w := range b.works {
+		if w.Entry == entry {
+			list = append(list, *w)
+		}
+	}
+	slices.SortFunc(list, func(x, y Work) int { return cmp.Compare(x.ID, y.ID) })
+	return list
+}
+
+// Count returns the number of requests on a server.
+func (b *Board) Count(server oleanderspool.InstanceID) int {
+	return len(b.servers[server])
+}
+
+// state is the predicted state of a server.
+type state struct {
+	server  directory.Server
+	readers []*Work // in the order in which they were placed
+	writers []*Work
+	backlog float64 // time until all placed prompts are read, in ms
+	largest float64 // longest reading within one pass, in ms
+	pass    float64 // length of a pass without reading, in ms
+	memory  int64   // tokens in use
+	context int64   // tokens of the writers
+	work    int     // requests that take a slot
+}
+
+func (b *Board) state(s directory.Server, e *directory.Engine, now oleanderspool.Millis) state {
+	st := state{server: s}
+	for _, w := range b.servers[s.Instance] {
+		st.memory += w.Memory
+		if w.Writing {
+			st.writers = append(st.writers, w)
+			st.context += w.Tokens
+		} else {
+			st.readers = append(st.readers, w)
+		}
+		if w.Answer > 0 {
+			st.work++
+		}
+	}
+	st.pass = passMillis(e, len(st.writers), st.context)
+	slices.SortFunc(st.readers, func(x, y *Work) int {
+		return cmp.Or(cmp.Compare(x.PlacedAt, y.PlacedAt), cmp.Compare(x.ID, y.ID))
+	})
+	finish := 0.0
+	for _, w := range st.readers {
+		finish = max(finish, float64(w.PlacedAt)) + w.Read*st.stretch()
+		if finish > float64(now) {
+			st.largest = max(st.largest, w.Largest)
+		}
+	}
+	st.backlog = max(0, finish-float64(now))
+	return st
+}
+
+// stretch is the factor by which writing slows reading down.
+func (s state) stretch() float64 {
+	if len(s.writers) == 0 {
+		return 1
+	}
+	return 1.15
+}
--- /dev/null
+++ b/internal/placement/choose.go
@@ -0,0 +1,254 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
+)
+
+const (
+	// lateShare is the part of its value that a late answer still has.
+	lateShare = 0.25
+	// baseValue and valuePerToken give the value of a request by its size: an
+	// answer to a long prompt took more work and is harder to repeat.
+	baseValue     = 1.0
+	valuePerToken = 1e-4
+	// goalMargin is the part of a goal that a prediction may use up. The rest
+	// covers the network and errors of the prediction.
+	goalMargin = 0.8
+	// minPart is the smallest part of a prompt, in tokens, that is worth a helper.
+	minPart = 8000
+	// helperCost is the value of the work that a helper costs beyond its reading.
+	helperCost = 0.02
+	// farCost is the value lost by a longer way to another data centre.
+	farCost = 0.01
+	// loadCost is the value per ms of reading that a server has to do: it breaks
+	// ties and keeps servers free for later requests.
+	loadCost = 2e-4
+	// writerCost is the value per request on a server, which breaks ties.
+	writerCost = 5e-3
+)
+
+// Request is a request to place.
+type Request struct {
+	Prompt    int64 // tokens
+	Answer    int64 // expected tokens
+	Goal      oleanderspool.Millis
+	PauseGoal oleanderspool.Millis
+	// Limit is the span until the caller gives up.
+	Limit      oleanderspool.Millis
+	DataCentre oleanderspool.DataCentreID // of the entry
+	Tried      []oleanderspool.InstanceID // not to be chosen again
+}
+
+// Value is what the request loses when it fails.
+func (r Request) Value() float64 {
+	return baseValue + valuePerToken*float64(r.Prompt)
+}
+
+// Decision is a placement.
+type Decision struct {
+	Server  directory.Server
+	Helpers []directory.Server
+	First   oleanderspool.Millis // predicted time to the first token
+	Cost    float64              // value that is expected to be lost
+	Backlog oleanderspool.Millis // reading ahead on the server
+	Writers int                  // streams in progress on the server
+}
+
+// Choose returns the placement that loses the least value. It reports false
+// when there is no server.
+func (b *Board) Choose(servers []directory.Server, e *directory.Engine, r Request, now oleanderspool.Millis) (Decision, bool) {
+	if e == nil {
+		return b.choosePlain(servers, r, now)
+	}
+	states := b.states(servers, e, r, now)
+	if len(states) == 0 {
+		return Decision{}, false
+	}
+	best := Decision{Cost: math.Inf(1)}
+	most := 1 + min(e.HelpersPerAsk, int(r.Prompt/minPart)-1)
+	for parts := 1; parts <= max(1, min(most, len(states))); parts++ {
+		if d := chooseParts(states, e, r, parts, now); d.Cost < best.Cost {
+			best = d
+		}
+	}
+	return best, !math.IsInf(best.Cost, 1)
+}
+
+// states returns the servers that may be chosen. Servers to avoid are left out
+// while others are there.
+func (b *Board) states(servers []directory.Server, e *directory.Engine, r Request, now oleanderspool.Millis) []state {
+	var good, avoided []state
+	for _, s := range servers {
+		if slices.Contains(r.Tried, s.Instance) {
+			continue
+		}
+		if b.isAvoided(s.Instance, now) {
+			avoided = append(avoided, b.state(s, e, now))
+		} else {
+			good = append(good, b.state(s, e, now))
+		}
+	}
+	if len(good) == 0 {
+		return avoided
+	}
+	return good
+}
+
+// candidate is a server with the value that a part of a prompt costs there.
+type candidate struct {
+	*state
+	cost float64
+}
+
+// chooseParts returns the best placement of a prompt that is read in a number of
+// even parts.
+func chooseParts(states []state, e *directory.Engine, r Request, parts int, now oleanderspool.Millis) Decision {
+	read := readMillis(e, r.Prompt) / float64(parts)
+	tokens := r.Prompt / int64(parts)
+	largest := readPerPass(e, tokens, read)
+	if parts > 1 {
+		largest = min(read, max(largest, float64(e.Chunk*int64(e.Stride))/float64(max(tokens, 1))*read))
+	}
+	helpers := make([]candidate, len(states))
+	for i := range states {
+		helpers[i] = candidate{&states[i], states[i].harm(e, read, largest, 0, now) + loadCost*states[i].backlog}
+	}
+	slices.SortStableFunc(helpers, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
+	best := Decision{Cost: math.Inf(1)}
+	for i := range states {
+		s := &states[i]
+		d := Decision{Server: s.server, Backlog: millis(s.backlog), Writers: len(s.writers)}
+		slowest := s.backlog
+		d.Cost = s.harm(e, read, largest, r.Prompt+r.Answer, now) + s.tie(e, r)
+		for _, h := range helpers {
+			if len(d.Helpers) == parts-1 {
+				break
+			}
+			if h.state == s {
+				continue
+			}
+			d.Helpers = append(d.Helpers, h.server)
+			d.Cost += h.cost + helperCost
+		}
+		pass := s.pass + passShare*s.largest
+		first := slowest + read*s.stretch() + pass
+		d.First = millis(first)
+		d.Cost += r.ownLoss(s, first, largest)
+		if d.Cost < best.Cost {
+			best = d
+		}
+	}
+	return best
+}
+
+// passShare is the part of the longest pass that a new request waits for on
+// average before its reading begins.
+const passShare = 0.5
+
+// ownLoss is the value that the request itself is expected to lose.
+func (r Request) ownLoss(s *state, first, largest float64) float64 {
+	value := r.Value()
+	loss := value * (1 - lateShare) * missed(first, float64(r.Goal))
+	if r.PauseGoal > 0 && s.backlog > 0 {
+		// Reading that goes on after the first token stretches the pauses.
+		loss += value * (1 - lateShare) * missed(s.pass+s.largest, float64(r.PauseGoal)) * 0.5
+	}
+	if r.Limit > 0 {
+		loss += value * lateShare * missed(first, float64(r.Limit))
+	}
+	_ = largest
+	return loss
+}
+
+// harm is the value that other requests on the server are expected to lose by a
+// part of a prompt. memory is what the request needs there, in tokens.
+func (s *state) harm(e *directory.Engine, read, largest float64, memory int64, now oleanderspool.Millis) float64 {
+	loss := 0.0
+	for _, w := range s.writers {
+		if w.PauseGoal == 0 {
+			continue
+		}
+		before := missed(s.pass+s.largest, float64(w.PauseGoal))
+		after := missed(s.pass+s.largest+largest, float64(w.PauseGoal))
+		loss += w.Value * (1 - lateShare) * max(0, after-before)
+	}
+	for _, w := range s.readers {
+		elapsed := float64(now - w.PlacedAt)
+		before := missed(elapsed+s.backlog, float64(w.Goal))
+		after := missed(elapsed+s.backlog+read, float64(w.Goal))
+		loss += w.Value * (1 - lateShare) * max(0, after-before) * readerShare
+	}
+	if memory > 0 {
+		if s.memory+memory > e.MemoryTokens {
+			loss += overfullCost
+		}
+		if s.work >= e.Slots {
+			loss += overfullCost * float64(s.work-e.Slots+1)
+		}
+	}
+	return loss
+}
+
+const (
+	// readerShare is the part of the prompts on a server that a new one delays:
+	// only a helper's part goes before them.
+	readerShare = 0.5
+	// overfullCost is the value lost when a request has to wait for a slot or for
+	// memory.
+	overfullCost = 5
+)
+
+// tie is a small cost that decides between servers that are otherwise alike.
+func (s *state) tie(e *directory.Engine, r Request) float64 {
+	cost := loadCost*s.backlog + writerCost*float64(s.work)
+	if s.server.DataCentre != r.DataCentre {
+		cost += farCost
+	}
+	_ = e
+	return cost
+}
+
+// missed is the probability that a predicted span exceeds a goal: it rises from
+// 0 at goalMargin of the goal to 1 at the goal and a fifth.
+func missed(span, goal float64) float64 {
+	if goal <= 0 {
+		return 0
+	}
+	const full = 1.2
+	return min(1, max(0, (span/goal-goalMargin)/(full-goalMargin)))
+}
+
+// choosePlain returns the server of a plain service with the fewest requests,
+// the nearest among equals.
+func (b *Board) choosePlain(servers []directory.Server, r Request, now oleanderspool.Millis) (Decision, bool) {
+	best, found := Decision{Cost: math.Inf(1)}, false
+	for _, s := range servers {
+		if slices.Contains(r.Tried, s.Instance) {
+			continue
+		}
+		count := b.Count(s.Instance)
+		cost := float64(count) / float64(max(1, s.Slots))
+		if s.DataCentre != r.DataCentre {
+			cost += farCost
+		}
+		if b.isAvoided(s.Instance, now) {
+			cost += overfullCost
+		}
+		if now < s.ColdUntil {
+			cost += coldCost
+		}
+		if cost < best.Cost {
+			best, found = Decision{Server: s, Cost: cost, Writers: count}, true
+		}
+	}
+	return best, found
+}
+
+// coldCost is the load that a server counts as more while it is slow after its
+// start.
+const coldCost = 0.3
--- /dev/null
+++ b/internal/placement/work.go
@@ -0,0 +1,28 @@
+package placement
+
+import (
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
+)
+
+// Works returns the work that a decision brings to its servers: the request's
+// own first, then its helpers'. The caller sets the IDs and the entry.
+func Works(d Decision, e *directory.Engine, r Request, now oleanderspool.Millis) []Work {
+	if e == nil {
+		return []Work{{Server: d.Server.Instance, Answer: 1, Value: r.Value(), Goal: r.Goal, PlacedAt: now}}
+	}
+	parts := int64(1 + len(d.Helpers))
+	read := readMillis(e, r.Prompt) / float64(parts)
+	largest := readPerPass(e, r.Prompt/parts, read)
+	own := Work{
+		Server: d.Server.Instance, Tokens: r.Prompt, Memory: r.Prompt + r.Answer, Answer: max(1, r.Answer),
+		Read: read, Largest: largest, Value: r.Value(), Goal: r.Goal, PauseGoal: r.PauseGoal, PlacedAt: now,
+	}
+	works := []Work{own}
+	for _, h := range d.Helpers {
+		works = append(works, Work{
+			Server: h.Instance, Tokens: r.Prompt / parts, Read: read, Largest: largest, Goal: r.Goal, PlacedAt: now,
+		})
+	}
+	return works
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -25,6 +25,12 @@
 	return &Budget{fraction: fraction, constant: constant}
 }
 
+// SetConstant changes the number of retries that are allowed in addition, for
+// example when the number of entries that share them changes.
+func (b *Budget) SetConstant(constant int) {
+	b.constant = constant
+}
+
 // Admit counts an admitted request.
 func (b *Budget) Admit(now oleanderspool.Millis) {
 	b.admitted.add(now)
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -5,6 +5,7 @@
 import (
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oleanderspool/oleanderspool"
@@ -19,7 +20,7 @@
 	FaultOutage FaultKind = "outage"
 	// FaultBreak closes the connection without an effect or a response.
 	FaultBreak FaultKind = "break"
-	// FaultSlow delays the request.
+	// FaultSlow delays the request; clearing the faults ends the delay.
 	FaultSlow FaultKind = "slow"
 	// FaultHang holds the request without an effect until the fault is cleared
 	// or the peer leaves.
@@ -69,6 +70,12 @@
 	mu      sync.Mutex
 	active  []Fault
 	cleared chan struct{} // closed when the faults are cleared
+	held    atomic.Int64
+}
+
+// Held returns the number of requests that a fault delays or holds now.
+func (f *Faults) Held() int {
+	return int(f.held.Load())
 }
 
 // Add adds a fault. The first matching fault applies to a request.
@@ -136,12 +143,13 @@
 	return strings.HasPrefix(path, f.Path) && (f.Method == "" || f.Method == method)
 }
 
-// sleep waits for a span and returns early when done is closed.
-func sleep(span oleanderspool.Millis, done <-chan struct{}) {
+// sleep waits for a span and returns early when done or cleared is closed.
+func sleep(span oleanderspool.Millis, done, cleared <-chan struct{}) {
 	timer := time.NewTimer(span.Duration())
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-done:
+	case <-cleared:
 	}
 }
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -46,10 +46,14 @@
 	case FaultOutage:
 		WriteError(w, http.StatusServiceUnavailable, Error{Message: "outage", Code: "outage", Effect: "none"})
 	case FaultSlow:
-		sleep(fault.Delay, r.Context().Done())
+		f.held.Add(1)
+		sleep(fault.Delay, r.Context().Done(), cleared)
+		f.held.Add(-1)
 		next.ServeHTTP(w, r)
 	case FaultHang:
+		f.held.Add(1)
 		hold(r.Context(), cleared)
+		f.held.Add(-1)
 		panic(http.ErrAbortHandler)
 	case FaultLoseResponse:
 		next.ServeHTTP(&lostWriter{}, r.WithContext(context.WithoutCancel(r.Context())))
@@ -81,7 +85,7 @@
 			panic(p)
 		}
 	}()
-	sleep(fault.Delay, nil)
+	sleep(fault.Delay, nil, nil)
 	next.ServeHTTP(&lostWriter{}, r)
 }
 
