--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -101,7 +101,7 @@
 	if _, err := io.Copy(w, bytes.NewReader(body)); err != nil {
 		t.g.logger.Info("caller left", "request_id", t.call.ID, "error", err.Error())
 	}
-	t.g.logger.Debug("answered", "request_id", t.call.ID, "instance", a.Server.Instance, "status", a.exchange.Answer.Status,
+	t.g.logger.Info("answered", "request_id", t.call.ID, "instance", a.Server.Instance, "status", a.exchange.Answer.Status,
 		"age_ms", int64(t.g.clock.Now()-t.receivedAt), "sends", t.sends)
 }
 
--- a/internal/forward/ticket.go
+++ b/internal/forward/ticket.go
@@ -109,6 +109,9 @@
 		return attempt{}, false
 	}
 	a := attempt{placed: p}
+	t.g.logger.Info("placed", "request_id", t.call.ID, "route", t.route.Name, "instance", p.Server.Instance, "prompt", t.call.PromptTokens,
+		"helpers", len(p.Helpers), "predicted_ms", int64(p.First), "cost", p.Cost, "backlog_ms", int64(p.Backlog), "writers", p.Writers,
+		"sends", t.sends, "version", t.snapshot.Configuration.Version, "confirmed_ms", int64(t.confirmedAge), "left_ms", int64(t.remaining()))
 	forwarded := oleanderspool.Forwarded{
 		Instance: p.Server.Instance, Account: t.account.Name, Remaining: max(1, t.remaining()),
 		Priority: t.priority(), LastEvent: t.lastEvent,
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -37,6 +37,7 @@
 	fieldWorkPlacedAgo
 	fieldWorkWriting
 	fieldWorkWritingAgo
+	fieldWorkPart
 )
 
 // Fields of a crash and of a trouble.
@@ -140,6 +141,7 @@
 	e.span(fieldWorkPlacedAgo, w.PlacedAgo)
 	e.flag(fieldWorkWriting, w.Writing)
 	e.span(fieldWorkWritingAgo, w.WritingAgo)
+	e.flag(fieldWorkPart, w.Part)
 }
 
 // value is a decoded field.
@@ -282,6 +284,8 @@
 			w.Writing = v.number == 1
 		case fieldWorkWritingAgo:
 			w.WritingAgo = v.millis()
+		case fieldWorkPart:
+			w.Part = v.number == 1
 		}
 		return nil
 	})
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -31,6 +31,7 @@
 	Goal      oleanderspool.Millis // time to the first token that is in time
 	PauseGoal oleanderspool.Millis // longest pause that is in time; 0 for any
 	PlacedAt  oleanderspool.Millis
+	Part      bool // the prompt is read by several servers
 	Writing   bool // the first token has come
 	WritingAt oleanderspool.Millis
 }
@@ -141,11 +142,12 @@
 // state is the predicted state of a server.
 type state struct {
 	server  directory.Server
-	readers []*Work // in the order in which they were placed
+	readers []*Work // prompts and parts that are not read yet
 	writers []*Work
+	parts   float64 // time until the parts of joint prompts are read, in ms
 	backlog float64 // time until all placed prompts are read, in ms
 	largest float64 // longest reading within one pass, in ms
-	pass    float64 // length of a pass without reading, in ms
+	pass    float64 // length of a pass without reading, in ms; 0 without writers
 	memory  int64   // tokens in use
 	context int64   // tokens of the writers
 	work    int     // requests that take a slot
@@ -153,37 +155,90 @@
 
 func (b *Board) state(s directory.Server, e *directory.Engine, now oleanderspool.Millis) state {
 	st := state{server: s}
+	var reads []*Work
 	for _, w := range b.servers[s.Instance] {
 		st.memory += w.Memory
 		if w.Writing {
 			st.writers = append(st.writers, w)
 			st.context += w.Tokens
 		} else {
-			st.readers = append(st.readers, w)
+			reads = append(reads, w)
 		}
 		if w.Answer > 0 {
 			st.work++
 		}
 	}
-	st.pass = passMillis(e, len(st.writers), st.context)
-	slices.SortFunc(st.readers, func(x, y *Work) int {
+	if len(st.writers) > 0 {
+		st.pass = passMillis(e, len(st.writers), st.context)
+	}
+	slices.SortFunc(reads, func(x, y *Work) int {
 		return cmp.Or(cmp.Compare(x.PlacedAt, y.PlacedAt), cmp.Compare(x.ID, y.ID))
 	})
-	finish := 0.0
-	for _, w := range st.readers {
-		finish = max(finish, float64(w.PlacedAt)) + w.Read*st.stretch()
-		if finish > float64(now) {
-			st.largest = max(st.largest, w.Largest)
+	for i, left := range remaining(reads, st.stretch(), now) {
+		if left == 0 {
+			continue
+		}
+		w := reads[i]
+		st.readers = append(st.readers, w)
+		st.backlog += left
+		if w.Part {
+			st.parts += left
 		}
+		st.largest = max(st.largest, min(left, w.Largest))
 	}
-	st.backlog = max(0, finish-float64(now))
 	return st
 }
 
-// stretch is the factor by which writing slows reading down.
+// writingStretch is the factor by which writing slows reading down: a pass reads
+// up to its stride of chunks beside the steps that it writes.
+const writingStretch = 1.12
+
 func (s state) stretch() float64 {
 	if len(s.writers) == 0 {
 		return 1
 	}
-	return 1.15
+	return writingStretch
+}
+
+// overdueShare is the part of the time for which a prompt is overdue that its
+// reading is expected to take longer.
+const overdueShare = 0.3
+
+// remaining returns the time in ms that each piece of work, in the order of
+// placement, still has to be read. Parts of joint prompts are read first.
+func remaining(works []*Work, stretch float64, now oleanderspool.Millis) []float64 {
+	left := make([]float64, len(works))
+	ended := make([]float64, len(works))
+	for i, w := range works {
+		left[i] = w.Read * stretch
+	}
+	end := float64(now)
+	for t := 0.0; t < end; {
+		next, current := end, -1
+		for i, w := range works {
+			switch at := float64(w.PlacedAt); {
+			case at > t:
+				next = min(next, at)
+			case left[i] > 0 && (current < 0 || w.Part && !works[current].Part):
+				current = i
+			}
+		}
+		if current < 0 {
+			t = next
+			continue
+		}
+		span := min(next-t, left[current])
+		left[current] -= span
+		t += span
+		if left[current] <= 0 {
+			left[current], ended[current] = 0, t
+		}
+	}
+	for i, w := range works {
+		// Only the end of a request's own reading is reported.
+		if left[i] == 0 && w.Answer > 0 && w.Read > 0 {
+			left[i] = (end - ended[i]) * overdueShare
+		}
+	}
+	return left
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -28,6 +28,9 @@
 	// loadCost is the value per ms of reading that a server has to do: it breaks
 	// ties and keeps servers free for later requests.
 	loadCost = 2e-4
+	// waitCost is the value per ms by which the parts ahead of a helper's part
+	// are expected to delay a prompt.
+	waitCost = 1e-3
 	// writerCost is the value per request on a server, which breaks ties.
 	writerCost = 5e-3
 )
@@ -116,7 +119,7 @@
 	}
 	helpers := make([]candidate, len(states))
 	for i := range states {
-		helpers[i] = candidate{&states[i], states[i].harm(e, read, largest, 0, now) + loadCost*states[i].backlog}
+		helpers[i] = candidate{&states[i], states[i].harm(e, read, largest, 0, now) + loadCost*states[i].backlog + waitCost*states[i].parts}
 	}
 	slices.SortStableFunc(helpers, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
 	best := Decision{Cost: math.Inf(1)}
@@ -124,6 +127,9 @@
 		s := &states[i]
 		d := Decision{Server: s.server, Backlog: millis(s.backlog), Writers: len(s.writers)}
 		slowest := s.backlog
+		if parts > 1 {
+			slowest = s.parts
+		}
 		d.Cost = s.harm(e, read, largest, r.Prompt+r.Answer, now) + s.tie(e, r)
 		for _, h := range helpers {
 			if len(d.Helpers) == parts-1 {
@@ -134,6 +140,7 @@
 			}
 			d.Helpers = append(d.Helpers, h.server)
 			d.Cost += h.cost + helperCost
+			slowest = max(slowest, h.parts)
 		}
 		pass := s.pass + passShare*s.largest
 		first := slowest + read*s.stretch() + pass
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -17,11 +17,13 @@
 	own := Work{
 		Server: d.Server.Instance, Tokens: r.Prompt, Memory: r.Prompt + r.Answer, Answer: max(1, r.Answer),
 		Read: read, Largest: largest, Value: r.Value(), Goal: r.Goal, PauseGoal: r.PauseGoal, PlacedAt: now,
+		Part: parts > 1,
 	}
 	works := []Work{own}
 	for _, h := range d.Helpers {
 		works = append(works, Work{
 			Server: h.Instance, Tokens: r.Prompt / parts, Read: read, Largest: largest, Goal: r.Goal, PlacedAt: now,
+			Part: true,
 		})
 	}
 	return works
