Pack streams on few servers and keep the others for long prompts

Cause: with 21 servers and streams spread evenly, every server writes for short streams, and each long prompt that is read in a pass stretches their pauses over their goal (200 ms).

--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -191,7 +191,7 @@
 
 // writingStretch is the factor by which writing slows reading down: a pass reads
 // up to its stride of chunks beside the steps that it writes.
-const writingStretch = 1.12
+const writingStretch = 1.04
 
 func (s state) stretch() float64 {
 	if len(s.writers) == 0 {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -27,7 +27,7 @@
 	farCost = 0.01
 	// loadCost is the value per ms of reading that a server has to do: it breaks
 	// ties and keeps servers free for later requests.
-	loadCost = 2e-4
+	loadCost = 1e-3
 	// waitCost is the value per ms by which the parts ahead of a helper's part
 	// are expected to delay a prompt.
 	waitCost = 1e-3
@@ -119,7 +119,7 @@
 	}
 	helpers := make([]candidate, len(states))
 	for i := range states {
-		helpers[i] = candidate{&states[i], states[i].harm(e, read, largest, 0, now) + loadCost*states[i].backlog + waitCost*states[i].parts}
+		helpers[i] = candidate{&states[i], states[i].harm(e, read, largest, true, 0, now) + loadCost*states[i].backlog + waitCost*states[i].parts}
 	}
 	slices.SortStableFunc(helpers, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
 	best := Decision{Cost: math.Inf(1)}
@@ -130,7 +130,7 @@
 		if parts > 1 {
 			slowest = s.parts
 		}
-		d.Cost = s.harm(e, read, largest, r.Prompt+r.Answer, now) + s.tie(e, r)
+		d.Cost = s.harm(e, read, largest, parts > 1, r.Prompt+r.Answer, now) + s.tie(e, r)
 		for _, h := range helpers {
 			if len(d.Helpers) == parts-1 {
 				break
@@ -142,10 +142,14 @@
 			d.Cost += h.cost + helperCost
 			slowest = max(slowest, h.parts)
 		}
-		pass := s.pass + passShare*s.largest
-		first := slowest + read*s.stretch() + pass
+		first := slowest + read*s.stretch()
+		if slowest == 0 {
+			first += passWait * s.pass
+		} else {
+			first += s.pass
+		}
 		d.First = millis(first)
-		d.Cost += r.ownLoss(s, first, largest)
+		d.Cost += r.ownLoss(first)
 		if d.Cost < best.Cost {
 			best = d
 		}
@@ -153,42 +157,41 @@
 	return best
 }
 
-// passShare is the part of the longest pass that a new request waits for on
-// average before its reading begins.
-const passShare = 0.5
+// passWait is the number of passes that a new request takes on a server that
+// writes and does not read: half a pass until the next one begins, and that one.
+const passWait = 1.5
 
-// ownLoss is the value that the request itself is expected to lose.
-func (r Request) ownLoss(s *state, first, largest float64) float64 {
+// ownLoss is the value that the request itself is expected to lose by the time
+// to its first token in ms.
+func (r Request) ownLoss(first float64) float64 {
 	value := r.Value()
 	loss := value * (1 - lateShare) * missed(first, float64(r.Goal))
-	if r.PauseGoal > 0 && s.backlog > 0 {
-		// Reading that goes on after the first token stretches the pauses.
-		loss += value * (1 - lateShare) * missed(s.pass+s.largest, float64(r.PauseGoal)) * 0.5
-	}
 	if r.Limit > 0 {
 		loss += value * lateShare * missed(first, float64(r.Limit))
 	}
-	_ = largest
 	return loss
 }
 
 // harm is the value that other requests on the server are expected to lose by a
 // part of a prompt. memory is what the request needs there, in tokens.
-func (s *state) harm(e *directory.Engine, read, largest float64, memory int64, now oleanderspool.Millis) float64 {
+func (s *state) harm(e *directory.Engine, read, largest float64, part bool, memory int64, now oleanderspool.Millis) float64 {
 	loss := 0.0
 	for _, w := range s.writers {
 		if w.PauseGoal == 0 {
 			continue
 		}
-		before := missed(s.pass+s.largest, float64(w.PauseGoal))
-		after := missed(s.pass+s.largest+largest, float64(w.PauseGoal))
+		before := missed(s.pass+s.reading(e, 0, 0), float64(w.PauseGoal))
+		after := missed(s.pass+s.reading(e, read, largest), float64(w.PauseGoal))
 		loss += w.Value * (1 - lateShare) * max(0, after-before)
 	}
 	for _, w := range s.readers {
+		if !part || w.Part {
+			continue // it goes before the new prompt
+		}
 		elapsed := float64(now - w.PlacedAt)
 		before := missed(elapsed+s.backlog, float64(w.Goal))
 		after := missed(elapsed+s.backlog+read, float64(w.Goal))
-		loss += w.Value * (1 - lateShare) * max(0, after-before) * readerShare
+		loss += w.Value * (1 - lateShare) * max(0, after-before)
 	}
 	if memory > 0 {
 		if s.memory+memory > e.MemoryTokens {
@@ -202,17 +205,21 @@
 }
 
 const (
-	// readerShare is the part of the prompts on a server that a new one delays:
-	// only a helper's part goes before them.
-	readerShare = 0.5
 	// overfullCost is the value lost when a request has to wait for a slot or for
 	// memory.
 	overfullCost = 5
 )
 
+// reading returns the longest time in ms that a pass reads, with another prompt
+// on the server.
+func (s *state) reading(e *directory.Engine, read, largest float64) float64 {
+	perPass := float64(e.Chunk*int64(e.Stride)) / e.ReadRate
+	return min(s.backlog+read, max(s.largest, largest, perPass))
+}
+
 // tie is a small cost that decides between servers that are otherwise alike.
 func (s *state) tie(e *directory.Engine, r Request) float64 {
-	cost := loadCost*s.backlog + writerCost*float64(s.work)
+	cost := loadCost*s.backlog + writerCost*packing(s.work)
 	if s.server.DataCentre != r.DataCentre {
 		cost += farCost
 	}
@@ -220,6 +227,16 @@
 	return cost
 }
 
+// packing makes a server with some requests preferable to an empty one, so that
+// servers stay free of streams for long prompts.
+func packing(work int) float64 {
+	const full = 12
+	if work <= full {
+		return -float64(work)
+	}
+	return float64(work-full)*2 - full
+}
+
 // missed is the probability that a predicted span exceeds a goal: it rises from
 // 0 at goalMargin of the goal to 1 at the goal and a fifth.
 func missed(span, goal float64) float64 {
