--- a/exchange.go
+++ b/exchange.go
@@ -57,8 +57,15 @@
 	EncodeRefusal(id RequestID, retryAfter Millis) http.Header
 	// EventID returns the id that a line of an event stream gives its event.
 	EventID(line []byte) (id string, found bool)
-	// ReserveOrder and ReleaseOrder return the path and the body of an order for
-	// memory of a backend server.
-	ReserveOrder(id string, tokens int64, hold Millis) (path string, body []byte)
-	ReleaseOrder(id string) (path string, body []byte)
+	// ReserveOrder and ReleaseOrder return orders for memory of a backend server.
+	// The lease of a reservation begins when it arrives; the same ID renews it.
+	ReserveOrder(instance InstanceID, id string, tokens int64, lease Millis) MemoryOrder
+	ReleaseOrder(instance InstanceID, id string) MemoryOrder
+}
+
+// MemoryOrder is an order to a backend server in the form in which it is sent.
+type MemoryOrder struct {
+	Path   string
+	Header http.Header
+	Body   []byte
 }
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -137,19 +137,10 @@
 	return n, err
 }
 
-// Framed reports whether the answer says how long its body is.
-func (e *Exchange) Framed() bool {
-	return e.response.ContentLength >= 0 || len(e.response.TransferEncoding) > 0
-}
-
-// Length returns the length of the body in bytes, or -1 when it is unknown.
-func (e *Exchange) Length() int64 {
-	return e.response.ContentLength
-}
-
-// Reused reports whether the connection had served another request before.
-func (e *Exchange) Reused() bool {
-	return e.connection.reused
+// Discard reads the body of the answer to its end.
+func (e *Exchange) Discard() error {
+	_, err := io.Copy(io.Discard, e)
+	return err
 }
 
 // Close ends the exchange. A connection whose answer was read to its end and
--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -39,6 +39,16 @@
 	ids []placement.WorkID
 }
 
+// reserves reports whether a helper has to hold memory.
+func (p placed) reserves() bool {
+	for _, h := range p.Helpers {
+		if h.Reserve > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // place chooses servers and notes the work.
 func (s *shared) place(servers []directory.Server, e *directory.Engine, r placement.Request) (placed, bool) {
 	now := s.clock.Now()
--- a/internal/forward/ticket.go
+++ b/internal/forward/ticket.go
@@ -77,7 +77,8 @@
 	placed
 	exchange *backend.Exchange // nil without an answer
 	outcome  outcome
-	writing  bool // the first event of a stream has come
+	writing  bool          // the first event of a stream has come
+	memory   *reservations // nil without any
 }
 
 // close ends the exchange and the work of an attempt.
@@ -85,6 +86,9 @@
 	if a.exchange != nil {
 		a.exchange.Close()
 	}
+	if a.memory != nil {
+		go a.memory.release()
+	}
 	t.g.shared.end(a.placed)
 }
 
@@ -116,8 +120,24 @@
 		Instance: p.Server.Instance, Account: t.account.Name, Remaining: max(1, t.remaining()),
 		Priority: t.priority(), LastEvent: t.lastEvent,
 	}
-	for _, h := range p.Helpers {
-		forwarded.Helpers = append(forwarded.Helpers, oleanderspool.Helper{Address: h.Address})
+	for i, h := range p.Helpers {
+		helper := oleanderspool.Helper{Address: h.Server.Address}
+		if h.Reserve > 0 {
+			helper.Reservation = reservationID(p.ids[i+1])
+		}
+		forwarded.Helpers = append(forwarded.Helpers, helper)
+	}
+	if p.reserves() {
+		memory, failed := t.g.reserve(ctx, p)
+		if memory == nil {
+			a.outcome = notSent
+			t.g.shared.avoid(failed.Instance)
+			t.tried = append(t.tried, failed.Instance)
+			t.g.logger.Warn("attempt failed", "request_id", t.call.ID, "instance", failed.Instance, "outcome", a.outcome.String(),
+				"error", "no memory reserved", "sends", t.sends)
+			return a, true
+		}
+		a.memory = memory
 	}
 	exchange, err := t.g.pool.Do(ctx, p.Server, backend.Request{
 		Method: t.request.Method, Target: t.request.RequestURI, Host: t.request.Host,
@@ -177,7 +197,7 @@
 	if t.ctx.Err() != nil {
 		return // the caller left or the time passed
 	}
-	t.g.shared.avoid(a.Server.Instance)
+	t.g.shared.avoid(t.atFault(a))
 	text := ""
 	if err != nil {
 		text = err.Error()
@@ -193,6 +213,19 @@
 	}
 }
 
+// atFault returns the server that a failed attempt is put down to: the one that
+// its answer names, or the one that it was sent to.
+func (t *ticket) atFault(a attempt) oleanderspool.InstanceID {
+	if a.exchange != nil && a.exchange.Answer.Fault != "" {
+		for _, h := range a.Helpers {
+			if fault := a.exchange.Answer.Fault; string(h.Server.Instance) == fault || h.Server.Address == fault {
+				return h.Server.Instance
+			}
+		}
+	}
+	return a.Server.Instance
+}
+
 // suspect checks whether a server crashed with the request in flight.
 func (t *ticket) suspect(s directory.Server) {
 	t.g.pool.Drop(s)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -23,6 +23,14 @@
 	minPart = 8000
 	// helperCost is the value of the work that a helper costs beyond its reading.
 	helperCost = 0.02
+	// reserveCost is the value of the orders that hold memory on a helper.
+	reserveCost = 0.3
+	// reserveMargin is added to the memory that is reserved, in tokens: memory is
+	// given out in blocks, and the length of an answer is an estimate.
+	reserveMargin = 2000
+	// memoryMargin is left free on a helper, in tokens, for the streams that it
+	// takes meanwhile.
+	memoryMargin = 60_000
 	// farCost is the value lost by a longer way to another data centre.
 	farCost = 0.01
 	// loadCost is the value per ms of reading that a server has to do: it breaks
@@ -52,10 +60,17 @@
 	return baseValue + valuePerToken*float64(r.Prompt)
 }
 
+// Helper reads a part of a prompt for another server.
+type Helper struct {
+	Server directory.Server
+	// Reserve is the memory, in tokens, that it holds for the prompt; 0 for none.
+	Reserve int64
+}
+
 // Decision is a placement.
 type Decision struct {
 	Server  directory.Server
-	Helpers []directory.Server
+	Helpers []Helper
 	First   oleanderspool.Millis // predicted time to the first token
 	Cost    float64              // value that is expected to be lost
 	Backlog oleanderspool.Millis // reading ahead on the server
@@ -119,18 +134,20 @@
 	}
 	helpers := make([]candidate, len(states))
 	for i := range states {
-		helpers[i] = candidate{&states[i], states[i].harm(e, read, largest, true, 0, now) + loadCost*states[i].backlog + waitCost*states[i].parts}
+		helpers[i] = candidate{&states[i], states[i].harm(e, read, largest, true, false, now) + loadCost*states[i].backlog + waitCost*states[i].parts}
 	}
 	slices.SortStableFunc(helpers, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
 	best := Decision{Cost: math.Inf(1)}
 	for i := range states {
 		s := &states[i]
 		d := Decision{Server: s.server, Backlog: millis(s.backlog), Writers: len(s.writers)}
+		// missing is the memory that the server lacks for the request.
+		missing := r.Prompt + r.Answer - (e.MemoryTokens - s.memory)
 		slowest := s.backlog
 		if parts > 1 {
 			slowest = s.parts
 		}
-		d.Cost = s.harm(e, read, largest, parts > 1, r.Prompt+r.Answer, now) + s.tie(e, r)
+		d.Cost = s.harm(e, read, largest, parts > 1, true, now) + s.tie(r)
 		for _, h := range helpers {
 			if len(d.Helpers) == parts-1 {
 				break
@@ -138,10 +155,22 @@
 			if h.state == s {
 				continue
 			}
-			d.Helpers = append(d.Helpers, h.server)
+			helper := Helper{Server: h.server}
+			if missing > 0 {
+				helper.Reserve = max(0, min(missing+reserveMargin, e.MemoryTokens-h.memory-memoryMargin))
+				missing -= helper.Reserve
+				d.Cost += reserveCost
+			}
+			d.Helpers = append(d.Helpers, helper)
 			d.Cost += h.cost + helperCost
 			slowest = max(slowest, h.parts)
 		}
+		if missing > 0 {
+			if r.Prompt+r.Answer > e.MemoryTokens {
+				continue
+			}
+			d.Cost += overfullCost
+		}
 		first := slowest + read*s.stretch()
 		if slowest == 0 {
 			first += passWait * s.pass
@@ -173,8 +202,8 @@
 }
 
 // harm is the value that other requests on the server are expected to lose by a
-// part of a prompt. memory is what the request needs there, in tokens.
-func (s *state) harm(e *directory.Engine, read, largest float64, part bool, memory int64, now oleanderspool.Millis) float64 {
+// prompt or a part of one. request says that a slot is needed too.
+func (s *state) harm(e *directory.Engine, read, largest float64, part, request bool, now oleanderspool.Millis) float64 {
 	loss := 0.0
 	for _, w := range s.writers {
 		if w.PauseGoal == 0 {
@@ -193,13 +222,8 @@
 		after := missed(elapsed+s.backlog+read, float64(w.Goal))
 		loss += w.Value * (1 - lateShare) * max(0, after-before)
 	}
-	if memory > 0 {
-		if s.memory+memory > e.MemoryTokens {
-			loss += overfullCost
-		}
-		if s.work >= e.Slots {
-			loss += overfullCost * float64(s.work-e.Slots+1)
-		}
+	if request && s.work >= e.Slots {
+		loss += overfullCost * float64(s.work-e.Slots+1)
 	}
 	return loss
 }
@@ -218,12 +242,11 @@
 }
 
 // tie is a small cost that decides between servers that are otherwise alike.
-func (s *state) tie(e *directory.Engine, r Request) float64 {
+func (s *state) tie(r Request) float64 {
 	cost := loadCost*s.backlog + writerCost*packing(s.work)
 	if s.server.DataCentre != r.DataCentre {
 		cost += farCost
 	}
-	_ = e
 	return cost
 }
 
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -14,15 +14,19 @@
 	parts := int64(1 + len(d.Helpers))
 	read := readMillis(e, r.Prompt) / float64(parts)
 	largest := readPerPass(e, r.Prompt/parts, read)
+	memory := r.Prompt + r.Answer
+	for _, h := range d.Helpers {
+		memory -= h.Reserve
+	}
 	own := Work{
-		Server: d.Server.Instance, Tokens: r.Prompt, Memory: r.Prompt + r.Answer, Answer: max(1, r.Answer),
+		Server: d.Server.Instance, Tokens: r.Prompt, Memory: max(0, memory), Answer: max(1, r.Answer),
 		Read: read, Largest: largest, Value: r.Value(), Goal: r.Goal, PauseGoal: r.PauseGoal, PlacedAt: now,
 		Part: parts > 1,
 	}
 	works := []Work{own}
 	for _, h := range d.Helpers {
 		works = append(works, Work{
-			Server: h.Instance, Tokens: r.Prompt / parts, Read: read, Largest: largest, Goal: r.Goal, PlacedAt: now,
+			Server: h.Server.Instance, Tokens: r.Prompt / parts, Memory: h.Reserve, Read: read, Largest: largest, Goal: r.Goal, PlacedAt: now,
 			Part: true,
 		})
 	}
