Give memory back whose request does not begin; log without blocking

Renewals went on as long as the attempt.

Ruled out: a release that was lost (the renewals themselves kept the memory).

Change: renewals end when the request has no first event after the platform's limit for unused memory (9 s) less the lease and a second; the lease then ends the reservation. The test fails without the bound.

--- a/internal/command/forward.go
+++ b/internal/command/forward.go
@@ -34,7 +34,9 @@
 	if err != nil {
 		return withCode(ExitInvalid, err)
 	}
-	logger, err := observe.NewLogger(env.stdout, "json", c.LogLevel)
+	lines := observe.NewAsyncWriter(env.stdout)
+	defer lines.Close()
+	logger, err := observe.NewLogger(lines, "json", c.LogLevel)
 	if err != nil {
 		return err
 	}
@@ -52,13 +54,17 @@
 	clock := clock.NewBoot()
 	metrics := observe.New()
 	view := directory.NewView()
-	gateway := forward.New(view, platform.Headers{}, clock,
+	options := []forward.Option{
 		forward.WithLogger(logger),
 		forward.WithMetrics(metrics),
 		forward.WithInstance(s.Instance, s.DataCentre),
 		forward.WithRetryBudget(s.Retry.Ratio, s.Retry.Extra),
 		forward.WithKeyFreshness(s.KeyFreshness),
-	)
+	}
+	if s.MemoryIdle > 0 {
+		options = append(options, forward.WithMemoryIdle(s.MemoryIdle))
+	}
+	gateway := forward.New(view, platform.Headers{}, clock, options...)
 	store := platform.NewStore(s.StoreAddress)
 	follower := directory.NewFollower(view, platform.NewConfigurationFeed(store), platform.NewServerFeed(store, clock), clock, logger, func() {})
 
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -82,7 +82,7 @@
 	if !known {
 		return t.deny(oleanderspool.RefusalUnknownAccount, "the key is unknown")
 	}
-	if limit := t.g.keyFreshness; limit > 0 && t.confirmedAge > limit-keyMargin {
+	if t.g.keysExpired(t.confirmedAge) {
 		return t.g.unavailable(oleanderspool.RefusalLogUnavailable, "the key cannot be confirmed")
 	}
 	return nil
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -50,6 +50,15 @@
 	return func(g *Gateway) { g.keyFreshness = limit }
 }
 
+// WithMemoryIdle sets how long memory of a backend server may be held without a
+// request that uses it.
+func WithMemoryIdle(limit oleanderspool.Millis) Option {
+	return func(g *Gateway) { g.memoryIdle = limit }
+}
+
+// defaultMemoryIdle is the limit without the option.
+const defaultMemoryIdle = 9 * oleanderspool.Second
+
 // Gateway forwards requests. It is an [http.Handler].
 type Gateway struct {
 	view         *directory.View
@@ -60,6 +69,7 @@
 	metrics      *observe.Metrics
 	dataCentre   oleanderspool.DataCentreID
 	keyFreshness oleanderspool.Millis
+	memoryIdle   oleanderspool.Millis
 	shared       *shared
 	stopping     atomic.Bool
 	running      atomic.Int64
@@ -69,7 +79,7 @@
 func New(view *directory.View, format oleanderspool.ExchangeFormat, clock oleanderspool.Clock, options ...Option) *Gateway {
 	g := &Gateway{
 		view: view, pool: backend.NewPool(clock), format: format, clock: clock,
-		logger: slog.New(slog.DiscardHandler), metrics: observe.New(),
+		logger: slog.New(slog.DiscardHandler), metrics: observe.New(), memoryIdle: defaultMemoryIdle,
 		shared: &shared{
 			clock: clock, entry: rand.Uint64() | 1, wake: func() {}, others: func() int { return 0 },
 			board: placement.NewBoard(), crashes: newCrashLedger(),
@@ -98,10 +108,20 @@
 	g.pool.Run(ctx)
 }
 
-// Ready reports whether the entry can serve: it knows a configuration and does
-// not stop.
+// Ready reports whether the entry can serve: it knows a configuration, can
+// confirm keys and does not stop. Callers are better off at an entry that does.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.view.Snapshot().Configuration != nil
+	c := g.view.Snapshot().Configuration
+	if g.stopping.Load() || c == nil {
+		return false
+	}
+	return !c.Keyed() || !g.keysExpired(g.clock.Now()-g.view.ConfirmedAt())
+}
+
+// keysExpired reports whether keys that were confirmed a span ago can no longer
+// be relied on.
+func (g *Gateway) keysExpired(age oleanderspool.Millis) bool {
+	return g.keyFreshness > 0 && age > g.keyFreshness-keyMargin
 }
 
 // Stop makes the entry ask its callers to use other connections.
--- a/internal/forward/memory.go
+++ b/internal/forward/memory.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oleanderspool/oleanderspool"
@@ -19,6 +20,9 @@
 	memoryLease = 1900 * oleanderspool.Millis(1)
 	// renewInterval is the span between renewals; two may be lost.
 	renewInterval = 600 * oleanderspool.Millis(1)
+	// idleMemoryMargin is kept between the end of an unused reservation and the
+	// longest span for which one may exist.
+	idleMemoryMargin = oleanderspool.Second
 	// orderTimeout bounds an order. One without an answer may still be carried out.
 	orderTimeout = 400 * oleanderspool.Millis(1)
 	// releaseTries is the number of times that a release is sent until it is
@@ -39,12 +43,25 @@
 	list   []reservation
 	cancel context.CancelFunc
 	done   sync.WaitGroup
+	used   atomic.Bool // the request has begun, so its memory is in use
+	since  oleanderspool.Millis
+}
+
+// begin notes that the request uses the memory.
+func (r *reservations) begin() {
+	r.used.Store(true)
+}
+
+// expired reports whether the memory was held for too long without being used,
+// for example because the request waits at a server that has stopped.
+func (r *reservations) expired() bool {
+	return !r.used.Load() && r.g.clock.Now()-r.since > r.g.memoryIdle-memoryLease-idleMemoryMargin
 }
 
 // reserve reserves the memory of a placement. It returns nil when a helper does
 // not grant it, with the server that did not.
 func (g *Gateway) reserve(ctx context.Context, p placed) (*reservations, directory.Server) {
-	r := &reservations{g: g}
+	r := &reservations{g: g, since: g.clock.Now()}
 	for i, h := range p.Helpers {
 		if h.Reserve == 0 {
 			continue
@@ -78,6 +95,10 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			if r.expired() {
+				r.g.logger.Warn("reservation unused", "instance", e.server.Instance, "reservation", e.id, "held_ms", int64(r.g.clock.Now()-r.since))
+				return
+			}
 			if !r.g.order(ctx, e.server, r.g.format.ReserveOrder(e.server.Instance, e.id, e.tokens, memoryLease)) && ctx.Err() == nil {
 				r.g.logger.Warn("renewal failed", "instance", e.server.Instance, "reservation", e.id)
 			}
--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -36,7 +36,8 @@
 // placed is a request on its servers.
 type placed struct {
 	placement.Decision
-	ids []placement.WorkID
+	ids      []placement.WorkID
+	placedAt oleanderspool.Millis
 }
 
 // reserves reports whether a helper has to hold memory.
@@ -58,7 +59,7 @@
 	if !found || d.Refuse {
 		return placed{Decision: d}, false
 	}
-	p := placed{Decision: d}
+	p := placed{Decision: d, placedAt: now}
 	for _, w := range placement.Works(d, e, r, now) {
 		s.lastID++
 		w.ID = placement.WorkID(s.entry<<24 ^ s.lastID)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -155,9 +155,13 @@
 		o.committed = true
 		o.firstAt = o.t.g.clock.Now()
 		o.t.g.metrics.FirstToken(int(o.t.call.PromptTokens), o.firstAt-o.t.receivedAt)
+		o.t.g.metrics.Predicted(int(o.t.call.PromptTokens), a.First, o.firstAt-a.placedAt)
 	}
 	if !a.writing {
 		a.writing = true
+		if a.memory != nil {
+			a.memory.begin()
+		}
 		o.t.g.shared.write(a.placed)
 	}
 	o.events++
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -11,6 +11,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/forward"
 	"github.com/oleanderspool/oleanderspool/platform/platformtest"
 )
 
@@ -126,4 +128,29 @@
 		Eventually(orders, settle, poll).Should(ContainElement(ContainSubstring(`"op":"release"`)))
 		Expect(orders()).To(ContainElement(ContainSubstring(`"op":"reserve"`)))
 	})
+
+	// Guards against memory that a request which never begins holds on to. Seen in
+	// a trial: a reservation was renewed for 11 s while its request waited.
+	It("that does not begin gives its memory back", func() {
+		w := newWorld(0, 3, forward.WithMemoryIdle(4*oleanderspool.Second))
+		w.behave(platformtest.Hang)
+		ctx, leave := context.WithCancel(context.Background())
+		defer leave()
+		go func() {
+			response, err := w.open(ctx, query{path: "/audit/1", header: map[string]string{"X-Token-Count": "600000,80"}})
+			if err == nil {
+				response.Body.Close()
+			}
+		}()
+		orders := func() (n int) {
+			for _, e := range w.runners {
+				n += len(e.Orders())
+			}
+			return n
+		}
+		Eventually(orders, settle, poll).Should(BeNumerically(">", 0))
+		time.Sleep(2 * time.Second)
+		held := orders()
+		Consistently(orders, "1500ms", poll).Should(Equal(held))
+	})
 })
--- a/internal/forward/ticket.go
+++ b/internal/forward/ticket.go
@@ -184,6 +184,7 @@
 // note counts and logs an attempt and remembers what it says about the server.
 func (t *ticket) note(ctx context.Context, a attempt, err error) {
 	t.tried = append(t.tried, a.Server.Instance)
+	t.g.metrics.Attempted(a.outcome.String())
 	if a.outcome != notSent {
 		t.sends++
 	}
--- a/internal/forward/world_test.go
+++ b/internal/forward/world_test.go
@@ -68,7 +68,7 @@
 }
 
 // newWorld starts an entry and a number of runners of each service.
-func newWorld(apps, engines int) *world {
+func newWorld(apps, engines int, options ...forward.Option) *world {
 	w := &world{store: platformtest.NewStore(2), clock: &skewedClock{Boot: clock.NewBoot()}, view: directory.NewView(), stopped: make(chan error, 1)}
 	for i := range apps {
 		w.runners = append(w.runners, platformtest.NewRunner(w.store, fmt.Sprintf("app-%d", i), "app"))
@@ -80,9 +80,10 @@
 	store := platform.NewStore(w.store.Address())
 	logger := slog.New(slog.NewTextHandler(GinkgoWriter, nil))
 	follower := directory.NewFollower(w.view, platform.NewConfigurationFeed(store), platform.NewServerFeed(store, w.clock), w.clock, logger, func() {})
-	w.gateway = forward.New(w.view, platform.Headers{}, w.clock,
+	w.gateway = forward.New(w.view, platform.Headers{}, w.clock, append([]forward.Option{
 		forward.WithLogger(logger), forward.WithInstance("entry-1", "dc-a"),
-		forward.WithRetryBudget(0.2, 20), forward.WithKeyFreshness(5*oleanderspool.Second))
+		forward.WithRetryBudget(0.2, 20), forward.WithKeyFreshness(5 * oleanderspool.Second),
+	}, options...)...)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	w.address = listener.Addr().String()
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -48,6 +48,8 @@
 	orders       *prometheus.CounterVec
 	transfers    *prometheus.CounterVec
 	firstToken   *prometheus.HistogramVec
+	prediction   *prometheus.HistogramVec
+	attempts     *prometheus.CounterVec
 	revision     prometheus.Gauge
 	running      prometheus.Gauge
 	engineMemory *prometheus.GaugeVec
@@ -72,6 +74,13 @@
 			Help:      "Time to first token by length class of the prompt.",
 			Buckets:   prometheus.ExponentialBuckets(0.005, 2, 18),
 		}, []string{"length"}),
+		prediction: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace,
+			Name:      "first_token_error_seconds",
+			Help:      "Time to first token less its prediction, by length class of the prompt.",
+			Buckets:   []float64{-2, -0.5, -0.2, -0.1, -0.05, 0, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10},
+		}, []string{"length"}),
+		attempts: counter("attempts_total", "Requests sent to backend servers by outcome.", "outcome"),
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "configuration_revision", Help: "Revision of the configuration in force.",
 		}),
@@ -95,7 +104,7 @@
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.admitted, m.finished, m.refused, m.retried, m.dropped, m.transitions, m.orders, m.transfers,
-		m.firstToken, m.revision, m.running, m.engineMemory,
+		m.firstToken, m.prediction, m.attempts, m.revision, m.running, m.engineMemory,
 	)
 	for _, r := range oleanderspool.RefusalReasons {
 		m.refused.WithLabelValues(string(r), oleanderspool.NotRun.String())
@@ -182,6 +191,18 @@
 	m.firstToken.WithLabelValues(LengthClass(tokens)).Observe(span.Duration().Seconds())
 }
 
+// Predicted records the time to the first token of a prompt of the given length
+// in tokens against its prediction.
+func (m *Metrics) Predicted(tokens int, predicted, actual oleanderspool.Millis) {
+	m.prediction.WithLabelValues(LengthClass(tokens)).Observe((actual - predicted).Duration().Seconds())
+}
+
+// Attempted counts a request that was sent to a backend server. outcome is one
+// of a closed list.
+func (m *Metrics) Attempted(outcome string) {
+	m.attempts.WithLabelValues(outcome).Inc()
+}
+
 // Revision sets the revision of the configuration in force.
 func (m *Metrics) Revision(r oleanderspool.Revision) {
 	m.revision.Set(float64(r))
