Read the store less often and price busy servers from a backlog on

Change: the configuration is read with a wait of 1.9 s, the registry every 0.45 of the span in which a leaving server must be known; the price of reading begins at a mean backlog of 0.4 s and is full at 1.2 s; packing follows the slots of the engine.

--- a/internal/command/forward.go
+++ b/internal/command/forward.go
@@ -66,7 +66,8 @@
 	}
 	gateway := forward.New(view, platform.Headers{}, clock, options...)
 	store := platform.NewStore(s.StoreAddress)
-	follower := directory.NewFollower(view, platform.NewConfigurationFeed(store), platform.NewServerFeed(store, clock), clock, logger, func() {})
+	follower := directory.NewFollower(view, platform.NewConfigurationFeed(store), platform.NewServerFeed(store, clock), clock, logger,
+		directory.WithDrainNotice(s.DrainNotice))
 
 	callers, err := listen(s.Listen)
 	if err != nil {
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -32,11 +32,15 @@
 
 const (
 	// configurationWait is how long a read waits for a new configuration. Each
-	// reply confirms the configuration, so it bounds the age of that.
-	configurationWait = oleanderspool.Second
-	// serverInterval is the span between two reads of the registry. A server that
-	// leaves is known within it; records of one interval share a read.
-	serverInterval = 600 * oleanderspool.Millis(1)
+	// reply confirms the configuration as of the sending of the read, so the
+	// confirmation is at most two waits old while the store answers.
+	configurationWait = 1900 * oleanderspool.Millis(1)
+	// drainShare is the part of the span in which a server that leaves must be
+	// known after which the registry is read again. The rest covers one call that
+	// gets no answer and its repetition.
+	drainShare = 0.45
+	// defaultServerInterval applies without [WithDrainNotice].
+	defaultServerInterval = 600 * oleanderspool.Millis(1)
 	// retryInterval is the span between reads that fail.
 	retryInterval = 250 * oleanderspool.Millis(1)
 	// lapseGrace is the span after an outage of the store in which a removed
@@ -48,14 +52,24 @@
 
 // Follower keeps a view up to date from two feeds.
 type Follower struct {
-	view    *View
-	clock   oleanderspool.Clock
-	logger  *slog.Logger
-	changed func()
+	view   *View
+	clock  oleanderspool.Clock
+	logger *slog.Logger
 
 	configurations feedState
 	servers        feedState
 	lapsed         []Change // removals that wait for the end of the grace
+	// serverInterval is the span between two reads of the registry. Records of one
+	// interval share a read.
+	serverInterval oleanderspool.Millis
+}
+
+// FollowerOption configures a [Follower].
+type FollowerOption func(*Follower)
+
+// WithDrainNotice sets the span in which a server that leaves must be known.
+func WithDrainNotice(span oleanderspool.Millis) FollowerOption {
+	return func(f *Follower) { f.serverInterval = oleanderspool.Millis(float64(span) * drainShare) }
 }
 
 // feedState is how far a feed was read.
@@ -71,14 +85,17 @@
 	listEnd    oleanderspool.Offset // end of the last reply of Newest, which may be old
 }
 
-// NewFollower returns a follower. changed is called after each change of the
-// view.
-func NewFollower(view *View, configurations, servers Feed, clock oleanderspool.Clock, logger *slog.Logger, changed func()) *Follower {
-	return &Follower{
-		view: view, clock: clock, logger: logger, changed: changed,
+// NewFollower returns a follower.
+func NewFollower(view *View, configurations, servers Feed, clock oleanderspool.Clock, logger *slog.Logger, options ...FollowerOption) *Follower {
+	f := &Follower{
+		view: view, clock: clock, logger: logger, serverInterval: defaultServerInterval,
 		configurations: feedState{name: "configuration", feed: configurations},
 		servers:        feedState{name: "servers", feed: servers},
 	}
+	for _, o := range options {
+		o(f)
+	}
+	return f
 }
 
 // RunConfigurations follows the configuration until ctx ends.
@@ -114,7 +131,7 @@
 		}
 		f.removeLapsed()
 		if ok {
-			clock.Sleep(ctx, serverInterval)
+			clock.Sleep(ctx, f.serverInterval)
 		} else {
 			clock.Sleep(ctx, retryInterval)
 		}
@@ -153,7 +170,6 @@
 	for _, id := range f.view.Keep(listed, f.servers.listEnd) {
 		f.logger.Info("server gone", "instance", id, "cause", "not listed", "offset", f.servers.listEnd)
 	}
-	f.changed()
 }
 
 // read reads the next changes of a feed, from the newest of each key when
@@ -199,7 +215,6 @@
 	}
 	if f.view.Configure(c.Configuration, c.Offset) {
 		f.logger.Info("configuration in force", "version", c.Configuration.Version, "offset", c.Offset)
-		f.changed()
 	}
 }
 
@@ -218,5 +233,4 @@
 	default:
 		f.logger.Info("server ready", "instance", c.Instance, "address", c.Server.Address, "service", c.Server.Service, "started", c.Server.Started, "offset", c.Offset)
 	}
-	f.changed()
 }
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -19,7 +19,7 @@
 	keyMargin = 800 * oleanderspool.Millis(1)
 	// denyFreshness is the age of the configuration above which an unknown route
 	// or key is not refused for good: it may have been added meanwhile.
-	denyFreshness = 2200 * oleanderspool.Millis(1)
+	denyFreshness = 4200 * oleanderspool.Millis(1)
 	// defaultTimeout bounds a request whose caller and route state no time.
 	defaultTimeout = 2 * oleanderspool.Minute
 	// comeBack is the mean span after which a caller should send a request again
--- a/internal/forward/world_test.go
+++ b/internal/forward/world_test.go
@@ -79,7 +79,7 @@
 	w.store.Configure(configuration)
 	store := platform.NewStore(w.store.Address())
 	logger := slog.New(slog.NewTextHandler(GinkgoWriter, nil))
-	follower := directory.NewFollower(w.view, platform.NewConfigurationFeed(store), platform.NewServerFeed(store, w.clock), w.clock, logger, func() {})
+	follower := directory.NewFollower(w.view, platform.NewConfigurationFeed(store), platform.NewServerFeed(store, w.clock), w.clock, logger)
 	w.gateway = forward.New(w.view, platform.Headers{}, w.clock, append([]forward.Option{
 		forward.WithLogger(logger), forward.WithInstance("entry-1", "dc-a"),
 		forward.WithRetryBudget(0.2, 20), forward.WithKeyFreshness(5 * oleanderspool.Second),
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -106,7 +106,7 @@
 		load += states[i].backlog / float64(len(states))
 	}
 	best.Load = millis(load)
-	best.Cost += readMillis(e, r.Prompt) * busyCost * min(1, load/busyLoad)
+	best.Cost += readMillis(e, r.Prompt) * busyCost * min(1, max(0, load-busyFrom)/(busyFull-busyFrom))
 	best.Refuse = best.Cost > refusalShare*r.Value()
 	return best, true
 }
@@ -114,9 +114,11 @@
 const (
 	// busyCost is the value per ms of reading when the servers are busy: other
 	// requests would have used the time.
-	busyCost = 4e-3
-	// busyLoad is the mean backlog in ms from which servers are busy.
-	busyLoad = 1000
+	busyCost = 8e-3
+	// busyFrom and busyFull are the mean backlogs in ms from which servers begin
+	// to be busy and are fully so.
+	busyFrom = 400
+	busyFull = 1200
 	// refusalShare is the part of a request's value that is lost when it is
 	// refused: its caller may come back when the servers are less busy.
 	refusalShare = 0.9
@@ -178,7 +180,7 @@
 	for i := range states {
 		s := &states[i]
 		d, start := s.assemble(helpers, e, r, parts)
-		d.Cost += s.harm(e, read, largest, parts > 1, true, now) + s.tie(r)
+		d.Cost += s.harm(e, read, largest, parts > 1, true, now) + s.tie(e, r)
 		first := start + read*s.stretch() + s.passes(start)
 		d.First = millis(first)
 		d.Cost += r.ownLoss(first)
@@ -300,22 +302,26 @@
 }
 
 // tie is a small cost that decides between servers that are otherwise alike.
-func (s *state) tie(r Request) float64 {
-	cost := loadCost*s.backlog + writerCost*packing(s.work)
+func (s *state) tie(e *directory.Engine, r Request) float64 {
+	cost := loadCost*s.backlog + writerCost*packing(s.work, e.Slots)
 	if s.server.DataCentre != r.DataCentre {
 		cost += farCost
 	}
 	return cost
 }
 
+// packedShare is the part of a server's slots up to which streams are packed. The
+// rest is left for streams whose placement other entries do not know yet.
+const packedShare = 0.75
+
 // packing makes a server with some requests preferable to an empty one, so that
 // servers stay free of streams for long prompts.
-func packing(work int) float64 {
-	const full = 12
-	if work <= full {
+func packing(work, slots int) float64 {
+	full := packedShare * float64(slots)
+	if float64(work) <= full {
 		return -float64(work)
 	}
-	return float64(work-full)*2 - full
+	return (float64(work)-full)*2 - full
 }
 
 // missed is the probability that a predicted span exceeds a goal: it rises from
