Confirm the configuration to the end of an empty wait

Ruled out: confirming by the arrival of the reply; a process that was frozen meanwhile would count old knowledge as new.

Change: an empty reply that came after the whole wait confirms up to the sending of the read plus the wait; the margin of keys grows to 1.3 s.

--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -31,9 +31,8 @@
 }
 
 const (
-	// configurationWait is how long a read waits for a new configuration. Each
-	// reply confirms the configuration as of the sending of the read, so the
-	// confirmation is at most two waits old while the store answers.
+	// configurationWait is how long a read waits for a new configuration. The
+	// confirmation is at most so old while the store answers.
 	configurationWait = 1900 * oleanderspool.Millis(1)
 	// drainShare is the part of the span in which a server that leaves must be
 	// known after which the registry is read again. The rest covers one call that
@@ -98,15 +97,22 @@
 	return f
 }
 
-// RunConfigurations follows the configuration until ctx ends.
+// RunConfigurations follows the configuration until ctx ends. What a read shows
+// is counted from its sending: this process may have been frozen between the
+// arrival of the reply and its handling.
 func (f *Follower) RunConfigurations(ctx context.Context) {
 	for ctx.Err() == nil {
-		sentAt := f.clock.Now()
+		sentAt, from, waits := f.clock.Now(), f.configurations.next, f.configurations.known
 		changes, ok := f.read(ctx, &f.configurations, configurationWait)
 		for _, c := range changes {
 			f.configure(c)
 		}
 		if ok {
+			// A reply that came after the whole wait without a record shows that
+			// there was none until the end of the wait.
+			if waits && f.configurations.next == from && f.clock.Now()-sentAt >= configurationWait {
+				sentAt += configurationWait
+			}
 			f.view.Confirm(sentAt)
 		} else {
 			clock.Sleep(ctx, retryInterval)
--- /dev/null
+++ b/internal/directory/follow_test.go
@@ -0,0 +1,79 @@
+package directory_test
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
+)
+
+// scriptedFeed answers its reads in turn and moves the clock by their spans.
+type scriptedFeed struct {
+	clock *clock.Manual
+	end   context.CancelFunc
+	steps []step
+	taken int
+}
+
+// step is the reply to a read.
+type step struct {
+	span    oleanderspool.Millis // from the sending to the handling of the reply
+	records int
+	fails   bool
+}
+
+func (f *scriptedFeed) Newest(context.Context) ([]directory.Change, oleanderspool.Offset, error) {
+	return f.reply(0)
+}
+
+func (f *scriptedFeed) Read(_ context.Context, from oleanderspool.Offset, _ oleanderspool.Millis) ([]directory.Change, oleanderspool.Offset, error) {
+	return f.reply(from)
+}
+
+func (f *scriptedFeed) Compacted(error) bool { return false }
+
+func (f *scriptedFeed) reply(from oleanderspool.Offset) ([]directory.Change, oleanderspool.Offset, error) {
+	s := f.steps[f.taken]
+	f.taken++
+	if f.taken == len(f.steps) {
+		f.end()
+	}
+	f.clock.Advance(s.span)
+	if s.fails {
+		return nil, from, oleanderspool.ErrUnavailable.New("down")
+	}
+	return nil, from + oleanderspool.Offset(s.records), nil
+}
+
+var _ = Describe("A follower", func() {
+	// Guards against a key that counts as confirmed by the arrival of a reply: the
+	// process may have been frozen between the reply and its handling.
+	cases := []struct {
+		name      string
+		steps     []step
+		confirmed oleanderspool.Millis // the clock starts at 100
+	}{
+		{"confirms from the sending of a read that was answered at once", []step{{span: 30, records: 1}}, 100},
+		{"confirms to the end of a wait without a record", []step{{span: 10, records: 1}, {span: 1905}}, 110 + 1900},
+		{"does not confirm by a late reply", []step{{span: 10, records: 1}, {span: 6000}}, 110 + 1900},
+		{"does not confirm the wait of a read that found a record", []step{{span: 10, records: 1}, {span: 1905, records: 1}}, 110},
+		{"does not confirm by a failed read", []step{{span: 10, records: 1}, {span: 2600, fails: true}}, 100},
+	}
+	for _, c := range cases {
+		It(c.name, func() {
+			ctx, end := context.WithTimeout(context.Background(), 10*time.Second)
+			defer end()
+			manual := clock.NewManual(100)
+			view := directory.NewView()
+			feed := &scriptedFeed{clock: manual, end: end, steps: c.steps}
+			directory.NewFollower(view, feed, feed, manual, slog.New(slog.DiscardHandler)).RunConfigurations(ctx)
+			Expect(view.ConfirmedAt()).To(Equal(c.confirmed))
+		})
+	}
+})
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -14,12 +14,12 @@
 )
 
 const (
-	// keyMargin is kept between the age of a key's confirmation and its limit,
-	// for the way of the caller's request.
-	keyMargin = 800 * oleanderspool.Millis(1)
+	// keyMargin is kept between the age of a key's confirmation and its limit, for
+	// the way of the caller's request and for clocks that run differently.
+	keyMargin = 1300 * oleanderspool.Millis(1)
 	// denyFreshness is the age of the configuration above which an unknown route
 	// or key is not refused for good: it may have been added meanwhile.
-	denyFreshness = 4200 * oleanderspool.Millis(1)
+	denyFreshness = 3000 * oleanderspool.Millis(1)
 	// defaultTimeout bounds a request whose caller and route state no time.
 	defaultTimeout = 2 * oleanderspool.Minute
 	// comeBack is the mean span after which a caller should send a request again
