--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -106,7 +106,7 @@
 		load += states[i].backlog / float64(len(states))
 	}
 	best.Load = millis(load)
-	best.Cost += readMillis(e, r.Prompt) * busyCost * min(1, max(0, load-busyFrom)/(busyFull-busyFrom))
+	best.Cost += readMillis(e, r.Prompt) * busyCost * min(1, load/busyLoad)
 	best.Refuse = best.Cost > refusalShare*r.Value()
 	return best, true
 }
@@ -115,10 +115,8 @@
 	// busyCost is the value per ms of reading when the servers are busy: other
 	// requests would have used the time.
 	busyCost = 8e-3
-	// busyFrom and busyFull are the mean backlogs in ms from which servers begin
-	// to be busy and are fully so.
-	busyFrom = 400
-	busyFull = 1200
+	// busyLoad is the mean backlog in ms from which servers are fully busy.
+	busyLoad = 1000
 	// refusalShare is the part of a request's value that is lost when it is
 	// refused: its caller may come back when the servers are less busy.
 	refusalShare = 0.9
