--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -136,6 +136,23 @@
 		Expect(found).To(BeFalse())
 	})
 
+	// Guards against one long prompt that holds up every stream on busy servers. On
+	// idle ones it is served.
+	It("refuses a prompt that costs others more than it is worth", func() {
+		r := prompt(ledger, 880_000)
+		f := newFleet(20)
+		d, _ := f.place(r, 0)
+		Expect(d.Refuse).To(BeFalse())
+		f = newFleet(20)
+		for i := range 20 {
+			f.place(ledger, oleanderspool.Millis(i))
+		}
+		d, found := f.board.Choose(f.servers, engine, r, 30)
+		Expect(found).To(BeTrue())
+		Expect(d.Refuse).To(BeTrue())
+		Expect(d.Load).To(BeNumerically(">", 1000))
+	})
+
 	// Guards against requests that go on to a server that fails.
 	It("avoids a server that failed, longer after each failure", func() {
 		f := newFleet(2)
