Move a stream whose server falls silent

Cause: a server that is cut off or hangs keeps its connections open; its streams, packed up to twelve on a server, ended when their callers gave up after 2 s.

Change: a resumable stream with an attempt left goes on at another server after four pause goals without an event (0.9 s at least), or after twice the predicted time to the first one. The retry draws on the shared budget.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -32,12 +33,16 @@
 	t.lastEvent = t.call.LastEvent
 	out := &relay{t: t, w: w, flush: http.NewResponseController(w)}
 	for {
-		a, found := t.try(t.ctx)
+		ctx, cancel := context.WithCancel(t.ctx)
+		a, found := t.try(ctx, cancel)
 		if !found {
+			cancel()
 			return out.end(t.unplaced(a))
 		}
 		done := t.finishStream(out, &a)
+		a.silence.stop()
 		t.close(a)
+		cancel()
 		if done {
 			return nil
 		}
@@ -91,7 +96,11 @@
 		return true
 	}
 	a.outcome = broken
-	if t.ctx.Err() == nil {
+	if a.silence.stop() {
+		a.outcome = retryable // the retry was drawn from the budget
+		t.g.logger.Warn("stream silent", "request_id", t.call.ID, "instance", a.Server.Instance, "events", out.events, "last_event", t.lastEvent)
+		t.g.shared.avoid(a.Server.Instance)
+	} else if t.ctx.Err() == nil {
 		t.g.logger.Warn("stream broken", "request_id", t.call.ID, "instance", a.Server.Instance, "events", out.events,
 			"last_event", t.lastEvent, "error", err.Error())
 		t.g.shared.avoid(a.Server.Instance)
@@ -157,6 +166,7 @@
 		o.t.g.metrics.FirstToken(int(o.t.call.PromptTokens), o.firstAt-o.t.receivedAt)
 		o.t.g.metrics.Predicted(int(o.t.call.PromptTokens), a.First, o.firstAt-a.placedAt)
 	}
+	a.silence.event()
 	if !a.writing {
 		a.writing = true
 		if a.memory != nil {
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -72,6 +72,34 @@
 		})
 	}
 
+	// Guards against a stream that dies with a server which was cut off: its
+	// connection stays open and nothing comes.
+	for _, c := range []struct {
+		name   string
+		silent platformtest.Behaviour
+	}{
+		{"before its first event", platformtest.Hang},
+		{"between two events", platformtest.Stall(3)},
+	} {
+		It("goes on at another server when its own falls silent "+c.name, func() {
+			w := newWorld(0, 2)
+			asked := make(chan struct{}, 1)
+			w.behave(func(r *platformtest.Runner, rw http.ResponseWriter, q *http.Request) bool {
+				select {
+				case asked <- struct{}{}:
+					return c.silent(r, rw, q)
+				default:
+					return platformtest.Stream(5, 0, gap)(r, rw, q)
+				}
+			})
+			start := time.Now()
+			r := w.send(query{path: "/ask/1", header: prompt})
+			Expect(events(r.body)).To(Equal(ids(5)))
+			Expect(r.err).NotTo(HaveOccurred())
+			Expect(time.Since(start)).To(BeNumerically("<", 2*time.Second))
+		})
+	}
+
 	// Guards against events that are held back.
 	It("is passed on event by event", func() {
 		w := newWorld(0, 1)
--- a/internal/forward/ticket.go
+++ b/internal/forward/ticket.go
@@ -79,6 +79,7 @@
 	outcome  outcome
 	writing  bool          // the first event of a stream has come
 	memory   *reservations // nil without any
+	silence  *silence      // nil without a watch
 }
 
 // close ends the exchange and the work of an attempt.
@@ -105,8 +106,8 @@
 }
 
 // try places the request and sends it once. It reports false when no server is
-// left.
-func (t *ticket) try(ctx context.Context) (attempt, bool) {
+// left. cancel ends ctx when a stream falls silent; nil for no stream.
+func (t *ticket) try(ctx context.Context, cancel context.CancelFunc) (attempt, bool) {
 	t.snapshot = t.g.view.Snapshot()
 	p, found := t.g.shared.place(t.snapshot.Servers(t.service.Name), t.service.Engine, t.load())
 	if !found {
@@ -139,6 +140,9 @@
 		}
 		a.memory = memory
 	}
+	if cancel != nil {
+		a.silence = t.watch(p.First, cancel)
+	}
 	exchange, err := t.g.pool.Do(ctx, p.Server, backend.Request{
 		Method: t.request.Method, Target: t.request.RequestURI, Host: t.request.Host,
 		Header: t.g.format.EncodeForwarded(t.request.Header, forwarded),
@@ -147,6 +151,9 @@
 	a.exchange = exchange
 	a.outcome = t.classify(a, err)
 	t.note(ctx, a, err)
+	if a.outcome == broken && a.silence.stop() {
+		a.outcome = retryable // the retry was drawn from the budget
+	}
 	return a, true
 }
 
