Do not move silent streams; prefer callers who come back as told

Reverted trial: streams moved from servers without an event for 0.9 s or 1.5 s. Cause of the trial: streams on servers that hang end when callers give up. Long passes of loaded servers look the same as hanging ones, and moving their streams loads the others.

Kept: a request that was refused as overloaded and came back is refused again only when it would be late or harm others; entries tell each other.

A stream that its caller has in part goes to a third server when the second one rejects its rest.

--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -82,7 +82,7 @@
 		logger: slog.New(slog.DiscardHandler), metrics: observe.New(), memoryIdle: defaultMemoryIdle,
 		shared: &shared{
 			clock: clock, entry: rand.Uint64() | 1, wake: func() {}, others: func() int { return 0 },
-			board: placement.NewBoard(), crashes: newCrashLedger(),
+			board: placement.NewBoard(), crashes: newCrashLedger(), returns: newReturnLedger(),
 			budgets: make(map[string]*retry.Budget), changed: make(map[placement.WorkID]bool),
 		},
 	}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -26,7 +26,7 @@
 func (t *ticket) runPlain(w http.ResponseWriter) *oleanderspool.Refusal {
 	for {
 		ctx, cancel := t.attemptContext()
-		a, found := t.try(ctx, nil)
+		a, found := t.try(ctx)
 		if !found {
 			cancel()
 			return t.unplaced(a)
--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -24,6 +24,7 @@
 	mu       sync.Mutex
 	board    *placement.Board
 	crashes  *crashLedger
+	returns  *returnLedger
 	budgets  map[string]*retry.Budget
 	lastID   uint64
 	changed  map[placement.WorkID]bool
@@ -163,6 +164,21 @@
 	return s.crashes.count(f, s.clock.Now())
 }
 
+// askBack notes that a request is asked to come back.
+func (s *shared) askBack(f oleanderspool.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.returns.refuse(f, s.clock.Now())
+	s.wake()
+}
+
+// returned reports whether an entry asked a request to come back.
+func (s *shared) returned(f oleanderspool.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.returns.expected(f, s.clock.Now())
+}
+
 func (s *shared) clear(f oleanderspool.Fingerprint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -178,6 +194,7 @@
 	if complete {
 		s.board.Expire(now)
 		s.crashes.expire(now)
+		s.returns.expire(now)
 		for _, w := range s.board.Of(s.entry) {
 			m.Works = append(m.Works, aged(w, now))
 		}
@@ -189,6 +206,7 @@
 		}
 	}
 	m.Crashes = s.crashes.told(now)
+	m.Refused = s.returns.told()
 	for _, t := range s.troubles {
 		if t.For > now {
 			m.Troubles = append(m.Troubles, gossip.Trouble{Server: t.Server, For: t.For - now})
@@ -231,6 +249,9 @@
 	for _, c := range m.Crashes {
 		s.crashes.add(c.Fingerprint, c.Server, now-c.Ago)
 	}
+	for _, f := range m.Refused {
+		s.returns.add(f, now)
+	}
 	for _, t := range m.Troubles {
 		s.board.AvoidUntil(t.Server, now+t.For, now)
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -16,12 +15,11 @@
 
 // relay is the caller's side of a stream.
 type relay struct {
-	t         *ticket
-	w         http.ResponseWriter
-	flush     *http.ResponseController
-	committed bool // the caller has the header
-	events    int
-	firstAt   oleanderspool.Millis
+	t       *ticket
+	w       http.ResponseWriter
+	flush   *http.ResponseController
+	events  int
+	firstAt oleanderspool.Millis
 }
 
 // errCallerLeft says that the caller no longer reads.
@@ -33,16 +31,12 @@
 	t.lastEvent = t.call.LastEvent
 	out := &relay{t: t, w: w, flush: http.NewResponseController(w)}
 	for {
-		ctx, cancel := context.WithCancel(t.ctx)
-		a, found := t.try(ctx, cancel)
+		a, found := t.try(t.ctx)
 		if !found {
-			cancel()
 			return out.end(t.unplaced(a))
 		}
 		done := t.finishStream(out, &a)
-		a.silence.stop()
 		t.close(a)
-		cancel()
 		if done {
 			return nil
 		}
@@ -56,7 +50,7 @@
 // end gives a refusal back if the caller has no part of an answer yet. Else it
 // breaks the answer off, so that it does not look complete.
 func (o *relay) end(r *oleanderspool.Refusal) *oleanderspool.Refusal {
-	if !o.committed {
+	if !o.t.committed {
 		return r
 	}
 	o.t.g.logger.Warn("stream broken off", "request_id", o.t.call.ID, "events", o.events, "last_event", o.t.lastEvent,
@@ -72,7 +66,7 @@
 	}
 	answer := a.exchange.Answer
 	if answer.Status != http.StatusOK {
-		if out.committed {
+		if t.committed {
 			a.outcome = broken
 			return false
 		}
@@ -96,11 +90,7 @@
 		return true
 	}
 	a.outcome = broken
-	if a.silence.stop() {
-		a.outcome = retryable // the retry was drawn from the budget
-		t.g.logger.Warn("stream silent", "request_id", t.call.ID, "instance", a.Server.Instance, "events", out.events, "last_event", t.lastEvent)
-		t.g.shared.avoid(a.Server.Instance)
-	} else if t.ctx.Err() == nil {
+	if t.ctx.Err() == nil {
 		t.g.logger.Warn("stream broken", "request_id", t.call.ID, "instance", a.Server.Instance, "events", out.events,
 			"last_event", t.lastEvent, "error", err.Error())
 		t.g.shared.avoid(a.Server.Instance)
@@ -151,22 +141,21 @@
 	if len(rest) > 0 {
 		return io.ErrUnexpectedEOF
 	}
-	if !o.committed {
+	if !o.t.committed {
 		return io.ErrUnexpectedEOF
 	}
 	return nil
 }
 
 func (o *relay) send(a *attempt, event []byte) error {
-	if !o.committed {
+	if !o.t.committed {
 		o.t.copyHeader(o.w, a.exchange.Header)
 		o.w.WriteHeader(a.exchange.Answer.Status)
-		o.committed = true
+		o.t.committed = true
 		o.firstAt = o.t.g.clock.Now()
 		o.t.g.metrics.FirstToken(int(o.t.call.PromptTokens), o.firstAt-o.t.receivedAt)
 		o.t.g.metrics.Predicted(int(o.t.call.PromptTokens), a.First, o.firstAt-a.placedAt)
 	}
-	a.silence.event()
 	if !a.writing {
 		a.writing = true
 		if a.memory != nil {
--- a/internal/forward/ticket.go
+++ b/internal/forward/ticket.go
@@ -32,6 +32,7 @@
 	sends     int // backend servers that the request was sent to
 	tried     []oleanderspool.InstanceID
 	lastEvent string // id of the last event that the caller has
+	committed bool   // the caller has a part of the answer
 	// execution is what is certain about all attempts so far.
 	execution oleanderspool.Execution
 }
@@ -79,7 +80,6 @@
 	outcome  outcome
 	writing  bool          // the first event of a stream has come
 	memory   *reservations // nil without any
-	silence  *silence      // nil without a watch
 }
 
 // close ends the exchange and the work of an attempt.
@@ -102,12 +102,13 @@
 	return placement.Request{
 		Prompt: t.call.PromptTokens, Answer: answer, Goal: t.route.Goal, PauseGoal: t.route.PauseGoal,
 		Limit: t.remaining(), DataCentre: t.g.dataCentre, Tried: t.tried,
+		Returned: t.g.shared.returned(t.fingerprint),
 	}
 }
 
 // try places the request and sends it once. It reports false when no server is
-// left. cancel ends ctx when a stream falls silent; nil for no stream.
-func (t *ticket) try(ctx context.Context, cancel context.CancelFunc) (attempt, bool) {
+// left.
+func (t *ticket) try(ctx context.Context) (attempt, bool) {
 	t.snapshot = t.g.view.Snapshot()
 	p, found := t.g.shared.place(t.snapshot.Servers(t.service.Name), t.service.Engine, t.load())
 	if !found {
@@ -140,9 +141,6 @@
 		}
 		a.memory = memory
 	}
-	if cancel != nil {
-		a.silence = t.watch(p.First, cancel)
-	}
 	exchange, err := t.g.pool.Do(ctx, p.Server, backend.Request{
 		Method: t.request.Method, Target: t.request.RequestURI, Host: t.request.Host,
 		Header: t.g.format.EncodeForwarded(t.request.Header, forwarded),
@@ -151,9 +149,6 @@
 	a.exchange = exchange
 	a.outcome = t.classify(a, err)
 	t.note(ctx, a, err)
-	if a.outcome == broken && a.silence.stop() {
-		a.outcome = retryable // the retry was drawn from the budget
-	}
 	return a, true
 }
 
@@ -264,12 +259,20 @@
 	if a.outcome != rejected && !t.route.Repeatable() {
 		return false
 	}
-	if t.sends >= t.route.Attempts {
+	if t.sends >= t.route.Attempts && !t.mayReplaceRejection(a) {
 		return false
 	}
 	return t.g.shared.takeRetry(t.service.Name)
 }
 
+// mayReplaceRejection reports whether a stream that its caller has in part may go
+// to one more server in place of one that did not run it. Otherwise the stream
+// would be broken off although a server can finish it. A request without an
+// answer is refused instead, and its caller comes back.
+func (t *ticket) mayReplaceRejection(a attempt) bool {
+	return a.outcome == rejected && t.committed && t.sends < 2*t.route.Attempts
+}
+
 // unplaced is the refusal of a request for which no server was chosen.
 func (t *ticket) unplaced(a attempt) *oleanderspool.Refusal {
 	if a.Refuse {
@@ -284,6 +287,7 @@
 	if t.execution != oleanderspool.NotRun {
 		return t.failure()
 	}
+	t.g.shared.askBack(t.fingerprint)
 	back := jitter(max(comeBack, min(p.Load, t.remaining()/comeBackShare)))
 	return oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "the backend servers are busy").WithRetryAfter(back)
 }
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -20,6 +20,7 @@
 	fieldCrash
 	fieldTrouble
 	fieldPeer
+	fieldRefused
 )
 
 // Fields of a piece of work.
@@ -124,6 +125,9 @@
 	for _, p := range m.Peers {
 		e.text(fieldPeer, p)
 	}
+	for _, f := range m.Refused {
+		e.fixed(fieldRefused, uint64(f))
+	}
 	return e.data
 }
 
@@ -233,6 +237,8 @@
 			return err
 		case fieldPeer:
 			m.Peers = append(m.Peers, string(v.bytes))
+		case fieldRefused:
+			m.Refused = append(m.Refused, oleanderspool.Fingerprint(v.number))
 		}
 		return nil
 	})
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/gossip"
 	"github.com/oleanderspool/oleanderspool/internal/placement"
@@ -24,6 +25,7 @@
 	Ended:    []placement.WorkID{1, 2},
 	Crashes:  []gossip.Crash{{Fingerprint: 11, Server: "s", Ago: 12}},
 	Troubles: []gossip.Trouble{{Server: "s", For: 13}},
+	Refused:  []oleanderspool.Fingerprint{14},
 	Peers:    []string{"127.0.0.1:9"},
 }
 
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -20,7 +20,8 @@
 	Ended    []placement.WorkID
 	Crashes  []Crash
 	Troubles []Trouble
-	Peers    []string // addresses of entries that the sender knows
+	Refused  []oleanderspool.Fingerprint // requests that were asked to come back
+	Peers    []string                    // addresses of entries that the sender knows
 }
 
 // Work is work with the ages of its instants.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -53,6 +53,8 @@
 	Limit      oleanderspool.Millis
 	DataCentre oleanderspool.DataCentreID // of the entry
 	Tried      []oleanderspool.InstanceID // not to be chosen again
+	// Returned says that the request was refused before and came back as told.
+	Returned bool
 }
 
 // Value is what the request loses when it fails.
@@ -106,7 +108,7 @@
 		load += states[i].backlog / float64(len(states))
 	}
 	best.Load = millis(load)
-	best.Cost += readMillis(e, r.Prompt) * busyCost * min(1, load/busyLoad)
+	best.Cost += r.timeCost(readMillis(e, r.Prompt), load)
 	best.Refuse = best.Cost > refusalShare*r.Value()
 	return best, true
 }
@@ -115,6 +117,10 @@
 	// busyCost is the value per ms of reading when the servers are busy: other
 	// requests would have used the time.
 	busyCost = 8e-3
+	// returnedShare is the largest part of its value that the time of a request
+	// may cost which was refused before: it is refused again only when it would be
+	// late or harm others.
+	returnedShare = 0.5
 	// busyLoad is the mean backlog in ms from which servers are fully busy.
 	busyLoad = 1000
 	// refusalShare is the part of a request's value that is lost when it is
@@ -128,6 +134,16 @@
 	abandonPauses = 8
 )
 
+// timeCost is the value of the time in ms that servers with a mean backlog in ms
+// read a prompt.
+func (r Request) timeCost(read, load float64) float64 {
+	cost := read * busyCost * min(1, load/busyLoad)
+	if r.Returned {
+		return min(cost, r.Value()*returnedShare)
+	}
+	return cost
+}
+
 // abandoned is the probability that a caller gives up in a span without an event.
 func abandoned(span float64, goal, pauseGoal oleanderspool.Millis) float64 {
 	limit := max(abandonSpan, abandonGoals*float64(goal), abandonPauses*float64(pauseGoal))
