--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -120,7 +120,7 @@
 	// returnedShare is the largest part of its value that the time of a request
 	// may cost which was refused before: it is refused again only when it would be
 	// late or harm others.
-	returnedShare = 0.5
+	returnedShare = 0.85
 	// busyLoad is the mean backlog in ms from which servers are fully busy.
 	busyLoad = 1000
 	// refusalShare is the part of a request's value that is lost when it is
