--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -7,11 +7,15 @@
 
 	"github.com/oleanderspool/oleanderspool/internal/settings"
 	"github.com/oleanderspool/oleanderspool/pkg/configuration"
+	"github.com/oleanderspool/oleanderspool/platform"
 )
 
+// roleForward is the role of the platform's settings file.
+const roleForward = "forward"
+
 // checkCommand checks files.
 type checkCommand struct {
-	Role   string `long:"role" choice:"entry" choice:"agent" choice:"platform" choice:"engine" choice:"service" choice:"configuration" choice:"change_set" required:"true" description:"What the files hold"`
+	Role   string `long:"role" choice:"entry" choice:"agent" choice:"platform" choice:"engine" choice:"service" choice:"configuration" choice:"change_set" choice:"forward" description:"What the files hold; found out for the platform's settings (forward)"`
 	Silent bool   `long:"quiet" short:"q" description:"Print findings only"`
 }
 
@@ -39,13 +43,22 @@
 	if err != nil {
 		return err
 	}
-	switch c.Role {
+	role := c.Role
+	if role == "" {
+		if !platform.IsSettings(data) {
+			return fmt.Errorf("%s: say with --role what the file holds", file)
+		}
+		role = roleForward
+	}
+	switch role {
+	case roleForward:
+		_, err = platform.ParseSettings(file, data)
 	case "configuration":
 		_, err = configuration.Parse(file, data)
 	case "change_set":
 		_, err = configuration.ParseChangeSet(file, data)
 	default:
-		err = settings.Check(settings.Role(c.Role), file, data)
+		err = settings.Check(settings.Role(role), file, data)
 	}
 	return err
 }
