--- /dev/null
+++ b/internal/command/forward_test.go
@@ -0,0 +1,112 @@
+package command
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/oleanderspool/oleanderspool/platform/platformtest"
+)
+
+var _ = Describe("An entry on the platform", func() {
+	const host = "pegs.example"
+	var (
+		store    *platformtest.Store
+		runner   *platformtest.Runner
+		instance platformtest.Instance
+		session  *gexec.Session
+	)
+
+	BeforeEach(func() {
+		store = platformtest.NewStore(10)
+		DeferCleanup(store.Close)
+		runner = platformtest.NewRunner(store, "runner-1", "llm")
+		DeferCleanup(runner.Close)
+		store.Configure(platformtest.Configuration{
+			Routes:   []platformtest.Route{{Name: "ask", Host: host, Prefix: "/ask/", Kind: "stream", Service: "llm", TimeoutMs: 6000, GoalMs: 300, Attempts: 2, Resumable: true}},
+			Engines:  []string{"llm"},
+			Accounts: map[string][]string{"crew": {"crew-key"}},
+		})
+		instance = platformtest.Instance{Name: "front-1", Listen: freeAddress(), Ready: freeAddress(), Control: freeAddress(), Peer: freeAddress()}
+		variable, err := store.WriteSettings(GinkgoT().TempDir(), instance)
+		Expect(err).NotTo(HaveOccurred())
+		command := exec.Command(program, "forward")
+		command.Env = append(os.Environ(), variable)
+		session, err = gexec.Start(command, GinkgoWriter, GinkgoWriter)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { session.Kill().Wait(startBound) })
+		Eventually(func() int { return httpStatus(instance.Ready, "/") }, startBound, 20*time.Millisecond).Should(Equal(http.StatusOK))
+	})
+
+	ask := func() (string, error) {
+		r, err := http.NewRequest(http.MethodPost, "http://"+instance.Listen+"/ask/1", nil)
+		Expect(err).NotTo(HaveOccurred())
+		r.Host, r.Header = host, platformtest.Caller{ID: "request-1", Key: "crew-key", Prompt: 1000}.Header()
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return "", err
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		return string(body), err
+	}
+
+	// Guards against a stop that cuts a stream, a process that does not end by
+	// itself, and a request that leaves no trace in the log.
+	It("serves, explains what it did, and stops without cutting a stream", func() {
+		runner.Behave(platformtest.Stream(20, 0, 50*time.Millisecond))
+		type result struct {
+			body string
+			err  error
+		}
+		answer := make(chan result, 1)
+		go func() {
+			body, err := ask()
+			answer <- result{body, err}
+		}()
+		Eventually(runner.Runs, startBound, 10*time.Millisecond).Should(Equal(1))
+		session.Signal(syscall.SIGTERM)
+		Eventually(func() int { return httpStatus(instance.Ready, "/") }, startBound, 20*time.Millisecond).Should(Equal(http.StatusServiceUnavailable))
+		var r result
+		Eventually(answer, "6s").Should(Receive(&r))
+		Expect(r.err).NotTo(HaveOccurred())
+		Expect(r.body).To(ContainSubstring("piece 20"))
+		Eventually(session, "8s").Should(gexec.Exit(ExitOK))
+		for _, line := range []string{`"msg":"start"`, `"msg":"configuration in force"`, `"msg":"server ready"`, `"msg":"placed","request_id":"request-1"`, `"msg":"answered","request_id":"request-1"`, `"msg":"stop"`} {
+			Expect(string(session.Out.Contents())).To(ContainSubstring(line))
+		}
+	})
+
+	// Guards against counters that nobody can read.
+	It("serves its counters and logs a reload", func() {
+		runner.Behave(platformtest.Stream(2, 0, 0))
+		_, err := ask()
+		Expect(err).NotTo(HaveOccurred())
+		response, err := http.Get("http://" + instance.Control + "/metrics")
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(ContainSubstring(`oleanderspool_attempts_total{outcome="answered"} 1`))
+		session.Signal(syscall.SIGHUP)
+		Eventually(session.Out, startBound).Should(gbytes.Say(`"msg":"reload"`))
+	})
+})
+
+// httpStatus returns the HTTP status of a path, or 0 without an answer.
+func httpStatus(address, path string) int {
+	response, err := http.Get("http://" + address + path)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
