Let requests wait for slots where that is short

Change: the wait for a slot follows from the usual answer and the slots; a server with as many waiting as slots counts as full.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -187,14 +187,18 @@
 	}
 	helpers := make([]candidate, len(states))
 	for i := range states {
-		helpers[i] = candidate{&states[i], states[i].harm(e, read, largest, true, false, now) + loadCost*states[i].backlog + waitCost*states[i].parts}
+		helpers[i] = candidate{&states[i], states[i].harm(e, read, largest, true, now) + loadCost*states[i].backlog + waitCost*states[i].parts}
 	}
 	slices.SortStableFunc(helpers, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
 	best := Decision{Cost: math.Inf(1)}
 	for i := range states {
 		s := &states[i]
 		d, start := s.assemble(helpers, e, r, parts)
-		d.Cost += s.harm(e, read, largest, parts > 1, true, now) + s.tie(e, r)
+		start = max(start, s.slotWait(e))
+		if math.IsInf(start, 1) {
+			continue
+		}
+		d.Cost += s.harm(e, read, largest, parts > 1, now) + s.tie(e, r)
 		first := start + read*s.stretch() + s.passes(start)
 		d.First = millis(first)
 		d.Cost += r.ownLoss(first)
@@ -269,8 +273,8 @@
 }
 
 // harm is the value that other requests on the server are expected to lose by a
-// prompt or a part of one. request says that a slot is needed too.
-func (s *state) harm(e *directory.Engine, read, largest float64, part, request bool, now oleanderspool.Millis) float64 {
+// prompt or a part of one.
+func (s *state) harm(e *directory.Engine, read, largest float64, part bool, now oleanderspool.Millis) float64 {
 	loss := 0.0
 	for _, w := range s.writers {
 		if w.PauseGoal == 0 {
@@ -285,17 +289,29 @@
 		elapsed := float64(now - w.PlacedAt)
 		loss += w.Value * max(0, w.firstLoss(elapsed+s.backlog+read)-w.firstLoss(elapsed+s.backlog))
 	}
-	if request && s.work >= e.Slots {
-		loss += overfullCost * float64(s.work-e.Slots+1)
-	}
 	return loss
 }
 
-const (
-	// overfullCost is the value lost when a request has to wait for a slot or for
-	// memory.
-	overfullCost = 5
-)
+// overfullCost is the value lost when a request has to wait for memory.
+const overfullCost = 5
+
+// queueShare is the part of a server's slots of requests that may wait for one.
+// A server rejects more at some number that it does not state.
+const queueShare = 1.0
+
+// slotWait returns the time in ms that a new request waits for a slot: the usual
+// answer keeps one, and they become free in turn.
+func (s *state) slotWait(e *directory.Engine) float64 {
+	waiting := s.work - e.Slots + 1
+	switch {
+	case waiting <= 0:
+		return 0
+	case float64(waiting) > queueShare*float64(e.Slots):
+		return math.Inf(1)
+	}
+	answer := math.Ceil(e.UsualAnswer/float64(e.Stride)) * s.pass
+	return float64(waiting) * answer / float64(e.Slots)
+}
 
 // pauseLoss is the part of its value that a stream loses by a pause in ms.
 func (w *Work) pauseLoss(pause float64) float64 {
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -14,7 +14,7 @@
 // engine is a model runner of a size that its users run.
 var engine = &directory.Engine{
 	Slots: 16, MemoryTokens: 450_000, StepMillis: 0.925, SequenceCost: 0.00483, ContextCost: 0.00254,
-	ReadRate: 256, PairCost: 0.0917, Chunk: 2048, Stride: 46, HelpersPerAsk: 16,
+	ReadRate: 256, PairCost: 0.0917, Chunk: 2048, Stride: 46, UsualPrompt: 13_199, UsualAnswer: 1541, HelpersPerAsk: 16,
 }
 
 func servers(n int) []directory.Server {
@@ -153,6 +153,27 @@
 		Expect(d.Load).To(BeNumerically(">", 1000))
 	})
 
+	// Guards against short requests that are refused although a slot is free within
+	// their goal. Seen on versaria-cordel trouble-3: 61 of 2,677.
+	It("lets short requests wait for a slot, and refuses when there is no room", func() {
+		f := newFleet(1)
+		for i := range engine.Slots {
+			_, ids := f.place(question, oleanderspool.Millis(40*i))
+			f.write(ids, oleanderspool.Millis(40*i+30))
+		}
+		for range engine.Slots {
+			d, found := f.board.Choose(f.servers, engine, question, 700)
+			Expect(found).To(BeTrue())
+			if f.board.Count("s00") == engine.Slots {
+				Expect(d.Refuse).To(BeFalse())
+				Expect(d.First).To(BeNumerically("~", 200, 60))
+			}
+			f.place(question, 700)
+		}
+		_, found := f.board.Choose(f.servers, engine, question, 700)
+		Expect(found).To(BeFalse())
+	})
+
 	// Guards against requests that go on to a server that fails.
 	It("avoids a server that failed, longer after each failure", func() {
 		f := newFleet(2)
