--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -23,7 +23,6 @@
 	usedAt    oleanderspool.Millis
 	keepUntil oleanderspool.Millis
 	announced oleanderspool.Millis // idle span that the server announced; 0 for none
-	reused    bool
 }
 
 func newConnection(conn net.Conn, t target) *connection {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -107,7 +107,6 @@
 		p.idle[t] = list[:len(list)-1]
 		p.mu.Unlock()
 		if now < c.keepUntil && now-c.usedAt < limit && c.quiet() {
-			c.reused = true
 			return c
 		}
 		c.close()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -64,9 +64,8 @@
 
 // Service is a group of backend servers that run the same program.
 type Service struct {
-	Name           string
-	MaxConnections int     // connections that a backend server accepts from all callers
-	Engine         *Engine // nil for a plain service
+	Name   string
+	Engine *Engine // nil for a plain service
 }
 
 // Engine describes how the model runners of a service work through requests.
@@ -81,7 +80,6 @@
 	Chunk         int64   // most prompt tokens read per step
 	Stride        int     // steps of a pass with writers
 	HopMillis     float64 // added to a step of a prompt that several runners hold
-	UsualPrompt   float64 // mean prompt, in tokens
 	UsualAnswer   float64 // mean answer, in tokens
 	HelpersPerAsk int     // most helpers of one prompt
 }
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -22,16 +21,6 @@
 	return s.servers[service]
 }
 
-// Server returns a usable server of a service by its instance.
-func (s *Snapshot) Server(service string, instance oleanderspool.InstanceID) (Server, bool) {
-	for _, e := range s.servers[service] {
-		if e.Instance == instance {
-			return e, true
-		}
-	}
-	return Server{}, false
-}
-
 // View collects what is read of the configuration and the registry. Records
 // may arrive out of order and repeatedly; an older one never replaces a newer
 // one. It is safe for concurrent use.
@@ -146,8 +135,3 @@
 	}
 	v.snapshot.Store(&Snapshot{Configuration: v.snapshot.Load().Configuration, servers: servers})
 }
-
-// Compare orders servers by their instance.
-func Compare(a, b Server) int {
-	return strings.Compare(string(a.Instance), string(b.Instance))
-}
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -89,6 +89,25 @@
 		Expect(w.runs()).To(Equal(2))
 	})
 
+	// Guards against ranks of the configuration that have no effect.
+	It("is given the rank of its account, or else of its route", func() {
+		w := newWorld(0, 1)
+		next := configuration
+		next.Ranks = map[string]int{"audit": 0}
+		next.Routes = append([]platformtest.Route(nil), next.Routes...)
+		next.Routes[2].Priority = 3
+		w.store.Configure(next)
+		Eventually(func() int64 { return w.view.Snapshot().Configuration.Version }, settle, poll).Should(Equal(int64(2)))
+		w.behave(platformtest.Stream(1, 0, gap))
+		for _, c := range []struct{ key, path, priority string }{
+			{"crew-key", "/ask/1", "6"}, {"audit-key", "/ask/1", "0"}, {"audit-key", "/audit/1", "1"},
+		} {
+			Expect(w.send(query{path: c.path, key: c.key, prompt: prompt}).status).To(Equal(200))
+			arrivals := w.runners[0].Arrivals()
+			Expect(arrivals[len(arrivals)-1].Priority).To(Equal(c.priority))
+		}
+	})
+
 	// Guards against events that are held back.
 	It("is passed on event by event", func() {
 		w := newWorld(0, 1)
--- a/internal/forward/ticket.go
+++ b/internal/forward/ticket.go
@@ -165,22 +165,29 @@
 	}
 }
 
-// priorities of requests at the backend servers, by the time to the first token
-// that is in time.
 const (
-	urgentGoal     = 500 * oleanderspool.Millis(1)
-	urgentPriority = 3
-	usualPriority  = 5
+	// urgentGoal is the time to the first token up to which a request goes before
+	// others of its rank.
+	urgentGoal = 500 * oleanderspool.Millis(1)
+	// lowestPriority is the last priority at a backend server.
+	lowestPriority = 9
 )
 
+// priority returns the priority at a backend server, 0 first: by the rank of the
+// client account or else of the route, and short requests before long ones.
 func (t *ticket) priority() int {
 	if t.service.Engine == nil {
 		return -1
 	}
-	if t.route.Goal > 0 && t.route.Goal <= urgentGoal {
-		return urgentPriority
+	rank := t.route.Priority
+	if t.account.HasRank {
+		rank = t.account.Priority
 	}
-	return usualPriority
+	priority := 2 * max(0, rank)
+	if t.route.Goal == 0 || t.route.Goal > urgentGoal {
+		priority++
+	}
+	return min(priority, lowestPriority)
 }
 
 // note counts and logs an attempt and remembers what it says about the server.
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -14,7 +14,7 @@
 // engine is a model runner of a size that its users run.
 var engine = &directory.Engine{
 	Slots: 16, MemoryTokens: 450_000, StepMillis: 0.925, SequenceCost: 0.00483, ContextCost: 0.00254,
-	ReadRate: 256, PairCost: 0.0917, Chunk: 2048, Stride: 46, UsualPrompt: 13_199, UsualAnswer: 1541, HelpersPerAsk: 16,
+	ReadRate: 256, PairCost: 0.0917, Chunk: 2048, Stride: 46, UsualAnswer: 1541, HelpersPerAsk: 16,
 }
 
 func servers(n int) []directory.Server {
