Never refuse a request that a server may have begun

Cause: read in the review of the diff: a resumable stream whose server was lost was judged like a new request, and on busy servers broken off as overloaded.

Change: only requests that no server may have begun are refused for load. The test of the refusal now also asks for the resume.

--- a/internal/forward/ticket.go
+++ b/internal/forward/ticket.go
@@ -102,7 +102,7 @@
 	return placement.Request{
 		Prompt: t.call.PromptTokens, Answer: answer, Goal: t.route.Goal, PauseGoal: t.route.PauseGoal,
 		Limit: t.remaining(), DataCentre: t.g.dataCentre, Tried: t.tried,
-		Returned: t.g.shared.returned(t.fingerprint),
+		Returned: t.g.shared.returned(t.fingerprint), Started: t.execution != oleanderspool.NotRun,
 	}
 }
 
@@ -291,9 +291,6 @@
 // overloaded is the refusal of a request that the servers have no time for.
 func (t *ticket) overloaded(p placed) *oleanderspool.Refusal {
 	t.g.logger.Info("not placed", "request_id", t.call.ID, "prompt", t.call.PromptTokens, "cost", p.Cost, "load_ms", int64(p.Load), "predicted_ms", int64(p.First))
-	if t.execution != oleanderspool.NotRun {
-		return t.failure()
-	}
 	t.g.shared.askBack(t.fingerprint)
 	back := jitter(max(comeBack, min(p.Load, t.remaining()/comeBackShare)))
 	return oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "the backend servers are busy").WithRetryAfter(back)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -55,6 +55,9 @@
 	Tried      []oleanderspool.InstanceID // not to be chosen again
 	// Returned says that the request was refused before and came back as told.
 	Returned bool
+	// Started says that a server may have begun the request. It is not refused any
+	// more: its caller may have a part of the answer.
+	Started bool
 }
 
 // Value is what the request loses when it fails.
@@ -109,7 +112,7 @@
 	}
 	best.Load = millis(load)
 	best.Cost += r.timeCost(readMillis(e, r.Prompt), load)
-	best.Refuse = best.Cost > refusalShare*r.Value()
+	best.Refuse = !r.Started && best.Cost > refusalShare*r.Value()
 	return best, true
 }
 
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -151,6 +151,10 @@
 		Expect(found).To(BeTrue())
 		Expect(d.Refuse).To(BeTrue())
 		Expect(d.Load).To(BeNumerically(">", 1000))
+		// A stream whose server was lost goes on, however busy the others are.
+		r.Started = true
+		d, _ = f.board.Choose(f.servers, engine, r, 30)
+		Expect(d.Refuse).To(BeFalse())
 	})
 
 	// Guards against short requests that are refused although a slot is free within
