Pass long answers of plain services on whole

Ruled out: a limit of the backend connection; the rest of the answer stood unread in it.

Change: what exceeds the buffer is passed on as it arrives, with the server's own length if it states one, and the span after which another server is tried no longer applies. An answer whose end does not come is broken off. Answers to HEAD keep the length that the server states.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -138,6 +138,11 @@
 	return n, err
 }
 
+// Length returns the length of the body in bytes that the server states.
+func (e *Exchange) Length() (length int64, stated bool) {
+	return max(0, e.response.ContentLength), e.response.ContentLength >= 0
+}
+
 // Discard reads the body of the answer to its end.
 func (e *Exchange) Discard() error {
 	_, err := io.Copy(io.Discard, e)
--- a/internal/forward/answer_test.go
+++ b/internal/forward/answer_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -74,6 +76,49 @@
 		})
 	}
 
+	// Guards against a long answer that is cut and looks complete.
+	const long = 5 << 20
+	longCases := []struct {
+		name   string
+		length string // header lines that frame the answer
+		sent   int    // bytes of the body
+		whole  bool
+	}{
+		{"with a length", fmt.Sprintf("Content-Length: %d\r\n", long), long, true},
+		{"that ends with its connection", "", long, true},
+		{"that is cut", fmt.Sprintf("Content-Length: %d\r\n", long), long - 1, false},
+	}
+	for _, c := range longCases {
+		It("gets the whole of a long answer "+c.name, func() {
+			w := newWorld(2, 0)
+			w.behave(platformtest.Raw(func(conn net.Conn, id string) {
+				platformtest.WriteRaw(conn, id, true, c.length, strings.Repeat("x", c.sent))
+			}))
+			r := w.send(query{path: "/reserve/1"})
+			Expect(r.status).To(Equal(200))
+			if c.whole {
+				Expect(r.err).NotTo(HaveOccurred())
+				Expect(len(r.body)).To(Equal(long))
+			} else {
+				Expect(r.err).To(HaveOccurred())
+			}
+			Expect(w.runs()).To(Equal(1))
+		})
+	}
+
+	// Guards against an answer without a body that is given the length 0.
+	It("of the method HEAD keeps the length that the server states", func() {
+		w := newWorld(1, 0)
+		w.behave(func(r *platformtest.Runner, rw http.ResponseWriter, q *http.Request) bool {
+			r.Sign(rw, q)
+			rw.Header().Set("Content-Length", "1234")
+			return true
+		})
+		r := w.send(query{path: "/lookup/1", method: http.MethodHead})
+		Expect(r.status).To(Equal(200))
+		Expect(r.header.Get("Content-Length")).To(Equal("1234"))
+	})
+
 	// Guards against a hanging server that holds an idempotent request to its end.
 	It("is sent elsewhere when a server stays silent", func() {
 		w := newWorld(2, 0)
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -1,11 +1,12 @@
 package forward
 
 import (
-	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
@@ -25,15 +26,16 @@
 // runPlain answers a request for a plain service.
 func (t *ticket) runPlain(w http.ResponseWriter) *oleanderspool.Refusal {
 	for {
-		ctx, cancel := t.attemptContext()
+		ctx, limit := t.limitAttempt()
 		a, found := t.try(ctx)
 		if !found {
-			cancel()
+			limit.cancel()
 			return t.unplaced(a)
 		}
+		a.limit = limit
 		done := t.finishPlain(w, &a)
 		t.close(a)
-		cancel()
+		limit.cancel()
 		if done {
 			return nil
 		}
@@ -44,12 +46,27 @@
 	}
 }
 
-// attemptContext bounds an attempt that another server can take over.
-func (t *ticket) attemptContext() (context.Context, context.CancelFunc) {
+// attemptLimit ends an attempt that another server can take over.
+type attemptLimit struct {
+	cancel context.CancelFunc
+	timer  *time.Timer // nil when only the request itself bounds the attempt
+}
+
+// limitAttempt returns the context of an attempt and its limit.
+func (t *ticket) limitAttempt() (context.Context, attemptLimit) {
+	ctx, cancel := context.WithCancel(t.ctx)
+	limit := attemptLimit{cancel: cancel}
 	if t.route.Kind == directory.KindIdempotent && t.sends+1 < t.route.Attempts {
-		return context.WithTimeout(t.ctx, max(hedgeMin, hedgeGoals*t.route.Goal).Duration())
+		limit.timer = time.AfterFunc(max(hedgeMin, hedgeGoals*t.route.Goal).Duration(), cancel)
+	}
+	return ctx, limit
+}
+
+// lift removes the limit: the caller has a part of the answer.
+func (l attemptLimit) lift() {
+	if l.timer != nil {
+		l.timer.Stop()
 	}
-	return context.WithCancel(t.ctx)
 }
 
 // finishPlain passes a complete answer on. It reports false when the request has
@@ -58,11 +75,10 @@
 	if a.outcome != answered {
 		return false
 	}
-	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBuffered))
+	body, complete, err := readStart(a.exchange)
 	if err != nil {
 		a.outcome = broken
-		t.g.logger.Warn("answer incomplete", "request_id", t.call.ID, "instance", a.Server.Instance, "bytes", len(body), "error", err.Error())
-		t.suspect(a.Server)
+		t.incomplete(a, len(body), err)
 		return false
 	}
 	answer := a.exchange.Answer
@@ -79,10 +95,35 @@
 	}
 	t.g.shared.clear(t.fingerprint)
 	t.g.shared.forgive(a.Server.Instance)
-	t.pass(w, a, body)
+	if complete {
+		t.pass(w, a, body)
+	} else {
+		t.passOn(w, a, body)
+	}
 	return true
 }
 
+// readStart reads an answer up to maxBuffered bytes and reports whether that is
+// all of it.
+func readStart(r io.Reader) (body []byte, complete bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(r, maxBuffered))
+	if err != nil || len(body) < maxBuffered {
+		return body, err == nil, err
+	}
+	var next [1]byte
+	n, err := io.ReadFull(r, next[:])
+	if errors.Is(err, io.EOF) {
+		return body, true, nil
+	}
+	return append(body, next[:n]...), false, err
+}
+
+// incomplete notes an answer whose end is missing.
+func (t *ticket) incomplete(a *attempt, size int, err error) {
+	t.g.logger.Warn("answer incomplete", "request_id", t.call.ID, "instance", a.Server.Instance, "bytes", size, "error", err.Error())
+	t.suspect(a.Server)
+}
+
 // passable reports whether an answer may be given to the caller: a success is
 // signed, and a status that promises "not run" does not come from a run.
 func (t *ticket) passable(a oleanderspool.Answer) bool {
@@ -93,16 +134,56 @@
 	return a.Signature != ""
 }
 
-// pass gives the caller an answer of a backend server.
+// pass gives the caller a whole answer of a backend server.
 func (t *ticket) pass(w http.ResponseWriter, a *attempt, body []byte) {
 	t.copyHeader(w, a.exchange.Header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if length, stated := a.exchange.Length(); t.request.Method != http.MethodHead {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	} else if stated {
+		w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	w.WriteHeader(a.exchange.Answer.Status)
+	if _, err := w.Write(body); err != nil {
+		t.left(err)
+	}
+	t.answered(a, len(body))
+}
+
+// passOn gives the caller the start of an answer and then the rest as it arrives.
+// An answer whose end does not come is broken off, so that it does not look
+// complete.
+func (t *ticket) passOn(w http.ResponseWriter, a *attempt, start []byte) {
+	a.limit.lift()
+	t.copyHeader(w, a.exchange.Header)
+	if length, stated := a.exchange.Length(); stated {
+		w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
 	w.WriteHeader(a.exchange.Answer.Status)
-	if _, err := io.Copy(w, bytes.NewReader(body)); err != nil {
-		t.g.logger.Info("caller left", "request_id", t.call.ID, "error", err.Error())
+	if _, err := w.Write(start); err != nil {
+		t.left(err)
+		return
+	}
+	rest, err := io.Copy(w, a.exchange)
+	size := len(start) + int(rest)
+	switch {
+	case err == nil:
+		t.answered(a, size)
+	case t.request.Context().Err() != nil:
+		t.left(err)
+	default:
+		t.incomplete(a, size, err)
+		t.close(*a)
+		panic(http.ErrAbortHandler)
 	}
+}
+
+func (t *ticket) left(err error) {
+	t.g.logger.Info("caller left", "request_id", t.call.ID, "error", err.Error())
+}
+
+func (t *ticket) answered(a *attempt, size int) {
 	t.g.logger.Info("answered", "request_id", t.call.ID, "instance", a.Server.Instance, "status", a.exchange.Answer.Status,
-		"age_ms", int64(t.g.clock.Now()-t.receivedAt), "sends", t.sends)
+		"bytes", size, "age_ms", int64(t.g.clock.Now()-t.receivedAt), "sends", t.sends)
 }
 
 func (t *ticket) copyHeader(w http.ResponseWriter, header http.Header) {
--- a/internal/forward/ticket.go
+++ b/internal/forward/ticket.go
@@ -78,6 +78,7 @@
 	placed
 	exchange *backend.Exchange // nil without an answer
 	outcome  outcome
+	limit    attemptLimit
 	writing  bool          // the first event of a stream has come
 	memory   *reservations // nil without any
 }
