--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -172,7 +172,7 @@
 	slices.SortFunc(reads, func(x, y *Work) int {
 		return cmp.Or(cmp.Compare(x.PlacedAt, y.PlacedAt), cmp.Compare(x.ID, y.ID))
 	})
-	left := remaining(reads, st.stretch(), now)
+	left := remaining(reads, now)
 	for _, i := range readingOrder(reads) {
 		if left[i] == 0 {
 			continue
@@ -208,28 +208,17 @@
 	return order
 }
 
-// writingStretch is the factor by which writing slows reading down: a pass reads
-// up to its stride of chunks beside the steps that it writes.
-const writingStretch = 1.04
-
-func (s state) stretch() float64 {
-	if len(s.writers) == 0 {
-		return 1
-	}
-	return writingStretch
-}
-
 // overdueShare is the part of the time for which a prompt is overdue that its
 // reading is expected to take longer.
 const overdueShare = 0.3
 
 // remaining returns the time in ms that each piece of work, in the order of
 // placement, still has to be read.
-func remaining(works []*Work, stretch float64, now oleanderspool.Millis) []float64 {
+func remaining(works []*Work, now oleanderspool.Millis) []float64 {
 	left := make([]float64, len(works))
 	ended := make([]float64, len(works))
 	for i, w := range works {
-		left[i] = w.Read * stretch
+		left[i] = w.Read
 	}
 	order := readingOrder(works)
 	end := float64(now)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -18,7 +18,10 @@
 	valuePerToken = 1e-4
 	// goalMargin is the part of a goal that a prediction may use up. The rest
 	// covers the network and errors of the prediction.
-	goalMargin = 0.8
+	goalMargin = 0.65
+	// answerDelay is the time in ms beyond the engine's own until the entry has the
+	// first token: the ways of request and answer, and the work of both ends.
+	answerDelay = 50
 	// minPart is the smallest part of a prompt, in tokens, that is worth a helper.
 	minPart = 8000
 	// helperCost is the value of the work that a helper costs beyond its reading.
@@ -199,7 +202,7 @@
 			continue
 		}
 		d.Cost += s.harm(e, read, largest, parts > 1, now) + s.tie(e, r)
-		first := start + read*s.stretch() + s.passes(start)
+		first := start + read + s.passes(start) + answerDelay
 		d.First = millis(first)
 		d.Cost += r.ownLoss(first)
 		if d.Cost < best.Cost {
@@ -342,6 +345,10 @@
 // rest is left for streams whose placement other entries do not know yet.
 const packedShare = 0.75
 
+// packingSlope is the cost of each request beyond the packed ones, relative to the
+// gain of each of those.
+const packingSlope = 4
+
 // packing makes a server with some requests preferable to an empty one, so that
 // servers stay free of streams for long prompts.
 func packing(work, slots int) float64 {
@@ -349,7 +356,7 @@
 	if float64(work) <= full {
 		return -float64(work)
 	}
-	return (float64(work)-full)*2 - full
+	return (float64(work)-full)*packingSlope - full
 }
 
 // missed is the probability that a predicted span exceeds a goal: it rises from
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -51,7 +51,7 @@
 }
 
 // write ends the reading of a request and its helpers' work.
-func (f *fleet) write(ids []placement.WorkID, now oleanderspool.Millis) {
+func (f *fleet) write(ids []placement.WorkID) {
 	f.board.Write(ids[0])
 	for _, id := range ids[1:] {
 		f.board.Remove(id)
@@ -90,7 +90,7 @@
 		for i := range 12 {
 			d, ids := f.place(question, oleanderspool.Millis(100+20*i))
 			Expect(d.Server.Instance).NotTo(Equal(long.Server.Instance))
-			f.write(ids, oleanderspool.Millis(110+20*i))
+			f.write(ids)
 		}
 	})
 
@@ -101,7 +101,7 @@
 		used := map[oleanderspool.InstanceID]bool{}
 		for i := range 10 {
 			d, ids := f.place(question, oleanderspool.Millis(200*i))
-			f.write(ids, oleanderspool.Millis(200*i+60))
+			f.write(ids)
 			used[d.Server.Instance] = true
 		}
 		Expect(len(used)).To(BeNumerically("<=", 2))
@@ -180,7 +180,7 @@
 		f := newFleet(1)
 		for i := range engine.Slots {
 			_, ids := f.place(question, oleanderspool.Millis(40*i))
-			f.write(ids, oleanderspool.Millis(40*i+30))
+			f.write(ids)
 		}
 		for range engine.Slots {
 			d, found := f.board.Choose(f.servers, engine, question, 700)
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -11,10 +11,12 @@
 // stated for.
 const pairUnit = 1e6
 
-// readMillis returns the time in ms that an idle engine takes to read a prompt.
+// readMillis returns the time in ms that an idle engine takes to read a prompt, a
+// chunk in each step.
 func readMillis(e *directory.Engine, tokens int64) float64 {
 	t := float64(tokens)
-	return t/e.ReadRate + t*t/2/pairUnit*e.PairCost
+	steps := math.Ceil(t / float64(max(1, e.Chunk)))
+	return t/e.ReadRate + t*t/2/pairUnit*e.PairCost + steps*e.StepMillis
 }
 
 // passMillis returns the time in ms of a pass that only writes for a number of
