--- a/internal/forward/answer_test.go
+++ b/internal/forward/answer_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/oleanderspool/oleanderspool/internal/gossip"
 	"github.com/oleanderspool/oleanderspool/platform/platformtest"
 )
 
@@ -211,4 +212,25 @@
 		Expect(crashed).To(Equal(2))
 		Expect(w.send(query{path: "/lookup/1"}).status).To(Equal(200))
 	})
+
+	// Guards against a common request that is refused for a minute everywhere
+	// because it was in flight when servers were lost for other reasons (soak, seed
+	// 2000), although it was answered in between.
+	It("is cleared by an answer, also where others tell of the crashes again", func() {
+		w := newWorld(3, 0)
+		w.behave(platformtest.Crash)
+		told := func() []gossip.Crash { return w.gateway.State().Report(true).Crashes }
+		w.send(query{path: "/reserve/1"})
+		Eventually(told, settle, poll).Should(HaveLen(1))
+		crashes := told()
+		w.behave(nil)
+		again := append([]gossip.Crash{{Fingerprint: crashes[0].Fingerprint, Server: "another", Ago: 900}}, crashes...)
+		Eventually(func() int { return w.send(query{path: "/reserve/1"}).status }, settle, poll).Should(Equal(200))
+		m := w.gateway.State().Report(true)
+		Expect(m.Answered).To(ConsistOf(crashes[0].Fingerprint))
+		Expect(m.Crashes).To(BeEmpty())
+		time.Sleep(5 * time.Millisecond)
+		w.gateway.State().Learn(gossip.Message{Entry: 1, Crashes: again})
+		Expect(w.send(query{path: "/reserve/1"}).status).To(Equal(200))
+	})
 })
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"slices"
+
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/gossip"
 )
@@ -24,14 +26,25 @@
 type crashLedger struct {
 	suspects map[oleanderspool.Fingerprint]map[oleanderspool.InstanceID]oleanderspool.Millis
 	own      []gossip.Crash // with the instant in Ago
+	// cleared has the instant at which a suspect was last answered, here or by
+	// another entry. Crashes before it were not caused by the request.
+	cleared map[oleanderspool.Fingerprint]oleanderspool.Millis
+	// answered are suspects whose answer the others were not told yet.
+	answered []oleanderspool.Fingerprint
 }
 
 func newCrashLedger() *crashLedger {
-	return &crashLedger{suspects: make(map[oleanderspool.Fingerprint]map[oleanderspool.InstanceID]oleanderspool.Millis)}
+	return &crashLedger{
+		suspects: make(map[oleanderspool.Fingerprint]map[oleanderspool.InstanceID]oleanderspool.Millis),
+		cleared:  make(map[oleanderspool.Fingerprint]oleanderspool.Millis),
+	}
 }
 
 // add notes a crash.
 func (c *crashLedger) add(f oleanderspool.Fingerprint, server oleanderspool.InstanceID, at oleanderspool.Millis) {
+	if cleared, found := c.cleared[f]; found && at <= cleared {
+		return
+	}
 	servers := c.suspects[f]
 	if servers == nil {
 		if len(c.suspects) >= maxSuspects {
@@ -61,9 +74,29 @@
 	return n
 }
 
-// clear forgets a request that was answered.
-func (c *crashLedger) clear(f oleanderspool.Fingerprint) {
+// clear forgets the crashes of a request that was answered since.
+func (c *crashLedger) clear(f oleanderspool.Fingerprint, at oleanderspool.Millis) {
+	if _, suspected := c.suspects[f]; !suspected {
+		return
+	}
 	delete(c.suspects, f)
+	c.cleared[f] = max(at, c.cleared[f])
+	c.own = slices.DeleteFunc(c.own, func(e gossip.Crash) bool { return e.Fingerprint == f })
+}
+
+// answer clears a request that this entry answered, so that the others are told.
+func (c *crashLedger) answer(f oleanderspool.Fingerprint, now oleanderspool.Millis) {
+	if _, suspected := c.suspects[f]; suspected {
+		c.clear(f, now)
+		c.answered = append(c.answered, f)
+	}
+}
+
+// toldAnswered returns the suspects whose answer to tell the others.
+func (c *crashLedger) toldAnswered() []oleanderspool.Fingerprint {
+	answered := c.answered
+	c.answered = nil
+	return answered
 }
 
 // told returns the crashes to repeat to the others and forgets old ones.
@@ -90,4 +123,9 @@
 			delete(c.suspects, f)
 		}
 	}
+	for f, at := range c.cleared {
+		if now-at >= blockSpan {
+			delete(c.cleared, f)
+		}
+	}
 }
--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -196,7 +196,7 @@
 func (s *shared) clear(f oleanderspool.Fingerprint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.crashes.clear(f)
+	s.crashes.answer(f, s.clock.Now())
 }
 
 // Report implements [gossip.State].
@@ -221,6 +221,7 @@
 	}
 	m.Crashes = s.crashes.told(now)
 	m.Refused = s.returns.told()
+	m.Answered = s.crashes.toldAnswered()
 	for _, t := range s.troubles {
 		if t.For > now {
 			m.Troubles = append(m.Troubles, gossip.Trouble{Server: t.Server, For: t.For - now})
@@ -256,6 +257,9 @@
 	for _, c := range m.Crashes {
 		s.crashes.add(c.Fingerprint, c.Server, now-c.Ago)
 	}
+	for _, f := range m.Answered {
+		s.crashes.clear(f, now)
+	}
 	for _, f := range m.Refused {
 		s.returns.add(f, now)
 	}
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -21,6 +21,7 @@
 	fieldTrouble
 	fieldPeer
 	fieldRefused
+	fieldAnswered
 )
 
 // Fields of a piece of work.
@@ -128,6 +129,9 @@
 	for _, f := range m.Refused {
 		e.fixed(fieldRefused, uint64(f))
 	}
+	for _, f := range m.Answered {
+		e.fixed(fieldAnswered, uint64(f))
+	}
 	return e.data
 }
 
@@ -238,6 +242,8 @@
 			m.Peers = append(m.Peers, string(v.bytes))
 		case fieldRefused:
 			m.Refused = append(m.Refused, oleanderspool.Fingerprint(v.number))
+		case fieldAnswered:
+			m.Answered = append(m.Answered, oleanderspool.Fingerprint(v.number))
 		}
 		return nil
 	})
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -26,6 +26,7 @@
 	Crashes:  []gossip.Crash{{Fingerprint: 11, Server: "s", Ago: 12}},
 	Troubles: []gossip.Trouble{{Server: "s", For: 13}},
 	Refused:  []oleanderspool.Fingerprint{14},
+	Answered: []oleanderspool.Fingerprint{15},
 	Peers:    []string{"127.0.0.1:9"},
 }
 
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -21,6 +21,7 @@
 	Crashes  []Crash
 	Troubles []Trouble
 	Refused  []oleanderspool.Fingerprint // requests that were asked to come back
+	Answered []oleanderspool.Fingerprint // requests of earlier crashes that were answered since
 	Peers    []string                    // addresses of entries that the sender knows
 }
 
