Let one entry read the registry for all

Ruled out: a long poll of the registry, which every heartbeat of a server ends; confirming keys through other entries, since a datagram that waited in the socket of a frozen process would count as fresh proof.

Change: the first of the entries, in an order that all share, reads the registry and tells the others what changed and up to which offset. The others apply it if no record is missing in between, and read themselves 60 ms or more after it was due. Messages carry the sender's clock, so that the delay of a datagram adds to the age of its news. After an outage each entry reads for itself. The wait for a configuration follows from the span for which keys are honoured; a deployment with a shorter one would have refused every key.

Tests: followers that share the registry, the delay of messages, the wait.

--- a/internal/command/forward.go
+++ b/internal/command/forward.go
@@ -67,7 +67,7 @@
 	gateway := forward.New(view, platform.Headers{}, clock, options...)
 	store := platform.NewStore(s.StoreAddress)
 	follower := directory.NewFollower(view, platform.NewConfigurationFeed(store), platform.NewServerFeed(store, clock), clock, logger,
-		directory.WithDrainNotice(s.DrainNotice))
+		directory.WithDrainNotice(s.DrainNotice), directory.WithConfirmation(gateway.KeysHold()), directory.WithSharing(gateway.Sharing()))
 
 	callers, err := listen(s.Listen)
 	if err != nil {
@@ -81,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	gateway.Connect(node.Wake, node.Alive)
+	gateway.Connect(node, follower.Hear)
 
 	// Everything but the callers' server goes on until that has stopped.
 	after, stop := context.WithCancel(context.WithoutCancel(env.ctx))
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/clock"
@@ -31,9 +32,13 @@
 }
 
 const (
-	// configurationWait is how long a read waits for a new configuration. The
+	// configurationWait is the longest wait of a read for a new configuration. The
 	// confirmation is at most so old while the store answers.
-	configurationWait = 1900 * oleanderspool.Millis(1)
+	configurationWait = 2500 * oleanderspool.Millis(1)
+	// confirmShare is the part of the span for which a confirmation holds after
+	// which it is renewed. The rest covers a call without an answer and its
+	// repetition.
+	confirmShare = 0.65
 	// drainShare is the part of the span in which a server that leaves must be
 	// known after which the registry is read again. The rest covers one call that
 	// gets no answer and its repetition.
@@ -55,9 +60,13 @@
 	clock  oleanderspool.Clock
 	logger *slog.Logger
 
+	// wait is the wait of a read for a new configuration.
+	wait           oleanderspool.Millis
 	configurations feedState
 	servers        feedState
 	lapsed         []Change // removals that wait for the end of the grace
+	sharing        Sharing
+	heard          chan heardNews
 	// serverInterval is the span between two reads of the registry. Records of one
 	// interval share a read.
 	serverInterval oleanderspool.Millis
@@ -71,6 +80,24 @@
 	return func(f *Follower) { f.serverInterval = oleanderspool.Millis(float64(span) * drainShare) }
 }
 
+// WithConfirmation sets for how long a confirmation of the configuration holds; 0
+// means for any time.
+func WithConfirmation(span oleanderspool.Millis) FollowerOption {
+	return func(f *Follower) {
+		if span > 0 {
+			f.wait = min(f.wait, oleanderspool.Millis(float64(span)*confirmShare))
+		}
+	}
+}
+
+// WithSharing lets one entry read the registry for all.
+func WithSharing(s Sharing) FollowerOption {
+	return func(f *Follower) { f.sharing = s }
+}
+
+// maxHeard bounds the news that waits to be applied.
+const maxHeard = 16
+
 // feedState is how far a feed was read.
 type feedState struct {
 	name  string
@@ -82,12 +109,14 @@
 	lost       oleanderspool.Millis
 	regainedAt oleanderspool.Millis
 	listEnd    oleanderspool.Offset // end of the last reply of Newest, which may be old
+	freshAt    oleanderspool.Millis // instant at which the last good read was sent, here or by another entry
 }
 
 // NewFollower returns a follower.
 func NewFollower(view *View, configurations, servers Feed, clock oleanderspool.Clock, logger *slog.Logger, options ...FollowerOption) *Follower {
 	f := &Follower{
-		view: view, clock: clock, logger: logger, serverInterval: defaultServerInterval,
+		view: view, clock: clock, logger: logger, wait: configurationWait, serverInterval: defaultServerInterval,
+		sharing: alone{}, heard: make(chan heardNews, maxHeard),
 		configurations: feedState{name: "configuration", feed: configurations},
 		servers:        feedState{name: "servers", feed: servers},
 	}
@@ -103,15 +132,15 @@
 func (f *Follower) RunConfigurations(ctx context.Context) {
 	for ctx.Err() == nil {
 		sentAt, from, waits := f.clock.Now(), f.configurations.next, f.configurations.known
-		changes, ok := f.read(ctx, &f.configurations, configurationWait)
+		changes, ok := f.read(ctx, &f.configurations, f.wait)
 		for _, c := range changes {
 			f.configure(c)
 		}
 		if ok {
 			// A reply that came after the whole wait without a record shows that
 			// there was none until the end of the wait.
-			if waits && f.configurations.next == from && f.clock.Now()-sentAt >= configurationWait {
-				sentAt += configurationWait
+			if waits && f.configurations.next == from && f.clock.Now()-sentAt >= f.wait {
+				sentAt += f.wait
 			}
 			f.view.Confirm(sentAt)
 		} else {
@@ -123,27 +152,61 @@
 // RunServers follows the registry until ctx ends.
 func (f *Follower) RunServers(ctx context.Context) {
 	for ctx.Err() == nil {
-		complete := !f.servers.known
-		changes, ok := f.read(ctx, &f.servers, 0)
-		for _, c := range changes {
-			if c.Removed && f.inGrace() {
-				f.lapsed = append(f.lapsed, c)
-				continue
-			}
-			f.register(c)
-		}
-		if ok && complete {
-			f.keep(changes)
-		}
-		f.removeLapsed()
-		if ok {
-			clock.Sleep(ctx, f.serverInterval)
+		if f.readServers(ctx) {
+			f.awaitTurn(ctx)
 		} else {
 			clock.Sleep(ctx, retryInterval)
 		}
 	}
 }
 
+// readServers reads the registry once, applies what it finds and tells the other
+// entries.
+func (f *Follower) readServers(ctx context.Context) bool {
+	complete, from, sentAt := !f.servers.known, f.servers.next, f.clock.Now()
+	changes, ok := f.read(ctx, &f.servers, 0)
+	var news []Change
+	for _, c := range changes {
+		if c.Removed && f.inGrace() {
+			f.lapsed = append(f.lapsed, c)
+			continue
+		}
+		if f.register(c) {
+			news = append(news, c)
+		}
+	}
+	if ok && complete {
+		f.keep(changes)
+	}
+	f.removeLapsed()
+	if ok {
+		f.servers.freshAt = sentAt
+	}
+	if ok && !complete {
+		f.tell(from, news, sentAt)
+	}
+	return ok
+}
+
+// awaitTurn waits until the registry has to be read again by this entry. News of
+// other entries puts that off.
+func (f *Follower) awaitTurn(ctx context.Context) {
+	for ctx.Err() == nil {
+		left := f.servers.freshAt + f.serverInterval + f.sharing.Turn() - f.clock.Now()
+		if left <= 0 {
+			return
+		}
+		timer := time.NewTimer(left.Duration())
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case n := <-f.heard:
+			f.take(n)
+		}
+		timer.Stop()
+	}
+}
+
 // inGrace reports whether the store came back so recently that entries which
 // lapsed during its outage may be missing.
 func (f *Follower) inGrace() bool {
@@ -224,12 +287,14 @@
 	}
 }
 
-func (f *Follower) register(c Change) {
+// register applies a record and reports whether it changes a server.
+func (f *Follower) register(c Change) bool {
 	if c.Err != nil {
 		f.logger.Debug("server unreadable", "instance", c.Instance, "offset", c.Offset, "error", c.Err.Error())
 	}
-	if !f.view.Register(c.Instance, c.Server, c.Offset) {
-		return
+	changed, another := f.view.Register(c.Instance, c.Server, c.Offset)
+	if !another {
+		return changed
 	}
 	switch {
 	case c.Server == nil:
@@ -239,4 +304,5 @@
 	default:
 		f.logger.Info("server ready", "instance", c.Instance, "address", c.Server.Address, "service", c.Server.Service, "started", c.Server.Started, "offset", c.Offset)
 	}
+	return changed
 }
--- a/internal/directory/follow_test.go
+++ b/internal/directory/follow_test.go
@@ -65,6 +65,8 @@
 		{"does not confirm the wait of a read that found a record", []step{{span: 10, records: 1}, {span: 1905, records: 1}}, 110},
 		{"does not confirm by a failed read", []step{{span: 10, records: 1}, {span: 2600, fails: true}}, 100},
 	}
+	// With this span a read waits for 1900 ms.
+	const holds = 2924 * oleanderspool.Millis(1)
 	for _, c := range cases {
 		It(c.name, func() {
 			ctx, end := context.WithTimeout(context.Background(), 10*time.Second)
@@ -72,8 +74,51 @@
 			manual := clock.NewManual(100)
 			view := directory.NewView()
 			feed := &scriptedFeed{clock: manual, end: end, steps: c.steps}
-			directory.NewFollower(view, feed, feed, manual, slog.New(slog.DiscardHandler)).RunConfigurations(ctx)
+			directory.NewFollower(view, feed, feed, manual, slog.New(slog.DiscardHandler),
+				directory.WithConfirmation(holds)).RunConfigurations(ctx)
 			Expect(view.ConfirmedAt()).To(Equal(c.confirmed))
 		})
 	}
 })
+
+// waitingFeed records the waits that it is asked for.
+type waitingFeed struct {
+	end  context.CancelFunc
+	wait oleanderspool.Millis
+}
+
+func (f *waitingFeed) Newest(context.Context) ([]directory.Change, oleanderspool.Offset, error) {
+	return nil, 0, nil
+}
+
+func (f *waitingFeed) Compacted(error) bool { return false }
+
+func (f *waitingFeed) Read(_ context.Context, from oleanderspool.Offset, wait oleanderspool.Millis) ([]directory.Change, oleanderspool.Offset, error) {
+	f.wait = wait
+	f.end()
+	return nil, from, nil
+}
+
+var _ = Describe("The wait for a configuration", func() {
+	// Guards against keys that expire at every entry while the store answers, in a
+	// deployment with a short bound.
+	cases := []struct {
+		name  string
+		holds oleanderspool.Millis
+		wait  oleanderspool.Millis
+	}{
+		{"is bounded by a confirmation that holds for a short time", 1000, 650},
+		{"leaves room for one call without an answer", 3700, 2405},
+		{"is bounded where confirmations hold for any time", 0, 2500},
+	}
+	for _, c := range cases {
+		It(c.name, func() {
+			ctx, end := context.WithTimeout(context.Background(), 10*time.Second)
+			defer end()
+			feed := &waitingFeed{end: end}
+			directory.NewFollower(directory.NewView(), feed, feed, clock.NewManual(100), slog.New(slog.DiscardHandler),
+				directory.WithConfirmation(c.holds)).RunConfigurations(ctx)
+			Expect(feed.wait).To(Equal(c.wait))
+		})
+	}
+})
--- /dev/null
+++ b/internal/directory/news_test.go
@@ -0,0 +1,88 @@
+package directory_test
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
+)
+
+// countingFeed finds nothing and counts its reads.
+type countingFeed struct {
+	reads atomic.Int32
+	next  oleanderspool.Offset
+}
+
+func (f *countingFeed) Newest(context.Context) ([]directory.Change, oleanderspool.Offset, error) {
+	return []directory.Change{{Offset: 9, Instance: "s", Server: &directory.Server{Instance: "s", Service: "llm", Address: "10.0.0.1:80"}}}, f.next, nil
+}
+
+func (f *countingFeed) Read(_ context.Context, from oleanderspool.Offset, _ oleanderspool.Millis) ([]directory.Change, oleanderspool.Offset, error) {
+	f.reads.Add(1)
+	return nil, from, nil
+}
+
+func (f *countingFeed) Compacted(error) bool { return false }
+
+var _ = Describe("Followers that share the registry", func() {
+	const (
+		notice   = 400 * oleanderspool.Millis(1)
+		interval = 180 * time.Millisecond // of the reads with that notice
+	)
+	var (
+		feed     *countingFeed
+		view     *directory.View
+		follower *directory.Follower
+	)
+
+	BeforeEach(func() {
+		feed = &countingFeed{next: 10}
+		view = directory.NewView()
+		boot := clock.NewBoot()
+		follower = directory.NewFollower(view, feed, feed, boot, slog.New(slog.DiscardHandler), directory.WithDrainNotice(notice))
+		ctx, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		go follower.RunServers(ctx)
+		Eventually(func() int { return len(view.Snapshot().Servers("llm")) }, "5s", time.Millisecond).Should(Equal(1))
+	})
+
+	draining := directory.Change{Offset: 10, Instance: "s", Server: &directory.Server{Instance: "s", Service: "llm", Address: "10.0.0.1:80", Draining: true}}
+
+	// Guards against calls of the store that grow with the number of entries, and
+	// against news that is not acted on.
+	It("apply what another entry read, and do not read meanwhile", func() {
+		for range 10 {
+			follower.Hear(directory.News{From: 10, Next: 11, Changes: []directory.Change{draining}})
+			time.Sleep(interval / 3)
+		}
+		Expect(view.Snapshot().Servers("llm")).To(BeEmpty())
+		Expect(feed.reads.Load()).To(BeNumerically("<=", 1))
+	})
+
+	// Guards against a registry that grows old because other entries fall silent,
+	// tell of old reads, or tell of records after some that are missing here.
+	for _, c := range []struct {
+		name string
+		news directory.News
+	}{
+		{"are silent", directory.News{Age: oleanderspool.Minute}},
+		{"tell of an old read", directory.News{From: 10, Next: 10, Age: notice}},
+		{"tell of records after a gap", directory.News{From: 12, Next: 13, Changes: []directory.Change{draining}}},
+	} {
+		It("read themselves when others "+c.name, func() {
+			for range 10 {
+				follower.Hear(c.news)
+				time.Sleep(interval / 3)
+			}
+			Expect(feed.reads.Load()).To(BeNumerically(">=", 2))
+			Expect(view.Snapshot().Servers("llm")).To(HaveLen(1))
+		})
+	}
+})
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -83,14 +83,14 @@
 }
 
 // Register notes the newest record of a server. A nil server means that the
-// record removes it or cannot be read. It reports whether the set of usable
-// servers changed.
-func (v *View) Register(instance oleanderspool.InstanceID, s *Server, offset oleanderspool.Offset) bool {
+// record removes it or cannot be read. changed reports whether the record says
+// anything new, and another whether the set of usable servers changed.
+func (v *View) Register(instance oleanderspool.InstanceID, s *Server, offset oleanderspool.Offset) (changed, another bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	old, known := v.entries[instance]
 	if known && offset <= old.offset {
-		return false
+		return false, false
 	}
 	r := registration{offset: offset}
 	if s != nil {
@@ -98,10 +98,10 @@
 	}
 	v.entries[instance] = r
 	if known && old.usable == r.usable && (!r.usable || old.server == r.server) {
-		return false
+		return false, false
 	}
 	v.publish()
-	return !known || old.usable != r.usable || !old.server.SameRun(r.server)
+	return true, !known || old.usable != r.usable || !old.server.SameRun(r.server)
 }
 
 // Keep removes the servers that a complete list no longer contains. end is the
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -82,6 +82,7 @@
 		logger: slog.New(slog.DiscardHandler), metrics: observe.New(), memoryIdle: defaultMemoryIdle,
 		shared: &shared{
 			clock: clock, entry: rand.Uint64() | 1, wake: func() {}, others: func() int { return 0 },
+			rank: func() int { return 0 }, hear: func(directory.News) {},
 			board: placement.NewBoard(), crashes: newCrashLedger(), returns: newReturnLedger(),
 			budgets: make(map[string]*retry.Budget), changed: make(map[placement.WorkID]bool),
 		},
@@ -97,10 +98,25 @@
 	return g.shared
 }
 
-// Connect sets how changes of the state are announced and how many other
-// entries there are. It is called before the first request.
-func (g *Gateway) Connect(wake func(), others func() int) {
-	g.shared.wake, g.shared.others = wake, others
+// Sharing returns what connects the follower of the registry with the others.
+func (g *Gateway) Sharing() directory.Sharing {
+	return g.shared
+}
+
+// Entries is what the gateway needs to know of the other entries.
+type Entries interface {
+	// Wake announces a change of the state.
+	Wake()
+	// Alive returns the number of other entries.
+	Alive() int
+	// Rank returns the number of them that come before this one.
+	Rank() int
+}
+
+// Connect sets the other entries, and what is done with their news of the registry.
+// It is called before the first request.
+func (g *Gateway) Connect(entries Entries, hear func(directory.News)) {
+	g.shared.wake, g.shared.others, g.shared.rank, g.shared.hear = entries.Wake, entries.Alive, entries.Rank, hear
 }
 
 // Run maintains the connections to backend servers until ctx ends.
@@ -118,10 +134,19 @@
 	return !c.Keyed() || !g.keysExpired(g.clock.Now()-g.view.ConfirmedAt())
 }
 
+// KeysHold returns for how long after its confirmation a key is honoured; 0 means
+// for any time.
+func (g *Gateway) KeysHold() oleanderspool.Millis {
+	if g.keyFreshness == 0 {
+		return 0
+	}
+	return max(1, g.keyFreshness-keyMargin)
+}
+
 // keysExpired reports whether keys that were confirmed a span ago can no longer
 // be relied on.
 func (g *Gateway) keysExpired(age oleanderspool.Millis) bool {
-	return g.keyFreshness > 0 && age > g.keyFreshness-keyMargin
+	return g.keyFreshness > 0 && age > g.KeysHold()
 }
 
 // Stop makes the entry ask its callers to use other connections, and refuse new
--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -20,6 +20,8 @@
 	extra  float64
 	wake   func()
 	others func() int
+	rank   func() int
+	hear   func(directory.News)
 
 	mu       sync.Mutex
 	board    *placement.Board
@@ -30,9 +32,13 @@
 	changed  map[placement.WorkID]bool
 	ended    []placement.WorkID
 	troubles []gossip.Trouble // with the instant of the end in For
+	news     []directory.News // not told yet
 }
 
-var _ gossip.State = (*shared)(nil)
+var (
+	_ gossip.State      = (*shared)(nil)
+	_ directory.Sharing = (*shared)(nil)
+)
 
 // placed is a request on its servers.
 type placed struct {
@@ -222,6 +228,7 @@
 	m.Crashes = s.crashes.told(now)
 	m.Refused = s.returns.told()
 	m.Answered = s.crashes.toldAnswered()
+	m.News, s.news = s.news, nil
 	for _, t := range s.troubles {
 		if t.For > now {
 			m.Troubles = append(m.Troubles, gossip.Trouble{Server: t.Server, For: t.For - now})
@@ -232,12 +239,42 @@
 	return m
 }
 
+const (
+	// turnStep is the span between the reads of two entries that both miss the news
+	// of the others. It covers a call of the store and a datagram.
+	turnStep = 60 * oleanderspool.Millis(1)
+	// lateStep is that span after the first turnSteps entries, so that many entries
+	// take turns within the notice of a server that leaves.
+	lateStep  = 10 * oleanderspool.Millis(1)
+	turnSteps = 3
+	// maxTurn bounds the span for any number of entries.
+	maxTurn = 450 * oleanderspool.Millis(1)
+)
+
+// Turn implements [directory.Sharing].
+func (s *shared) Turn() oleanderspool.Millis {
+	rank := s.rank()
+	first := min(rank, turnSteps)
+	return min(maxTurn, oleanderspool.Millis(first)*turnStep+oleanderspool.Millis(rank-first)*lateStep)
+}
+
+// Tell implements [directory.Sharing].
+func (s *shared) Tell(n directory.News) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.news = append(s.news, n)
+	s.wake()
+}
+
 func aged(w placement.Work, now oleanderspool.Millis) gossip.Work {
 	return gossip.Work{Work: w, PlacedAgo: now - w.PlacedAt}
 }
 
 // Learn implements [gossip.State].
 func (s *shared) Learn(m gossip.Message) {
+	for _, n := range m.News {
+		s.hear(n)
+	}
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/placement"
 )
 
@@ -22,6 +23,8 @@
 	fieldPeer
 	fieldRefused
 	fieldAnswered
+	fieldSentAt
+	fieldNews
 )
 
 // Fields of a piece of work.
@@ -42,6 +45,27 @@
 	fieldWorkPart
 )
 
+// Fields of news and of its changes.
+const (
+	fieldNewsFrom protowire.Number = iota + 1
+	fieldNewsNext
+	fieldNewsAge
+	fieldNewsChange
+)
+
+// Fields of a change of the registry.
+const (
+	fieldChangeOffset protowire.Number = iota + 1
+	fieldChangeInstance
+	fieldChangeService
+	fieldChangeAddress
+	fieldChangeDataCentre
+	fieldChangeStarted
+	fieldChangeSlots
+	fieldChangeDraining
+	fieldChangeColdLeft
+)
+
 // Fields of a crash and of a trouble.
 const (
 	fieldServer protowire.Number = iota + 1
@@ -132,6 +156,10 @@
 	for _, f := range m.Answered {
 		e.fixed(fieldAnswered, uint64(f))
 	}
+	e.span(fieldSentAt, m.SentAt)
+	for _, n := range m.News {
+		e.nested(fieldNews, func(e *encoder) { encodeNews(e, n) })
+	}
 	return e.data
 }
 
@@ -151,6 +179,27 @@
 	e.flag(fieldWorkPart, w.Part)
 }
 
+func encodeNews(e *encoder, n directory.News) {
+	e.number(fieldNewsFrom, uint64(max(0, n.From)))
+	e.number(fieldNewsNext, uint64(max(0, n.Next)))
+	e.span(fieldNewsAge, n.Age)
+	for _, c := range n.Changes {
+		e.nested(fieldNewsChange, func(e *encoder) {
+			e.number(fieldChangeOffset, uint64(max(0, c.Offset)))
+			e.text(fieldChangeInstance, string(c.Instance))
+			if s := c.Server; s != nil {
+				e.text(fieldChangeService, s.Service)
+				e.text(fieldChangeAddress, s.Address)
+				e.text(fieldChangeDataCentre, string(s.DataCentre))
+				e.number(fieldChangeStarted, uint64(max(0, s.Started)))
+				e.number(fieldChangeSlots, uint64(max(0, s.Slots)))
+				e.flag(fieldChangeDraining, s.Draining)
+				e.span(fieldChangeColdLeft, s.ColdUntil)
+			}
+		})
+	}
+}
+
 // value is a decoded field.
 type value struct {
 	number uint64
@@ -161,6 +210,10 @@
 	return oleanderspool.Millis(min(v.number, uint64(oleanderspool.Hour)))
 }
 
+func (v value) offset() oleanderspool.Offset {
+	return oleanderspool.Offset(min(v.number, math.MaxInt64))
+}
+
 func (v value) float() float64 {
 	f := float64(math.Float32frombits(uint32(v.number)))
 	if math.IsNaN(f) || math.IsInf(f, 0) {
@@ -244,12 +297,75 @@
 			m.Refused = append(m.Refused, oleanderspool.Fingerprint(v.number))
 		case fieldAnswered:
 			m.Answered = append(m.Answered, oleanderspool.Fingerprint(v.number))
+		case fieldSentAt:
+			m.SentAt = oleanderspool.Millis(min(v.number, math.MaxInt64))
+		case fieldNews:
+			n, err := decodeNews(v.bytes)
+			m.News = append(m.News, n)
+			return err
 		}
 		return nil
 	})
 	return m, err
 }
 
+func decodeNews(data []byte) (directory.News, error) {
+	var n directory.News
+	err := fields(data, func(number protowire.Number, v value) error {
+		switch number {
+		case fieldNewsFrom:
+			n.From = v.offset()
+		case fieldNewsNext:
+			n.Next = v.offset()
+		case fieldNewsAge:
+			n.Age = v.millis()
+		case fieldNewsChange:
+			c, err := decodeChange(v.bytes)
+			n.Changes = append(n.Changes, c)
+			return err
+		}
+		return nil
+	})
+	return n, err
+}
+
+// decodeChange decodes a change of the registry. One without an address removes
+// its server.
+func decodeChange(data []byte) (directory.Change, error) {
+	var c directory.Change
+	var s directory.Server
+	err := fields(data, func(n protowire.Number, v value) error {
+		switch n {
+		case fieldChangeOffset:
+			c.Offset = v.offset()
+		case fieldChangeInstance:
+			c.Instance = v.instance()
+		case fieldChangeService:
+			s.Service = string(v.bytes)
+		case fieldChangeAddress:
+			s.Address = string(v.bytes)
+		case fieldChangeDataCentre:
+			s.DataCentre = oleanderspool.DataCentreID(v.bytes)
+		case fieldChangeStarted:
+			s.Started = int64(min(v.number, math.MaxInt64))
+		case fieldChangeSlots:
+			s.Slots = int(min(v.number, math.MaxInt32))
+		case fieldChangeDraining:
+			s.Draining = v.number == 1
+		case fieldChangeColdLeft:
+			s.ColdUntil = v.millis()
+		}
+		return nil
+	})
+	if s.Address == "" {
+		c.Removed = true
+		return c, err
+	}
+	s.Instance = c.Instance
+	c.Server = &s
+	return c, err
+}
+
 func decodeEvent(data []byte) (server oleanderspool.InstanceID, fingerprint oleanderspool.Fingerprint, span oleanderspool.Millis, err error) {
 	err = fields(data, func(n protowire.Number, v value) error {
 		switch n {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/clock"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/gossip"
 	"github.com/oleanderspool/oleanderspool/internal/placement"
 )
@@ -27,7 +28,14 @@
 	Troubles: []gossip.Trouble{{Server: "s", For: 13}},
 	Refused:  []oleanderspool.Fingerprint{14},
 	Answered: []oleanderspool.Fingerprint{15},
-	Peers:    []string{"127.0.0.1:9"},
+	SentAt:   16,
+	News: []directory.News{{From: 17, Next: 20, Age: 18, Changes: []directory.Change{
+		{Offset: 17, Instance: "gone", Removed: true},
+		{Offset: 19, Instance: "s", Server: &directory.Server{
+			Instance: "s", Service: "llm", Address: "10.0.0.1:80", DataCentre: "a", Started: 5, Slots: 16, Draining: true, ColdUntil: 21,
+		}},
+	}}},
+	Peers: []string{"127.0.0.1:9"},
 }
 
 var _ = Describe("A message", func() {
@@ -128,4 +136,34 @@
 			return append([]uint64(nil), a.lost...)
 		}, "10s").Should(ContainElement(uint64(2)))
 	})
+
+	// Guards against news that waited in a socket, for example of a process that was
+	// frozen, and then counts as fresh.
+	It("add the delay of a message to the age of its news", func() {
+		a, address := join(1)
+		b, err := net.Dial("udp4", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer b.Close()
+		age := func() oleanderspool.Millis {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			if news := a.heard[2].News; len(news) > 0 {
+				return news[0].Age
+			}
+			return -1
+		}
+		send := func(sentAt oleanderspool.Millis) {
+			_, err := b.Write(gossip.Encode(gossip.Message{Entry: 2, SentAt: sentAt, News: []directory.News{{Next: 1, Age: 5}}}))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		start := time.Now()
+		elapsed := func() oleanderspool.Millis { return 10_000 + oleanderspool.Millis(time.Since(start).Milliseconds()) }
+		send(elapsed())
+		Eventually(a.knows, "5s").Should(Equal(1))
+		Expect(age()).To(BeEquivalentTo(-1), "the delay of the first message is unknown")
+		send(elapsed())
+		Eventually(age, "5s", time.Millisecond).Should(BeNumerically("~", 5, 50))
+		send(elapsed() - 3000)
+		Eventually(age, "5s", time.Millisecond).Should(BeNumerically(">=", 2900))
+	})
 })
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -6,6 +6,7 @@
 
 import (
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/placement"
 )
 
@@ -21,6 +22,8 @@
 	Crashes  []Crash
 	Troubles []Trouble
 	Refused  []oleanderspool.Fingerprint // requests that were asked to come back
+	SentAt   oleanderspool.Millis        // by the clock of the sender
+	News     []directory.News            // of the registry of backend servers
 	Answered []oleanderspool.Fingerprint // requests of earlier crashes that were answered since
 	Peers    []string                    // addresses of entries that the sender knows
 }
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -45,6 +45,9 @@
 	heardAt oleanderspool.Millis // 0 when never
 	addedAt oleanderspool.Millis
 	seed    bool
+	// offset is the smallest difference seen between the own clock at the arrival of
+	// a message and the sender's clock at its sending. A larger one means a delay.
+	offset oleanderspool.Millis
 }
 
 // Node exchanges messages with the other entries.
@@ -57,6 +60,7 @@
 	wake   chan struct{}
 
 	mu    sync.Mutex
+	entry uint64 // of this entry; 0 before its first message
 	peers map[netip.AddrPort]*peer
 }
 
@@ -102,6 +106,20 @@
 	return alive
 }
 
+// Rank returns the number of other entries, heard of lately, that come before this
+// one in an order that all entries share.
+func (n *Node) Rank() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	rank := 0
+	for _, p := range n.peers {
+		if p.entry != 0 && p.entry < n.entry {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Run sends and receives until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = n.conn.Close() }) // ends receive
@@ -131,7 +149,9 @@
 // tell sends a message to every peer. Complete messages name the peers that are
 // alive and also go to silent addresses.
 func (n *Node) tell(m Message) {
+	m.SentAt = n.clock.Now()
 	n.mu.Lock()
+	n.entry = m.Entry
 	var targets []netip.AddrPort
 	for a, p := range n.peers {
 		if p.entry != 0 {
@@ -188,6 +208,7 @@
 		lost = p.entry
 	}
 	isNew := p.entry != m.Entry
+	n.age(p, &m, isNew)
 	p.entry, p.name, p.heardAt = m.Entry, m.Name, n.clock.Now()
 	for _, a := range m.Peers {
 		n.add(a, false)
@@ -205,6 +226,21 @@
 	n.state.Learn(m)
 }
 
+// age adds the delay of a message to the ages that it states. A message may have
+// waited in the socket while this process was frozen. The delay of the first
+// message of an entry is unknown, so its news is not used.
+func (n *Node) age(p *peer, m *Message, isNew bool) {
+	offset := n.clock.Now() - m.SentAt
+	if isNew {
+		p.offset, m.News = offset, nil
+		return
+	}
+	p.offset = min(p.offset, offset)
+	for i := range m.News {
+		m.News[i].Age += offset - p.offset
+	}
+}
+
 // expire forgets entries that fell silent.
 func (n *Node) expire() {
 	now := n.clock.Now()
