Let requests wait for the first configuration; confirm at once after a failed read

Ruled out: unknown servers (known 0.02 to 0.18 s after the start), the readiness of entries (none was ready, so the balancer sent requests to all).

Change: within 0.6 s of its start, an entry lets requests wait until configuration and servers are known. A read of the configuration after a failed one does not wait. A confirmation is renewed after 0.55 of the span for which it holds.

--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -37,8 +37,8 @@
 	configurationWait = 2500 * oleanderspool.Millis(1)
 	// confirmShare is the part of the span for which a confirmation holds after
 	// which it is renewed. The rest covers a call without an answer and its
-	// repetition.
-	confirmShare = 0.65
+	// repetition at a store that is slow.
+	confirmShare = 0.55
 	// drainShare is the part of the span in which a server that leaves must be
 	// known after which the registry is read again. The rest covers one call that
 	// gets no answer and its repetition.
@@ -128,19 +128,26 @@
 
 // RunConfigurations follows the configuration until ctx ends. What a read shows
 // is counted from its sending: this process may have been frozen between the
-// arrival of the reply and its handling.
+// arrival of the reply and its handling. A read after a failed one does not wait,
+// so that it confirms at once.
 func (f *Follower) RunConfigurations(ctx context.Context) {
+	failed := false
 	for ctx.Err() == nil {
+		wait := f.wait
+		if failed {
+			wait = 0
+		}
 		sentAt, from, waits := f.clock.Now(), f.configurations.next, f.configurations.known
-		changes, ok := f.read(ctx, &f.configurations, f.wait)
+		changes, ok := f.read(ctx, &f.configurations, wait)
+		failed = !ok
 		for _, c := range changes {
 			f.configure(c)
 		}
 		if ok {
 			// A reply that came after the whole wait without a record shows that
 			// there was none until the end of the wait.
-			if waits && f.configurations.next == from && f.clock.Now()-sentAt >= f.wait {
-				sentAt += f.wait
+			if waits && f.configurations.next == from && f.clock.Now()-sentAt >= wait {
+				sentAt += wait
 			}
 			f.view.Confirm(sentAt)
 		} else {
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -30,6 +30,8 @@
 	entries   map[oleanderspool.InstanceID]registration
 	snapshot  atomic.Pointer[Snapshot]
 	confirmed atomic.Int64 // instant; 0 before the first read
+	known     chan struct{}
+	isKnown   bool
 }
 
 // registration is the newest record of a server.
@@ -41,7 +43,7 @@
 
 // NewView returns a view that knows nothing.
 func NewView() *View {
-	v := &View{entries: make(map[oleanderspool.InstanceID]registration)}
+	v := &View{entries: make(map[oleanderspool.InstanceID]registration), known: make(chan struct{})}
 	v.snapshot.Store(&Snapshot{servers: make(map[string][]Server)})
 	return v
 }
@@ -51,6 +53,20 @@
 	return v.snapshot.Load()
 }
 
+// Known returns a channel that is closed once a configuration and a server are
+// known.
+func (v *View) Known() <-chan struct{} {
+	return v.known
+}
+
+// noteKnown closes the channel of Known when it is time.
+func (v *View) noteKnown() {
+	if s := v.snapshot.Load(); !v.isKnown && s.Configuration != nil && len(v.entries) > 0 {
+		v.isKnown = true
+		close(v.known)
+	}
+}
+
 // Confirm notes that a read that was sent at the given instant was answered, so
 // that the configuration in force contains everything up to it.
 func (v *View) Confirm(sentAt oleanderspool.Millis) {
@@ -79,6 +95,7 @@
 	}
 	v.offset = offset
 	v.snapshot.Store(&Snapshot{Configuration: c, servers: old.servers})
+	v.noteKnown()
 	return true
 }
 
@@ -134,4 +151,5 @@
 		}
 	}
 	v.snapshot.Store(&Snapshot{Configuration: v.snapshot.Load().Configuration, servers: servers})
+	v.noteKnown()
 }
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -1,11 +1,13 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -25,14 +27,20 @@
 	// comeBack is the mean span after which a caller should send a request again
 	// that could not be served for a moment.
 	comeBack = 400 * oleanderspool.Millis(1)
+	// startSpan is the span after the start in which requests wait for the first
+	// configuration. Reading a large one over a slow link takes some 300 ms, and a
+	// caller that is refused meanwhile comes back later than that.
+	startSpan = 600 * oleanderspool.Millis(1)
 )
 
 // admit checks a request and reads its body. The ticket is never nil.
 func (g *Gateway) admit(r *http.Request) (*ticket, *oleanderspool.Refusal) {
 	t := &ticket{
 		g: g, request: r, call: g.format.DecodeCall(r.Header),
-		receivedAt: g.clock.Now(), snapshot: g.view.Snapshot(),
+		receivedAt: g.clock.Now(),
 	}
+	g.awaitStart(r.Context())
+	t.snapshot = g.view.Snapshot()
 	t.confirmedAge = t.receivedAt - g.view.ConfirmedAt()
 	if g.closed() {
 		return t, g.unavailable(oleanderspool.RefusalStopping, "the entry stops")
@@ -68,6 +76,27 @@
 	return t, nil
 }
 
+// awaitStart waits shortly after the start until a configuration and the servers
+// are known.
+func (g *Gateway) awaitStart(ctx context.Context) {
+	select {
+	case <-g.view.Known():
+		return
+	default:
+	}
+	left := g.startedAt + startSpan - g.clock.Now()
+	if left <= 0 {
+		return
+	}
+	timer := time.NewTimer(left.Duration())
+	defer timer.Stop()
+	select {
+	case <-g.view.Known():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // deny refuses a request that the configuration does not allow. While the
 // configuration is not confirmed the caller is asked to come back instead.
 func (t *ticket) deny(reason oleanderspool.RefusalReason, message string) *oleanderspool.Refusal {
--- a/internal/forward/configuration_test.go
+++ b/internal/forward/configuration_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"time"
 
@@ -11,6 +13,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
+	"github.com/oleanderspool/oleanderspool/internal/forward"
+	"github.com/oleanderspool/oleanderspool/platform"
 	"github.com/oleanderspool/oleanderspool/platform/platformtest"
 )
 
@@ -36,6 +41,47 @@
 		})
 	}
 
+	// Guards against callers that an entry turns away while it starts although it
+	// can serve them a moment later, and against callers that wait for a store that
+	// does not answer.
+	starts := []struct {
+		name   string
+		after  time.Duration // until the entry begins to read; 0 for never
+		status int
+		within time.Duration
+	}{
+		{"is awaited by requests while the entry starts", 200 * time.Millisecond, http.StatusOK, time.Second},
+		{"is not awaited for long", 0, http.StatusServiceUnavailable, 900 * time.Millisecond},
+	}
+	for _, c := range starts {
+		It(c.name, func() {
+			w := newWorld(1, 0)
+			view := directory.NewView()
+			gateway := forward.New(view, platform.Headers{}, w.clock, forward.WithRetryBudget(0.2, 20))
+			server := httptest.NewServer(gateway)
+			DeferCleanup(server.Close)
+			if c.after > 0 {
+				store := platform.NewStore(w.store.Address())
+				follower := directory.NewFollower(view, platform.NewConfigurationFeed(store), platform.NewServerFeed(store, w.clock), w.clock, slog.New(slog.DiscardHandler))
+				ctx, stop := context.WithCancel(context.Background())
+				DeferCleanup(stop)
+				time.AfterFunc(c.after, func() {
+					go follower.RunConfigurations(ctx)
+					go follower.RunServers(ctx)
+				})
+			}
+			w.address = server.Listener.Addr().String()
+			start := time.Now()
+			Expect(w.send(query{path: "/lookup/1"}).status).To(Equal(c.status))
+			Expect(time.Since(start)).To(BeNumerically("<", c.within))
+			if c.after == 0 {
+				start = time.Now()
+				Expect(w.send(query{path: "/lookup/1"}).status).To(Equal(c.status))
+				Expect(time.Since(start)).To(BeNumerically("<", 200*time.Millisecond), "later requests are refused at once")
+			}
+		})
+	}
+
 	It("is in force soon after it was written", func() {
 		w := newWorld(1, 0)
 		next := configuration
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -71,6 +71,7 @@
 	keyFreshness oleanderspool.Millis
 	memoryIdle   oleanderspool.Millis
 	shared       *shared
+	startedAt    oleanderspool.Millis
 	stoppingAt   atomic.Int64 // instant; 0 while it does not stop
 	running      atomic.Int64
 }
@@ -80,6 +81,7 @@
 	g := &Gateway{
 		view: view, pool: backend.NewPool(clock), format: format, clock: clock,
 		logger: slog.New(slog.DiscardHandler), metrics: observe.New(), memoryIdle: defaultMemoryIdle,
+		startedAt: clock.Now(),
 		shared: &shared{
 			clock: clock, entry: rand.Uint64() | 1, wake: func() {}, others: func() int { return 0 },
 			rank: func() int { return 0 }, hear: func(directory.News) {},
