--- a/internal/command/forward.go
+++ b/internal/command/forward.go
@@ -69,11 +69,7 @@
 	follower := directory.NewFollower(view, platform.NewConfigurationFeed(store), platform.NewServerFeed(store, clock), clock, logger,
 		directory.WithDrainNotice(s.DrainNotice), directory.WithConfirmation(gateway.KeysHold()), directory.WithSharing(gateway.Sharing()))
 
-	callers, err := listen(s.Listen)
-	if err != nil {
-		return err
-	}
-	ready, err := listen(s.ReadyListen)
+	listeners, err := listenForward(s)
 	if err != nil {
 		return err
 	}
@@ -96,23 +92,39 @@
 	run(follower.RunServers)
 	run(gateway.Run)
 	run(node.Run)
-	group.Go(func() error { return serveHTTP(after, ready, readyHandler(gateway), logger) })
-	if s.AdminListen.IsValid() {
-		admin, err := listen(s.AdminListen)
-		if err != nil {
-			stop()
-			return err
-		}
-		group.Go(func() error { return serveHTTP(after, admin, metrics.Handler(), logger) })
+	group.Go(func() error { return serveHTTP(after, listeners.ready, readyHandler(gateway), logger) })
+	if listeners.admin != nil {
+		group.Go(func() error { return serveHTTP(after, listeners.admin, metrics.Handler(), logger) })
 	}
 	group.Go(func() error {
 		defer stop()
 		defer node.Leave()
-		return forward.NewServer(gateway).Serve(env.ctx, callers, s.StopGrace)
+		return forward.NewServer(gateway).Serve(env.ctx, listeners.callers, s.StopGrace)
 	})
 	return group.Wait()
 }
 
+// forwardListeners are the open addresses of an entry on the platform.
+type forwardListeners struct {
+	callers, ready net.Listener
+	admin          net.Listener // nil when the settings name none
+}
+
+func listenForward(s platform.Settings) (forwardListeners, error) {
+	var l forwardListeners
+	var err error
+	if l.callers, err = listen(s.Listen); err != nil {
+		return l, err
+	}
+	if l.ready, err = listen(s.ReadyListen); err != nil {
+		return l, err
+	}
+	if s.AdminListen.IsValid() {
+		l.admin, err = listen(s.AdminListen)
+	}
+	return l, err
+}
+
 // readyHandler answers questions whether the entry takes connections.
 func readyHandler(g *forward.Gateway) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
