Make the soak find planted faults; never break off an answer at the limit of its attempt

Read in the review: the span after which another server is tried could end a long answer between its last check and its first byte.

Change: more faults, longer ones of the store, streams that end within an event. The limit of an attempt is lifted before the answer begins, or the attempt counts as broken.

--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -62,11 +62,10 @@
 	return ctx, limit
 }
 
-// lift removes the limit: the caller has a part of the answer.
-func (l attemptLimit) lift() {
-	if l.timer != nil {
-		l.timer.Stop()
-	}
+// lift removes the limit before the caller gets a part of the answer. It reports
+// false when the attempt has been ended already.
+func (l attemptLimit) lift() bool {
+	return l.timer == nil || l.timer.Stop()
 }
 
 // finishPlain passes a complete answer on. It reports false when the request has
@@ -97,9 +96,13 @@
 	t.g.shared.forgive(a.Server.Instance)
 	if complete {
 		t.pass(w, a, body)
-	} else {
-		t.passOn(w, a, body)
+		return true
+	}
+	if !a.limit.lift() {
+		a.outcome = broken
+		return false
 	}
+	t.passOn(w, a, body)
 	return true
 }
 
@@ -153,7 +156,6 @@
 // An answer whose end does not come is broken off, so that it does not look
 // complete.
 func (t *ticket) passOn(w http.ResponseWriter, a *attempt, start []byte) {
-	a.limit.lift()
 	t.copyHeader(w, a.exchange.Header)
 	if length, stated := a.exchange.Length(); stated {
 		w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -79,14 +79,18 @@
 func (c *chaos) run(length time.Duration) {
 	end := time.Now().Add(length)
 	for time.Now().Before(end) {
-		c.begin(c.draw(), time.Duration(200+c.rng.IntN(2500))*time.Millisecond)
-		time.Sleep(time.Duration(100+c.rng.IntN(500)) * time.Millisecond)
+		c.begin(c.draw())
+		time.Sleep(time.Duration(50+c.rng.IntN(300)) * time.Millisecond)
 	}
 	c.running.Wait()
 }
 
 // begin starts a fault unless its place is disturbed already.
-func (c *chaos) begin(f fault, length time.Duration) {
+func (c *chaos) begin(f fault) {
+	length := time.Duration(200+c.rng.IntN(2500)) * time.Millisecond
+	if f.part.kind == "store" && c.rng.IntN(3) == 0 {
+		length *= 3 // keys must not be honoured that long
+	}
 	c.mu.Lock()
 	if f.part.kind != "plan" && c.busy[f.part] {
 		c.mu.Unlock()
@@ -127,9 +131,9 @@
 // draw draws a fault.
 func (c *chaos) draw() fault {
 	switch n := c.rng.IntN(10); {
-	case n < 3:
+	case n < 2:
 		return c.entryFault()
-	case n < 5:
+	case n < 4:
 		return c.storeFault()
 	case n < 8:
 		return c.serverFault()
@@ -252,7 +256,7 @@
 func (c *chaos) serverFault() fault {
 	i := c.rng.IntN(len(c.fleet.servers))
 	s, p := c.fleet.servers[i], part{"server", i}
-	if c.rng.IntN(2) == 0 {
+	if c.rng.IntN(4) == 0 {
 		return relayFault(c.rng, p, s.relay)
 	}
 	behaviours := []struct {
@@ -272,6 +276,7 @@
 			platformtest.WriteRaw(conn, id, true, fmt.Sprintf("Content-Length: %d\r\n", len(body)), body)
 			platformtest.WriteRaw(conn, id, true, fmt.Sprintf("Content-Length: %d\r\n", len(body)), body)
 		})},
+		{"ends streams within an event", endWithin},
 		{"writes noise", platformtest.Raw(func(conn net.Conn, _ string) { _, _ = conn.Write([]byte("\x00\x01\r\n\r\n")) })},
 	}
 	b := behaviours[c.rng.IntN(len(behaviours))]
@@ -292,6 +297,17 @@
 	}
 }
 
+// endWithin ends a stream without a length in the middle of an event, as if it were
+// complete.
+func endWithin(r *platformtest.Runner, w http.ResponseWriter, q *http.Request) bool {
+	if q.Header.Get("X-Token-Count") == "" || q.Header.Get("Last-Event-Id") != "" {
+		return false
+	}
+	return platformtest.Raw(func(conn net.Conn, id string) {
+		platformtest.WriteRaw(conn, id, true, "Connection: close\r\n", "id: 1\ndata: piece 1\n\nid: 2\ndata: pie")
+	})(r, w, q)
+}
+
 // breakOff breaks a stream off in the middle of an event.
 func breakOff(r *platformtest.Runner, w http.ResponseWriter, q *http.Request) bool {
 	if q.Header.Get("X-Token-Count") == "" {
