Take no confirmation from newest records, which may be old

Requests ran 5.1 to 6.6 s after their key had been taken away. The entry had just started; its configuration came from the newest record of each key, a reply that may be seconds old while the store forgets its history, and counted as confirmed.

Ruled out: a freeze and a cut; the log has the old version confirmed 2 ms before.

Change: newest records confirm nothing; a read of the records after them, without a wait, does. The registry is read on at once likewise. A configuration that was never confirmed has no age; before, the first seconds of a process passed the bound.

--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -128,29 +128,30 @@
 
 // RunConfigurations follows the configuration until ctx ends. What a read shows
 // is counted from its sending: this process may have been frozen between the
-// arrival of the reply and its handling. A read after a failed one does not wait,
-// so that it confirms at once.
+// arrival of the reply and its handling. The newest records of each key confirm
+// nothing, since they may be seconds old. A read after them or after a failed one
+// does not wait, so that it confirms at once.
 func (f *Follower) RunConfigurations(ctx context.Context) {
-	failed := false
+	confirmed := false
 	for ctx.Err() == nil {
 		wait := f.wait
-		if failed {
+		if !confirmed {
 			wait = 0
 		}
 		sentAt, from, waits := f.clock.Now(), f.configurations.next, f.configurations.known
 		changes, ok := f.read(ctx, &f.configurations, wait)
-		failed = !ok
+		confirmed = ok && waits
 		for _, c := range changes {
 			f.configure(c)
 		}
-		if ok {
+		if confirmed {
 			// A reply that came after the whole wait without a record shows that
 			// there was none until the end of the wait.
-			if waits && f.configurations.next == from && f.clock.Now()-sentAt >= wait {
+			if f.configurations.next == from && f.clock.Now()-sentAt >= wait {
 				sentAt += wait
 			}
 			f.view.Confirm(sentAt)
-		} else {
+		} else if !ok {
 			clock.Sleep(ctx, retryInterval)
 		}
 	}
@@ -186,7 +187,8 @@
 		f.keep(changes)
 	}
 	f.removeLapsed()
-	if ok {
+	// The newest records may be seconds old, so those after them are read at once.
+	if ok && (!complete || !f.servers.known) {
 		f.servers.freshAt = sentAt
 	}
 	if ok && !complete {
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -53,15 +54,15 @@
 	return v.snapshot.Load()
 }
 
-// Known returns a channel that is closed once a configuration and a server are
-// known.
+// Known returns a channel that is closed once a confirmed configuration and a
+// server are known.
 func (v *View) Known() <-chan struct{} {
 	return v.known
 }
 
 // noteKnown closes the channel of Known when it is time.
 func (v *View) noteKnown() {
-	if s := v.snapshot.Load(); !v.isKnown && s.Configuration != nil && len(v.entries) > 0 {
+	if s := v.snapshot.Load(); !v.isKnown && s.Configuration != nil && v.confirmed.Load() != 0 && len(v.entries) > 0 {
 		v.isKnown = true
 		close(v.known)
 	}
@@ -70,12 +71,10 @@
 // Confirm notes that a read that was sent at the given instant was answered, so
 // that the configuration in force contains everything up to it.
 func (v *View) Confirm(sentAt oleanderspool.Millis) {
-	for {
-		old := v.confirmed.Load()
-		if int64(sentAt) <= old || v.confirmed.CompareAndSwap(old, int64(sentAt)) {
-			return
-		}
-	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.confirmed.Store(max(v.confirmed.Load(), int64(sentAt)))
+	v.noteKnown()
 }
 
 // ConfirmedAt returns the instant up to which the configuration is confirmed,
@@ -84,6 +83,15 @@
 	return oleanderspool.Millis(v.confirmed.Load())
 }
 
+// Age returns the span since the instant up to which the configuration is
+// confirmed. It exceeds every bound when it never was.
+func (v *View) Age(now oleanderspool.Millis) oleanderspool.Millis {
+	if at := v.ConfirmedAt(); at != 0 {
+		return now - at
+	}
+	return math.MaxInt32
+}
+
 // Configure puts a configuration in force and reports whether it is newer than
 // the one in force.
 func (v *View) Configure(c *Configuration, offset oleanderspool.Offset) bool {
--- a/internal/directory/view_test.go
+++ b/internal/directory/view_test.go
@@ -60,3 +60,16 @@
 		Expect(v.ConfirmedAt()).To(Equal(oleanderspool.Millis(7)))
 	})
 })
+
+var _ = Describe("The age of the configuration", func() {
+	// Guards against keys that are honoured in the first seconds of a process that
+	// has not confirmed them: its clock begins near 0.
+	It("exceeds every bound before the first confirmation", func() {
+		v := directory.NewView()
+		Expect(v.Age(1000)).To(BeNumerically(">", oleanderspool.Hour))
+		v.Confirm(900)
+		Expect(v.Age(1000)).To(BeEquivalentTo(100))
+		v.Confirm(800)
+		Expect(v.Age(1000)).To(BeEquivalentTo(100))
+	})
+})
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -41,7 +41,7 @@
 	}
 	g.awaitStart(r.Context())
 	t.snapshot = g.view.Snapshot()
-	t.confirmedAge = t.receivedAt - g.view.ConfirmedAt()
+	t.confirmedAge = g.view.Age(t.receivedAt)
 	if g.closed() {
 		return t, g.unavailable(oleanderspool.RefusalStopping, "the entry stops")
 	}
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -133,7 +133,7 @@
 	if g.stopping() || c == nil {
 		return false
 	}
-	return !c.Keyed() || !g.keysExpired(g.clock.Now()-g.view.ConfirmedAt())
+	return !c.Keyed() || !g.keysExpired(g.view.Age(g.clock.Now()))
 }
 
 // KeysHold returns for how long after its confirmation a key is honoured; 0 means
