Share the loop that calls a function at each interval

The loop 'ticker, wake or end of the context' of the agent stood again in internal/backend, internal/forward and twice in internal/entry. It is now clock.Every; the method of the agent is gone. Behaviour is unchanged. The loops of internal/gossip and of the callers' server stay: they tell their events apart.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -235,11 +235,14 @@
 	}
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error { return peer.Serve(serving, l, &handler{Agent: a}, &handler{Agent: a}) })
-	group.Go(func() error { a.loop(serving, pumpInterval, a.wake, a.pump); return nil })
-	group.Go(func() error { a.loop(serving, a.reportEvery, nil, a.tick); return nil })
+	group.Go(func() error { clock.Every(serving, pumpInterval, a.wake, a.pump); return nil })
+	group.Go(func() error { clock.Every(serving, a.reportEvery, nil, a.tick); return nil })
 	group.Go(func() error { a.pullConfiguration(serving); return nil })
 	if a.engine != nil {
-		group.Go(func() error { a.loop(serving, a.reportEvery, nil, func() { a.observeEngine(serving) }); return nil })
+		group.Go(func() error {
+			clock.Every(serving, a.reportEvery, nil, func() { a.observeEngine(serving) })
+			return nil
+		})
 		group.Go(func() error { a.runOrders(serving); return nil })
 	}
 	a.logger.Info("agent started", "instance", a.identity.Instance, "incarnation", a.incarnation)
@@ -254,21 +257,6 @@
 	return err
 }
 
-// loop calls f at each interval and whenever wake receives, until ctx ends.
-func (a *Agent) loop(ctx context.Context, interval oleanderspool.Millis, wake <-chan struct{}, f func()) {
-	ticker := time.NewTicker(interval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-wake:
-		}
-		f()
-	}
-}
-
 // drain announces that the agent leaves and waits until nothing runs.
 func (a *Agent) drain(ctx context.Context) {
 	a.mu.Lock()
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -8,11 +8,11 @@
 	"net"
 	"sync"
 	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 )
 
@@ -176,18 +176,9 @@
 }
 
 // pollInterval is how often an idle pool is swept.
-const pollInterval = time.Second
+const pollInterval = oleanderspool.Second
 
 // Run sweeps the pool until ctx ends.
 func (p *Pool) Run(ctx context.Context) {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.Sweep()
-		}
-	}
+	clock.Every(ctx, pollInterval, nil, p.Sweep)
 }
--- a/internal/clock/sleep.go
+++ b/internal/clock/sleep.go
@@ -16,3 +16,19 @@
 	case <-t.C:
 	}
 }
+
+// Every calls f after each span of milliseconds and whenever wake receives, until
+// ctx ends. A nil wake never receives.
+func Every(ctx context.Context, span oleanderspool.Millis, wake <-chan struct{}, f func()) {
+	ticker := time.NewTicker(span.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-wake:
+		}
+		f()
+	}
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -48,14 +48,7 @@
 	go m.poll(ctx)
 	began := m.entry.clock.Now()
 	before := false
-	ticker := time.NewTicker(membershipTick.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, membershipTick, nil, func() {
 		m.mu.Lock()
 		now := m.entry.clock.Now()
 		m.handle(m.table.Tick(now))
@@ -68,7 +61,7 @@
 		before = known
 		m.mu.Unlock()
 		m.forecast()
-	}
+	})
 }
 
 // reportsPerSecond bounds the reports of all watched agents together. At about
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -118,28 +118,20 @@
 
 // append appends what is due until ctx ends.
 func (s *suspects) append(ctx context.Context) {
-	ticker := time.NewTicker(suspectTick.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-s.wake:
-		}
+	clock.Every(ctx, suspectTick, s.wake, func() {
 		s.mu.Lock()
 		now := s.clock.Now()
 		s.state.Tick(now)
 		records := s.state.Outbox(now)
 		s.mu.Unlock()
 		if len(records) == 0 {
-			continue
+			return
 		}
 		// A failed append is repeated until the records were read.
 		if _, err := s.log.Append(ctx, oleanderspool.StreamSuspect, records); err != nil {
 			s.report("suspect_append_failed")
 		}
-	}
+	})
 }
 
 func (s *suspects) hasten() {
--- a/internal/forward/memory.go
+++ b/internal/forward/memory.go
@@ -6,10 +6,10 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/backend"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/placement"
 )
@@ -88,22 +88,18 @@
 
 func (r *reservations) renew(ctx context.Context, e reservation) {
 	defer r.done.Done()
-	ticker := time.NewTicker(renewInterval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	clock.Every(ctx, renewInterval, nil, func() {
+		if r.expired() {
+			r.g.logger.Warn("reservation unused", "instance", e.server.Instance, "reservation", e.id, "held_ms", int64(r.g.clock.Now()-r.since))
+			stop()
 			return
-		case <-ticker.C:
-			if r.expired() {
-				r.g.logger.Warn("reservation unused", "instance", e.server.Instance, "reservation", e.id, "held_ms", int64(r.g.clock.Now()-r.since))
-				return
-			}
-			if !r.g.order(ctx, e.server, r.g.format.ReserveOrder(e.server.Instance, e.id, e.tokens, memoryLease)) && ctx.Err() == nil {
-				r.g.logger.Warn("renewal failed", "instance", e.server.Instance, "reservation", e.id)
-			}
 		}
-	}
+		if !r.g.order(ctx, e.server, r.g.format.ReserveOrder(e.server.Instance, e.id, e.tokens, memoryLease)) && ctx.Err() == nil {
+			r.g.logger.Warn("renewal failed", "instance", e.server.Instance, "reservation", e.id)
+		}
+	})
 }
 
 // release ends the renewals and then the reservations.
