--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -172,8 +172,9 @@
 	slices.SortFunc(reads, func(x, y *Work) int {
 		return cmp.Or(cmp.Compare(x.PlacedAt, y.PlacedAt), cmp.Compare(x.ID, y.ID))
 	})
-	left := remaining(reads, now)
-	for _, i := range readingOrder(reads) {
+	order := readingOrder(reads)
+	left := remaining(reads, order, now)
+	for _, i := range order {
 		if left[i] == 0 {
 			continue
 		}
@@ -212,15 +213,14 @@
 // reading is expected to take longer.
 const overdueShare = 0.3
 
-// remaining returns the time in ms that each piece of work, in the order of
-// placement, still has to be read.
-func remaining(works []*Work, now oleanderspool.Millis) []float64 {
+// remaining returns the time in ms that each piece of work still has to be read, by
+// a server that reads in the given order what has been placed.
+func remaining(works []*Work, order []int, now oleanderspool.Millis) []float64 {
 	left := make([]float64, len(works))
 	ended := make([]float64, len(works))
 	for i, w := range works {
 		left[i] = w.Read
 	}
-	order := readingOrder(works)
 	end := float64(now)
 	for t := 0.0; t < end; {
 		next, current := end, -1
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -184,6 +184,16 @@
 	cost float64
 }
 
+// candidates returns the servers, the cheapest first.
+func candidates(states []state, harms []float64) []candidate {
+	list := make([]candidate, len(states))
+	for i := range states {
+		list[i] = candidate{&states[i], harms[i] + loadCost*states[i].backlog}
+	}
+	slices.SortStableFunc(list, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
+	return list
+}
+
 // chooseParts returns the best placement of a prompt that is read in a number of
 // even parts.
 func chooseParts(states []state, e *directory.Engine, r Request, parts int, now oleanderspool.Millis) Decision {
@@ -193,11 +203,14 @@
 	if parts > 1 {
 		largest = min(read, max(largest, float64(e.Chunk*int64(e.Stride))/float64(max(tokens, 1))*read))
 	}
-	helpers := make([]candidate, len(states))
+	harms := make([]float64, len(states))
 	for i := range states {
-		helpers[i] = candidate{&states[i], states[i].harm(e, read, largest, true, now) + loadCost*states[i].backlog}
+		harms[i] = states[i].harm(e, read, largest, parts > 1, now)
+	}
+	var helpers []candidate
+	if parts > 1 {
+		helpers = candidates(states, harms)
 	}
-	slices.SortStableFunc(helpers, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
 	best := Decision{Cost: math.Inf(1)}
 	for i := range states {
 		s := &states[i]
@@ -206,7 +219,7 @@
 		if math.IsInf(start, 1) {
 			continue
 		}
-		d.Cost += s.harm(e, read, largest, parts > 1, now) + s.tie(e, r)
+		d.Cost += harms[i] + s.tie(e, r)
 		first := start + read + s.passes(start) + answerDelay
 		d.First = millis(first)
 		d.Cost += r.ownLoss(first)
