Note an answer in one call

Clearing a request and forgiving its server always came together, each with the lock, and the name of the first no longer said what it does.

--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -92,8 +92,7 @@
 		a.outcome = broken
 		return false
 	}
-	t.g.shared.clear(t.fingerprint)
-	t.g.shared.forgive(a.Server.Instance)
+	t.g.shared.answered(t.fingerprint, a.Server.Instance)
 	if complete {
 		t.pass(w, a, body)
 		return true
--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -132,12 +132,6 @@
 	s.wake()
 }
 
-func (s *shared) forgive(server oleanderspool.InstanceID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.board.Forgive(server)
-}
-
 // admit counts a request for the budget of its service.
 func (s *shared) admit(service string) {
 	s.mu.Lock()
@@ -199,10 +193,12 @@
 	return s.returns.expected(f, s.clock.Now())
 }
 
-func (s *shared) clear(f oleanderspool.Fingerprint) {
+// answered notes that a server answered a request.
+func (s *shared) answered(f oleanderspool.Fingerprint, server oleanderspool.InstanceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.crashes.answer(f, s.clock.Now())
+	s.board.Forgive(server)
 }
 
 // Report implements [gossip.State].
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -79,8 +79,7 @@
 	err := out.copy(a)
 	switch {
 	case err == nil:
-		t.g.shared.clear(t.fingerprint)
-		t.g.shared.forgive(a.Server.Instance)
+		t.g.shared.answered(t.fingerprint, a.Server.Instance)
 		t.g.logger.Info("answered", "request_id", t.call.ID, "instance", a.Server.Instance, "events", out.events,
 			"first_ms", int64(out.firstAt-t.receivedAt), "predicted_ms", int64(a.First), "helpers", len(a.Helpers),
 			"age_ms", int64(t.g.clock.Now()-t.receivedAt), "sends", t.sends)
