Keep the platform's words out of the soak

Headers and the ready path stood in internal/soak. The stand-in's own decoding of a request is now platformtest.DecodeArrival, which the runner and the soak share, and the kinds of route have names there. The checks are unchanged.

--- a/internal/command/forward_test.go
+++ b/internal/command/forward_test.go
@@ -31,7 +31,7 @@
 		runner = platformtest.NewRunner(store, "runner-1", "llm")
 		DeferCleanup(runner.Close)
 		store.Configure(platformtest.Configuration{
-			Routes:   []platformtest.Route{{Name: "ask", Host: host, Prefix: "/ask/", Kind: "stream", Service: "llm", TimeoutMs: 6000, GoalMs: 300, Attempts: 2, Resumable: true}},
+			Routes:   []platformtest.Route{{Name: "ask", Host: host, Prefix: "/ask/", Kind: platformtest.KindStream, Service: "llm", TimeoutMs: 6000, GoalMs: 300, Attempts: 2, Resumable: true}},
 			Engines:  []string{"llm"},
 			Accounts: map[string][]string{"crew": {"crew-key"}},
 		})
--- a/internal/forward/configuration_test.go
+++ b/internal/forward/configuration_test.go
@@ -85,7 +85,7 @@
 	It("is in force soon after it was written", func() {
 		w := newWorld(1, 0)
 		next := configuration
-		next.Routes = append(next.Routes[:1:1], platformtest.Route{Name: "new", Host: host, Prefix: "/new/", Kind: "idempotent", Service: "app", TimeoutMs: 1000, Attempts: 1})
+		next.Routes = append(next.Routes[:1:1], platformtest.Route{Name: "new", Host: host, Prefix: "/new/", Kind: platformtest.KindIdempotent, Service: "app", TimeoutMs: 1000, Attempts: 1})
 		w.store.Configure(next)
 		Eventually(func() int { return w.send(query{path: "/new/1"}).status }, "1s", poll).Should(Equal(200))
 		Expect(w.send(query{path: "/lookup/1"}).status).To(Equal(http.StatusNotFound))
--- a/internal/forward/world_test.go
+++ b/internal/forward/world_test.go
@@ -56,12 +56,12 @@
 
 var configuration = platformtest.Configuration{
 	Routes: []platformtest.Route{
-		{Name: "reserve", Host: host, Prefix: "/reserve/", Kind: "non_idempotent", Service: "app", TimeoutMs: 1500, GoalMs: 150, Attempts: 2},
-		{Name: "lookup", Host: host, Prefix: "/lookup/", Kind: "idempotent", Service: "app", TimeoutMs: 3000, GoalMs: 150, Attempts: 2},
-		{Name: "ask", Host: host, Prefix: "/ask/", Kind: "stream", Service: "llm", TimeoutMs: 5000, GoalMs: 300, PauseMs: 200, Attempts: 2, Resumable: true},
-		{Name: "audit", Host: host, Prefix: "/audit/", Kind: "stream", Service: "llm", TimeoutMs: 15000, GoalMs: 3000, PauseMs: 800, Attempts: 2, Resumable: true},
-		{Name: "once", Host: host, Prefix: "/ask/once/", Kind: "stream", Service: "llm", TimeoutMs: 5000, GoalMs: 300, PauseMs: 200, Attempts: 2},
-		{Name: "open", Host: host, Prefix: "/open/", Kind: "idempotent", Service: "app", TimeoutMs: 3000, Attempts: 1, Public: true},
+		{Name: "reserve", Host: host, Prefix: "/reserve/", Kind: platformtest.KindOnce, Service: "app", TimeoutMs: 1500, GoalMs: 150, Attempts: 2},
+		{Name: "lookup", Host: host, Prefix: "/lookup/", Kind: platformtest.KindIdempotent, Service: "app", TimeoutMs: 3000, GoalMs: 150, Attempts: 2},
+		{Name: "ask", Host: host, Prefix: "/ask/", Kind: platformtest.KindStream, Service: "llm", TimeoutMs: 5000, GoalMs: 300, PauseMs: 200, Attempts: 2, Resumable: true},
+		{Name: "audit", Host: host, Prefix: "/audit/", Kind: platformtest.KindStream, Service: "llm", TimeoutMs: 15000, GoalMs: 3000, PauseMs: 800, Attempts: 2, Resumable: true},
+		{Name: "once", Host: host, Prefix: "/ask/once/", Kind: platformtest.KindStream, Service: "llm", TimeoutMs: 5000, GoalMs: 300, PauseMs: 200, Attempts: 2},
+		{Name: "open", Host: host, Prefix: "/open/", Kind: platformtest.KindIdempotent, Service: "app", TimeoutMs: 3000, Attempts: 1, Public: true},
 	},
 	Services: []string{"app"}, Engines: []string{"llm"},
 	Accounts: map[string][]string{"crew": {"crew-key", "spare-key"}, "audit": {"audit-key"}},
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -303,7 +303,7 @@
 // endWithin ends a stream without a length in the middle of an event, as if it were
 // complete.
 func endWithin(r *platformtest.Runner, w http.ResponseWriter, q *http.Request) bool {
-	if q.Header.Get("X-Token-Count") == "" || q.Header.Get("Last-Event-Id") != "" {
+	if a := platformtest.DecodeArrival(q); !a.Prompt || a.LastEvent != "" {
 		return false
 	}
 	return platformtest.Raw(func(conn net.Conn, id string) {
@@ -313,7 +313,7 @@
 
 // breakOff breaks a stream off in the middle of an event.
 func breakOff(r *platformtest.Runner, w http.ResponseWriter, q *http.Request) bool {
-	if q.Header.Get("X-Token-Count") == "" {
+	if !platformtest.DecodeArrival(q).Prompt {
 		return false
 	}
 	return platformtest.Stream(20, 1+rand.IntN(19), 20*time.Millisecond)(r, w, q)
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -32,10 +32,10 @@
 }
 
 var routes = []route{
-	{platformtest.Route{Name: "reserve", Prefix: "/reserve/", Kind: "non_idempotent", Service: "app", TimeoutMs: 2500, GoalMs: 150, Attempts: 2}, true, 0, 0},
-	{platformtest.Route{Name: "lookup", Prefix: "/lookup/", Kind: "idempotent", Service: "app", TimeoutMs: 2500, GoalMs: 150, Attempts: 2}, false, 0, 0},
-	{platformtest.Route{Name: "ask", Prefix: "/ask/", Kind: "stream", Service: "llm", TimeoutMs: 5000, GoalMs: 300, PauseMs: 200, Attempts: 2, Resumable: true}, false, 3000, 20},
-	{platformtest.Route{Name: "audit", Prefix: "/audit/", Kind: "stream", Service: "llm", TimeoutMs: 6000, GoalMs: 3000, PauseMs: 800, Attempts: 2, Resumable: true}, false, 600_000, 20},
+	{platformtest.Route{Name: "reserve", Prefix: "/reserve/", Kind: platformtest.KindOnce, Service: "app", TimeoutMs: 2500, GoalMs: 150, Attempts: 2}, true, 0, 0},
+	{platformtest.Route{Name: "lookup", Prefix: "/lookup/", Kind: platformtest.KindIdempotent, Service: "app", TimeoutMs: 2500, GoalMs: 150, Attempts: 2}, false, 0, 0},
+	{platformtest.Route{Name: "ask", Prefix: "/ask/", Kind: platformtest.KindStream, Service: "llm", TimeoutMs: 5000, GoalMs: 300, PauseMs: 200, Attempts: 2, Resumable: true}, false, 3000, 20},
+	{platformtest.Route{Name: "audit", Prefix: "/audit/", Kind: platformtest.KindStream, Service: "llm", TimeoutMs: 6000, GoalMs: 3000, PauseMs: 800, Attempts: 2, Resumable: true}, false, 600_000, 20},
 }
 
 // accounts returns the keys in force: a key of its own for each round of
@@ -102,7 +102,7 @@
 
 func (e *entry) ready() bool {
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + e.instance.Ready + "/-/readyz")
+	response, err := client.Get("http://" + e.instance.Ready)
 	if err != nil {
 		return false
 	}
@@ -242,12 +242,13 @@
 
 // answer is how a healthy backend server answers.
 func answer(r *platformtest.Runner, w http.ResponseWriter, q *http.Request) bool {
-	if q.Header.Get("X-Token-Count") != "" {
+	a := platformtest.DecodeArrival(q)
+	if a.Prompt {
 		return platformtest.Stream(20, 0, 20*time.Millisecond)(r, w, q)
 	}
 	time.Sleep(10 * time.Millisecond)
 	r.Sign(w, q)
-	_, _ = fmt.Fprint(w, wholeAnswer(q.Header.Get("X-Request-Id"))) // the caller may have left
+	_, _ = fmt.Fprint(w, wholeAnswer(a.ID)) // the caller may have left
 	return true
 }
 
