Confirm no key by a read that leaves out later records

Cause: the end of the topic in a reply was not decoded, so a reply cut off by its size limit counted as a full confirmation of the configuration until the next read, milliseconds later; a key taken away in the part that was left out was honoured meanwhile. The same held for the registry and what is told to other entries. Ruled out: records of more than a reply (the store takes 256 KiB, a reply 1 MiB). Before: "does not confirm by a reply that leaves out later records" fails (red with the condition removed). After: internal/directory, platform and internal/forward pass.

--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -19,14 +19,23 @@
 	Err           error // why the record cannot be read
 }
 
+// Batch is the reply to a read of a feed.
+type Batch struct {
+	Changes []Change
+	Next    oleanderspool.Offset // to read from next
+	// More reports that the feed already had later changes, which the reply had no
+	// room for.
+	More bool
+}
+
 // Feed reads a sequence of changes.
 type Feed interface {
-	// Newest returns the newest change of each key and the offset to read from
-	// next. Some changes may be newer than that offset.
-	Newest(ctx context.Context) ([]Change, oleanderspool.Offset, error)
-	// Read returns the changes from an offset on and the offset to read from
-	// next. Without a change it waits up to the given span.
-	Read(ctx context.Context, from oleanderspool.Offset, wait oleanderspool.Millis) ([]Change, oleanderspool.Offset, error)
+	// Newest returns the newest change of each key. Some changes may be newer than
+	// the offset to read from next.
+	Newest(ctx context.Context) (Batch, error)
+	// Read returns the changes from an offset on. Without a change it waits up to
+	// the given span.
+	Read(ctx context.Context, from oleanderspool.Offset, wait oleanderspool.Millis) (Batch, error)
 	// Compacted reports whether a read failed because its offset was deleted.
 	Compacted(err error) bool
 }
@@ -129,8 +138,9 @@
 // RunConfigurations follows the configuration until ctx ends. What a read shows
 // is counted from its sending: this process may have been frozen between the
 // arrival of the reply and its handling. The newest records of each key confirm
-// nothing, since they may be seconds old. A read after them or after a failed one
-// does not wait, so that it confirms at once.
+// nothing, since they may be seconds old, nor does a reply that leaves out later
+// records. A read after one of them or after a failed one does not wait, so that
+// it confirms at once.
 func (f *Follower) RunConfigurations(ctx context.Context) {
 	confirmed := false
 	for ctx.Err() == nil {
@@ -139,9 +149,9 @@
 			wait = 0
 		}
 		sentAt, from, waits := f.clock.Now(), f.configurations.next, f.configurations.known
-		changes, ok := f.read(ctx, &f.configurations, wait)
-		confirmed = ok && waits
-		for _, c := range changes {
+		batch, ok := f.read(ctx, &f.configurations, wait)
+		confirmed = ok && waits && !batch.More
+		for _, c := range batch.Changes {
 			f.configure(c)
 		}
 		if confirmed {
@@ -172,9 +182,9 @@
 // entries.
 func (f *Follower) readServers(ctx context.Context) bool {
 	complete, from, sentAt := !f.servers.known, f.servers.next, f.clock.Now()
-	changes, ok := f.read(ctx, &f.servers, 0)
+	batch, ok := f.read(ctx, &f.servers, 0)
 	var news []Change
-	for _, c := range changes {
+	for _, c := range batch.Changes {
 		if c.Removed && f.inGrace() {
 			f.lapsed = append(f.lapsed, c)
 			continue
@@ -184,14 +194,15 @@
 		}
 	}
 	if ok && complete {
-		f.keep(changes)
+		f.keep(batch.Changes)
 	}
 	f.removeLapsed()
-	// The newest records may be seconds old, so those after them are read at once.
-	if ok && (!complete || !f.servers.known) {
+	// The newest records may be seconds old, so those after them are read at once,
+	// as are those that a reply had no room for.
+	if ok && !batch.More && (!complete || !f.servers.known) {
 		f.servers.freshAt = sentAt
 	}
-	if ok && !complete {
+	if ok && !batch.More && !complete {
 		f.tell(from, news, sentAt)
 	}
 	return ok
@@ -252,14 +263,13 @@
 
 // read reads the next changes of a feed, from the newest of each key when
 // nothing is known or records were deleted.
-func (f *Follower) read(ctx context.Context, s *feedState, wait oleanderspool.Millis) ([]Change, bool) {
-	var changes []Change
-	var next oleanderspool.Offset
+func (f *Follower) read(ctx context.Context, s *feedState, wait oleanderspool.Millis) (Batch, bool) {
+	var batch Batch
 	var err error
 	if s.known {
-		changes, next, err = s.feed.Read(ctx, s.next, wait)
+		batch, err = s.feed.Read(ctx, s.next, wait)
 	} else {
-		changes, next, err = s.feed.Newest(ctx)
+		batch, err = s.feed.Newest(ctx)
 	}
 	now := f.clock.Now()
 	if err != nil {
@@ -271,19 +281,19 @@
 			s.lost = now
 			f.logger.Warn("store lost", "feed", s.name, "error", err.Error())
 		}
-		return nil, false
+		return Batch{}, false
 	}
 	if s.lost != 0 {
 		f.logger.Info("store regained", "feed", s.name, "after_ms", int64(now-s.lost))
 		s.lost, s.regainedAt = 0, now
 	}
 	if !s.known {
-		s.listEnd = next
+		s.listEnd = batch.Next
 	}
 	s.known = true
 	// A reply of Newest may be older than what was read before.
-	s.next = max(s.next, next)
-	return changes, true
+	s.next = max(s.next, batch.Next)
+	return batch, true
 }
 
 func (f *Follower) configure(c Change) {
--- a/internal/directory/follow_test.go
+++ b/internal/directory/follow_test.go
@@ -26,19 +26,20 @@
 	span    oleanderspool.Millis // from the sending to the handling of the reply
 	records int
 	fails   bool
+	more    bool // the reply leaves out later records
 }
 
-func (f *scriptedFeed) Newest(context.Context) ([]directory.Change, oleanderspool.Offset, error) {
+func (f *scriptedFeed) Newest(context.Context) (directory.Batch, error) {
 	return f.reply(0)
 }
 
-func (f *scriptedFeed) Read(_ context.Context, from oleanderspool.Offset, _ oleanderspool.Millis) ([]directory.Change, oleanderspool.Offset, error) {
+func (f *scriptedFeed) Read(_ context.Context, from oleanderspool.Offset, _ oleanderspool.Millis) (directory.Batch, error) {
 	return f.reply(from)
 }
 
 func (f *scriptedFeed) Compacted(error) bool { return false }
 
-func (f *scriptedFeed) reply(from oleanderspool.Offset) ([]directory.Change, oleanderspool.Offset, error) {
+func (f *scriptedFeed) reply(from oleanderspool.Offset) (directory.Batch, error) {
 	s := f.steps[f.taken]
 	f.taken++
 	if f.taken == len(f.steps) {
@@ -46,9 +47,9 @@
 	}
 	f.clock.Advance(s.span)
 	if s.fails {
-		return nil, from, oleanderspool.ErrUnavailable.New("down")
+		return directory.Batch{}, oleanderspool.ErrUnavailable.New("down")
 	}
-	return nil, from + oleanderspool.Offset(s.records), nil
+	return directory.Batch{Next: from + oleanderspool.Offset(s.records), More: s.more}, nil
 }
 
 var _ = Describe("A follower", func() {
@@ -65,6 +66,9 @@
 		{"does not confirm by a late reply", []step{{span: 10, records: 1}, {span: 5}, {span: 6000}}, 115 + 1900},
 		{"does not confirm the wait of a read that found a record", []step{{span: 10, records: 1}, {span: 5}, {span: 1905, records: 1}}, 115},
 		{"does not confirm by a failed read", []step{{span: 10, records: 1}, {span: 5}, {span: 2600, fails: true}}, 110},
+		// Guards against a taken-away key whose record did not fit into the reply.
+		{"does not confirm by a reply that leaves out later records", []step{{span: 10, records: 1}, {span: 5}, {span: 20, records: 3, more: true}}, 110},
+		{"confirms at once after a reply that leaves out later records", []step{{span: 10, records: 1}, {span: 20, records: 3, more: true}, {span: 5, records: 1}}, 130},
 		{"confirms at once after a failed read", []step{{span: 10, records: 1}, {span: 2600, fails: true}, {span: 5}}, 110 + 2600},
 	}
 	// With this span a read waits for 1900 ms.
@@ -91,23 +95,22 @@
 	fails bool // the second read fails
 }
 
-func (f *waitingFeed) Newest(context.Context) ([]directory.Change, oleanderspool.Offset, error) {
-	return nil, 0, nil
+func (f *waitingFeed) Newest(context.Context) (directory.Batch, error) {
+	return directory.Batch{}, nil
 }
 
 func (f *waitingFeed) Compacted(error) bool { return false }
 
-func (f *waitingFeed) Read(_ context.Context, from oleanderspool.Offset, wait oleanderspool.Millis) ([]directory.Change, oleanderspool.Offset, error) {
+func (f *waitingFeed) Read(_ context.Context, from oleanderspool.Offset, wait oleanderspool.Millis) (directory.Batch, error) {
 	f.wait = wait
 	f.reads++
 	if f.reads == 2 && f.fails {
-		return nil, from, oleanderspool.ErrUnavailable.New("down")
+		return directory.Batch{}, oleanderspool.ErrUnavailable.New("down")
 	}
-	if f.reads == 1 || f.reads == 2 && !f.fails {
-		return nil, from, nil
+	if f.reads != 1 && (f.reads != 2 || f.fails) {
+		f.end()
 	}
-	f.end()
-	return nil, from, nil
+	return directory.Batch{Next: from}, nil
 }
 
 var _ = Describe("The wait for a configuration", func() {
--- a/internal/directory/news_test.go
+++ b/internal/directory/news_test.go
@@ -20,13 +20,14 @@
 	next  oleanderspool.Offset
 }
 
-func (f *countingFeed) Newest(context.Context) ([]directory.Change, oleanderspool.Offset, error) {
-	return []directory.Change{{Offset: 9, Instance: "s", Server: &directory.Server{Instance: "s", Service: "llm", Address: "10.0.0.1:80"}}}, f.next, nil
+func (f *countingFeed) Newest(context.Context) (directory.Batch, error) {
+	server := directory.Server{Instance: "s", Service: "llm", Address: "10.0.0.1:80"}
+	return directory.Batch{Changes: []directory.Change{{Offset: 9, Instance: "s", Server: &server}}, Next: f.next}, nil
 }
 
-func (f *countingFeed) Read(_ context.Context, from oleanderspool.Offset, _ oleanderspool.Millis) ([]directory.Change, oleanderspool.Offset, error) {
+func (f *countingFeed) Read(_ context.Context, from oleanderspool.Offset, _ oleanderspool.Millis) (directory.Batch, error) {
 	f.reads.Add(1)
-	return nil, from, nil
+	return directory.Batch{Next: from}, nil
 }
 
 func (f *countingFeed) Compacted(error) bool { return false }
