Greet entries at once when they are heard of

An entry that hears of a new entry or address now sends a complete message after 30 ms, and one that has heard of none repeats its message each 30 ms for 5 s. Ruled out: slow starts (requests are placed 0.1 s after the start), old streams on the servers (they end with their connections). Before: the new spec fails (found only after a second). After: passes.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -96,13 +97,23 @@
 func join(entry uint64, seeds ...string) (member, string) {
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	Expect(err).NotTo(HaveOccurred())
+	return joinOn(conn, entry, seeds...), conn.LocalAddr().String()
+}
+
+func joinAt(address string, entry uint64) member {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(address)))
+	Expect(err).NotTo(HaveOccurred())
+	return joinOn(conn, entry)
+}
+
+func joinOn(conn *net.UDPConn, entry uint64, seeds ...string) member {
 	r := &recorder{entry: entry, heard: map[uint64]gossip.Message{}}
 	address := conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	n := gossip.NewNode(conn, address, seeds, r, clock.NewBoot(), slog.New(slog.DiscardHandler))
 	ctx, stop := context.WithCancel(context.Background())
 	go n.Run(ctx)
 	DeferCleanup(stop)
-	return member{recorder: r, node: n, stop: stop}, address.String()
+	return member{recorder: r, node: n, stop: stop}
 }
 
 var _ = Describe("Entries", func() {
@@ -117,6 +128,27 @@
 		}
 	})
 
+	// Guards against entries that place requests without knowing of each other after
+	// all have lost power: each then loads the same backend servers. Complete
+	// messages are a second apart.
+	It("find each other soon when all start at the same time", func() {
+		seedConn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		Expect(err).NotTo(HaveOccurred())
+		seed := seedConn.LocalAddr().String()
+		var members []member
+		for i := range uint64(5) {
+			m, _ := join(2+i, seed)
+			members = append(members, m)
+		}
+		time.Sleep(100 * time.Millisecond) // the seed starts later than the others
+		Expect(seedConn.Close()).To(Succeed())
+		members = append(members, joinAt(seed, 1))
+		for _, m := range members {
+			Eventually(m.node.Alive, "500ms", "5ms").Should(Equal(5))
+			Eventually(m.knows, "500ms", "5ms").Should(Equal(5))
+		}
+	})
+
 	// Guards against work of an entry that is gone and still counts.
 	It("lose one that falls silent, and one that leaves at once", func() {
 		a, seed := join(1)
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
 )
 
 const (
@@ -16,6 +17,13 @@
 	batchInterval = 3 * time.Millisecond
 	// repeatInterval is the span between two complete messages.
 	repeatInterval = time.Second
+	// joinDelay is the span for which newly heard of entries are collected before
+	// they get a complete message, and the span between complete messages of an
+	// entry that has just started and has heard of none.
+	joinDelay = 30 * oleanderspool.Millis(1)
+	// joinSpan is how long after its start an entry that has heard of none repeats
+	// its message faster: the entries of its seeds start at about the same time.
+	joinSpan = 5 * time.Second
 	// aliveLimit is the span without a message after which an entry counts as
 	// gone: it missed three complete messages.
 	aliveLimit = 3500 * oleanderspool.Millis(1)
@@ -58,6 +66,7 @@
 	clock  oleanderspool.Clock
 	logger *slog.Logger
 	wake   chan struct{}
+	joined chan struct{} // an entry or an address is new
 
 	mu    sync.Mutex
 	entry uint64 // of this entry; 0 before its first message
@@ -69,7 +78,7 @@
 func NewNode(conn *net.UDPConn, self netip.AddrPort, seeds []string, state State, clock oleanderspool.Clock, logger *slog.Logger) *Node {
 	n := &Node{
 		conn: conn, self: self, state: state, clock: clock, logger: logger,
-		wake: make(chan struct{}, 1), peers: make(map[netip.AddrPort]*peer),
+		wake: make(chan struct{}, 1), joined: make(chan struct{}, 1), peers: make(map[netip.AddrPort]*peer),
 	}
 	for _, s := range seeds {
 		n.add(s, true)
@@ -77,18 +86,24 @@
 	return n
 }
 
-func (n *Node) add(address string, seed bool) {
+// add reports whether the address is new.
+func (n *Node) add(address string, seed bool) bool {
 	a, err := netip.ParseAddrPort(address)
 	if err != nil || a == n.self || n.peers[a] != nil || len(n.peers) >= maxPeers {
-		return
+		return false
 	}
 	n.peers[a] = &peer{addedAt: n.clock.Now(), seed: seed}
+	return true
 }
 
 // Wake asks for the changes of the state to be sent soon.
 func (n *Node) Wake() {
+	signal(n.wake)
+}
+
+func signal(c chan<- struct{}) {
 	select {
-	case n.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -131,11 +146,20 @@
 func (n *Node) send(ctx context.Context) {
 	ticker := time.NewTicker(repeatInterval)
 	defer ticker.Stop()
-	n.tell(n.state.Report(true))
+	for start := time.Now(); ctx.Err() == nil; {
+		n.tell(n.state.Report(true))
+		if n.Alive() > 0 || time.Since(start) > joinSpan {
+			break
+		}
+		clock.Sleep(ctx, joinDelay)
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-n.joined:
+			clock.Sleep(ctx, joinDelay)
+			n.tell(n.state.Report(true))
 		case <-ticker.C:
 			n.expire()
 			n.tell(n.state.Report(true))
@@ -197,7 +221,7 @@
 
 func (n *Node) hear(from netip.AddrPort, m Message) {
 	n.mu.Lock()
-	n.add(from.String(), false)
+	added := n.add(from.String(), false)
 	p := n.peers[from]
 	if p == nil {
 		n.mu.Unlock()
@@ -211,12 +235,15 @@
 	n.age(p, &m, isNew)
 	p.entry, p.name, p.heardAt = m.Entry, m.Name, n.clock.Now()
 	for _, a := range m.Peers {
-		n.add(a, false)
+		added = n.add(a, false) || added
 	}
 	if m.Leaving {
-		lost, p.entry, isNew = m.Entry, 0, false
+		lost, p.entry, isNew, added = m.Entry, 0, false, false
 	}
 	n.mu.Unlock()
+	if isNew || added {
+		signal(n.joined)
+	}
 	if lost != 0 {
 		n.state.Lose(lost)
 	}
