Refuse by the goal of a request, and returning callers later

Servers now count as busy from a third of the request's goal on (never below 1 s), and a caller that comes back pays at most 0.6 of its value for the time of the servers instead of 0.85.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -124,9 +124,12 @@
 	// returnedShare is the largest part of its value that the time of a request
 	// may cost which was refused before: it is refused again only when it would be
 	// late or harm others.
-	returnedShare = 0.85
-	// busyLoad is the mean backlog in ms from which servers are fully busy.
-	busyLoad = 1000
+	returnedShare = 0.6
+	// busyLoad is the mean backlog in ms from which servers are fully busy, and
+	// busyGoalShare the part of a request's goal that it has to reach for that
+	// request: one that may wait longer finds servers free later.
+	busyLoad      = 1000
+	busyGoalShare = 1.0 / 3
 	// refusalShare is the part of a request's value that is lost when it is
 	// refused: its caller may come back when the servers are less busy.
 	refusalShare = 0.9
@@ -145,7 +148,7 @@
 // timeCost is the value of the time in ms that servers with a mean backlog in ms
 // read a prompt.
 func (r Request) timeCost(read, load float64) float64 {
-	cost := read * busyCost * min(1, load/busyLoad)
+	cost := read * busyCost * min(1, load/max(busyLoad, busyGoalShare*float64(r.Goal)))
 	if r.Returned {
 		return min(cost, r.Value()*returnedShare)
 	}
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -174,6 +174,29 @@
 		Expect(d.Refuse).To(BeFalse())
 	})
 
+	// Guards against a prompt that is refused, comes back and is refused again,
+	// although it could have waited for the servers within its goal.
+	It("refuses later what has more time, and what comes back", func() {
+		f := newFleet(20)
+		for _, server := range f.servers {
+			f.id++
+			f.board.Add(placement.Work{ID: f.id, Server: server.Instance, Tokens: 1000, Read: 700, Largest: 100})
+		}
+		refused := func(r placement.Request) bool {
+			d, found := f.board.Choose(f.servers, engine, r, 1)
+			Expect(found).To(BeTrue())
+			Expect(d.First).To(BeNumerically("<", r.Goal), "it would be in time")
+			return d.Refuse
+		}
+		r := prompt(ledger, 400_000)
+		Expect(refused(r)).To(BeTrue())
+		patient := r
+		patient.Goal = 2 * r.Goal
+		Expect(refused(patient)).To(BeFalse())
+		r.Returned = true
+		Expect(refused(r)).To(BeFalse())
+	})
+
 	// Guards against short requests that are refused although a slot is free within
 	// their goal. Seen on versaria-cordel trouble-3: 61 of 2,677.
 	It("lets short requests wait for a slot, and refuses when there is no room", func() {
