--- a/internal/command/registrations.go
+++ b/internal/command/registrations.go
@@ -43,6 +43,10 @@
 			"measure", "Measure the policy under load", "Compares the routing, admission and queue order of this program with three simple policies on seeded traces, with a virtual clock and a fake engine, and prints time to first token by prompt length and the slowdown of short requests. docs/policy.md explains the report. All traces take about a minute.",
 			&measureCommand{},
 		},
+		{
+			"predictions", "Compare predicted and real first tokens", "Reads the logs of entries on the platform from files or standard input and prints, by prompt length, the predicted and the real time to the first token and the error (real minus predicted), in milliseconds.",
+			&predictionsCommand{},
+		},
 		{
 			"standin", "Run a stand-in", "Runs a stand-in for an outside system: platform, engine or service.",
 			&standinCommand{},
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -118,14 +118,14 @@
 		slices.Sort(others[i])
 		slices.Sort(floors[i])
 		r.Classes[i].Name = classNames[i]
-		r.Classes[i].P50 = percentile(times[i], 0.50)
-		r.Classes[i].P95 = percentile(times[i], 0.95)
-		r.Classes[i].P99 = percentile(times[i], 0.99)
-		r.Classes[i].OthersP99 = percentile(others[i], 0.99)
-		r.Classes[i].Floor99 = percentile(floors[i], 0.99)
+		r.Classes[i].P50 = Percentile(times[i], 0.50)
+		r.Classes[i].P95 = Percentile(times[i], 0.95)
+		r.Classes[i].P99 = Percentile(times[i], 0.99)
+		r.Classes[i].OthersP99 = Percentile(others[i], 0.99)
+		r.Classes[i].Floor99 = Percentile(floors[i], 0.99)
 	}
 	slices.Sort(flooding)
-	r.FlooderP99 = percentile(flooding, 0.99)
+	r.FlooderP99 = Percentile(flooding, 0.99)
 	r.Fairness = f.fairness()
 	span := float64(f.setup.duration)
 	r.Utilisation = f.work / (f.setup.capacity() * span)
@@ -145,8 +145,8 @@
 	}
 }
 
-// percentile returns the nearest-rank percentile of sorted values.
-func percentile(sorted []float64, q float64) float64 {
+// Percentile returns the nearest-rank percentile of sorted values.
+func Percentile(sorted []float64, q float64) float64 {
 	if len(sorted) == 0 {
 		return 0
 	}
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -26,6 +26,9 @@
 	{100_000, "long"},
 }
 
+// longestClass is the class of prompts above the last bound.
+const longestClass = "very_long"
+
 // LengthClass returns the name of the class of a prompt length in tokens.
 func LengthClass(tokens int) string {
 	for _, c := range lengthClasses {
@@ -33,7 +36,16 @@
 			return c.name
 		}
 	}
-	return "very_long"
+	return longestClass
+}
+
+// LengthClasses returns the names of the classes, the shortest first.
+func LengthClasses() []string {
+	var names []string
+	for _, c := range lengthClasses {
+		names = append(names, c.name)
+	}
+	return append(names, longestClass)
 }
 
 // Metrics holds the counters of one process. It is safe for concurrent use.
