--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -38,12 +38,6 @@
 // Option configures the controller that [New] returns.
 type Option func(*Controller)
 
-// WithHorizon sets the prefill work of the shortest class of lengths, in
-// milliseconds of all servers, from which on accounts contend for capacity.
-func WithHorizon(span oleanderspool.Millis) Option {
-	return func(c *Controller) { c.horizon = span }
-}
-
 // WithMaxRequests sets the bound of requests in progress.
 func WithMaxRequests(requests int) Option {
 	return func(c *Controller) { c.maxRequests = requests }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -110,11 +110,6 @@
 	}
 }
 
-// WithClock sets the clock.
-func WithClock(c oleanderspool.Clock) Option {
-	return func(a *Agent) { a.clock = c }
-}
-
 // WithLogger sets the logger.
 func WithLogger(l *slog.Logger) Option {
 	return func(a *Agent) { a.logger = l }
@@ -150,11 +145,6 @@
 	return func(a *Agent) { a.maxWork = tokens }
 }
 
-// WithMaxServiceCalls bounds the calls of the plain service at a time.
-func WithMaxServiceCalls(calls int) Option {
-	return func(a *Agent) { a.maxCalls = calls }
-}
-
 // WithWeightStore sets the store that bounds how fast weights are loaded.
 func WithWeightStore(s oleanderspool.WeightStore) Option {
 	return func(a *Agent) { a.artefacts = s }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -57,26 +57,11 @@
 // Option configures a [Client].
 type Option func(*Client)
 
-// WithCodec sets the codec, for an engine with other paths or field names.
-func WithCodec(codec Codec) Option {
-	return func(c *Client) { c.codec = codec }
-}
-
 // WithTimeout bounds calls other than Generate, Apply, Export and Import.
 func WithTimeout(timeout oleanderspool.Millis) Option {
 	return func(c *Client) { c.timeout = timeout }
 }
 
-// WithLongTimeout bounds Apply, Export and Import.
-func WithLongTimeout(timeout oleanderspool.Millis) Option {
-	return func(c *Client) { c.longTimeout = timeout }
-}
-
-// WithDialTimeout bounds the time to connect.
-func WithDialTimeout(timeout oleanderspool.Millis) Option {
-	return func(c *Client) { c.dialTimeout = timeout }
-}
-
 // WithSilence bounds the time between two parts of an answer. Comments that keep
 // the connection alive count as parts.
 func WithSilence(silence oleanderspool.Millis) Option {
@@ -90,22 +75,11 @@
 	return func(c *Client) { c.firstPart = span }
 }
 
-// WithMaxResponse bounds the body of a response, in bytes.
-func WithMaxResponse(limit int64) Option {
-	return func(c *Client) { c.maxResponse = limit }
-}
-
 // WithMaxExport bounds an exported KV cache, in bytes.
 func WithMaxExport(limit int64) Option {
 	return func(c *Client) { c.maxExport = limit }
 }
 
-// WithFirstByte bounds the wait for the first byte of an answer on a kept
-// connection, after which the call is sent again on a new one.
-func WithFirstByte(span oleanderspool.Millis) Option {
-	return func(c *Client) { c.firstByte = span }
-}
-
 // NewClient returns a client of the engine at an IP number and port.
 func NewClient(address string, options ...Option) *Client {
 	c := &Client{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -84,11 +84,6 @@
 // Option configures an [Entry].
 type Option func(*Entry)
 
-// WithClock sets the clock.
-func WithClock(c oleanderspool.Clock) Option {
-	return func(e *Entry) { e.clock = c }
-}
-
 // WithLogger sets the logger.
 func WithLogger(l *slog.Logger) Option {
 	return func(e *Entry) { e.logger = l }
@@ -104,12 +99,6 @@
 	return func(e *Entry) { e.watchLimit = agents }
 }
 
-// WithWatchInterval sets the longest interval between reports of a watched
-// agent, in milliseconds. Entries that watch few agents ask for shorter ones.
-func WithWatchInterval(span oleanderspool.Millis) Option {
-	return func(e *Entry) { e.watchEvery = span }
-}
-
 // WithListBudget sets what the entry spends on the platform's instance list,
 // in bytes per second.
 func WithListBudget(bytesPerSecond int) Option {
@@ -139,11 +128,6 @@
 	return func(e *Entry) { e.drainDelay = span }
 }
 
-// WithDistances sets the one-way distances to data centres in milliseconds.
-func WithDistances(oneWay map[oleanderspool.DataCentreID]float64) Option {
-	return func(e *Entry) { e.distances = oneWay }
-}
-
 // WithRetryBudget sets the budget of retries.
 func WithRetryBudget(b *retry.Budget) Option {
 	return func(e *Entry) { e.budget = b }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -37,19 +37,6 @@
 // Option configures the table that [New] returns.
 type Option func(*Table)
 
-// WithSuspectAfter sets the silence in milliseconds after which an agent is
-// suspected.
-func WithSuspectAfter(span oleanderspool.Millis) Option {
-	return func(t *Table) { t.suspectAfter = span }
-}
-
-// WithPublishInterval sets the interval in milliseconds at which new loads and
-// new servers appear in the snapshot. A server that may no longer be chosen
-// disappears at once.
-func WithPublishInterval(span oleanderspool.Millis) Option {
-	return func(t *Table) { t.publishInterval = span }
-}
-
 // WithList sets the list that the table follows. Its ApplyPoll and ApplyUpdate
 // are called through the table.
 func WithList(l *List) Option {
--- a/internal/memory/group.go
+++ b/internal/memory/group.go
@@ -125,16 +125,6 @@
 // GroupOption configures a [Group].
 type GroupOption func(*Group)
 
-// WithReplyBound sets how long a reply of a member is awaited.
-func WithReplyBound(span oleanderspool.Millis) GroupOption {
-	return func(g *Group) { g.replyBound = span }
-}
-
-// WithRetrySpan sets the shortest span between two tries.
-func WithRetrySpan(span oleanderspool.Millis) GroupOption {
-	return func(g *Group) { g.retrySpan = span }
-}
-
 // WithGroupExpiry sets how long members hold memory without a renewal.
 func WithGroupExpiry(span oleanderspool.Millis) GroupOption {
 	return func(g *Group) { g.expiry = span }
@@ -178,9 +168,6 @@
 // Try returns the number of the current or last try, from 1.
 func (g *Group) Try() int64 { return g.try }
 
-// FirstTry returns the instant of the group's first try.
-func (g *Group) FirstTry() oleanderspool.Millis { return g.first }
-
 // Quiet reports whether the group needs no further [Group.Tick]: it has ended
 // and every release was confirmed or has lapsed.
 func (g *Group) Quiet() bool { return g.state == GroupEnded && len(g.releases) == 0 }
--- a/internal/openai/stream.go
+++ b/internal/openai/stream.go
@@ -34,12 +34,6 @@
 	return &Stream{writer: w, control: http.NewResponseController(w), form: form}
 }
 
-// Started reports whether the response has begun, so that a refusal can no
-// longer have its own status.
-func (s *Stream) Started() bool {
-	return s.started
-}
-
 // Text writes a part of the answer.
 func (s *Stream) Text(text string) error {
 	if !s.role || !plain(text) {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -66,11 +66,6 @@
 	return func(p *Client) { p.timeout = timeout }
 }
 
-// WithDialTimeout bounds the time to connect.
-func WithDialTimeout(timeout oleanderspool.Millis) Option {
-	return func(p *Client) { p.dialTimeout = timeout }
-}
-
 // WithMaxResponse bounds the body of a response, in bytes.
 func WithMaxResponse(limit int64) Option {
 	return func(p *Client) { p.maxResponse = limit }
--- a/internal/queue/options.go
+++ b/internal/queue/options.go
@@ -153,29 +153,12 @@
 	return func(s *settings) { s.longShare = min(0.95, share) }
 }
 
-// WithFairness sets the delay per millisecond of work that the account
-// already has waiting.
-func WithFairness(delay float64) Option {
-	return func(s *settings) { s.fairness = max(0, delay) }
-}
-
 // WithAllowance sets how many times its fair share of the prefill capacity an
 // account may use before its items rank as longer work. 0 means no bound.
 func WithAllowance(factor float64) Option {
 	return func(s *settings) { s.allowance = factor }
 }
 
-// WithPriorityStep sets the head start of one level of priority.
-func WithPriorityStep(span oleanderspool.Millis) Option {
-	return func(s *settings) { s.priorityStep = span }
-}
-
-// WithSlackMargin sets how long before its last possible start an item
-// becomes due.
-func WithSlackMargin(span oleanderspool.Millis) Option {
-	return func(s *settings) { s.slackMargin = span }
-}
-
 // WithCreditSpan bounds the credit on which shorter work overtakes longer work
 // that is due.
 func WithCreditSpan(span oleanderspool.Millis) Option {
@@ -205,18 +188,6 @@
 	return func(s *settings) { s.tokenSpan = span }
 }
 
-// WithSlowFraction sets the part of the reference rate below which an engine
-// counts as slow.
-func WithSlowFraction(fraction float64) Option {
-	return func(s *settings) { s.slowFraction = fraction }
-}
-
-// WithStallBound sets how long beyond its expected end the first item of the
-// engine may take before the engine counts as slow.
-func WithStallBound(span oleanderspool.Millis) Option {
-	return func(s *settings) { s.stallBound = span }
-}
-
 // WithMemory sets the engine's memory in tokens, so that an item that can
 // never fit is refused instead of blocking the queue.
 func WithMemory(tokens int64) Option {
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -116,11 +116,6 @@
 	return func(p *Policy) { p.source = rand.New(rand.NewPCG(seed, seed)) }
 }
 
-// WithMaxRetries bounds the retries of one request.
-func WithMaxRetries(retries int) Option {
-	return func(p *Policy) { p.maxRetries = retries }
-}
-
 // Policy decides about retries for one entry. It is not safe for concurrent
 // use.
 type Policy struct {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -72,22 +72,6 @@
 	return func(r *Router) { r.needed = needed }
 }
 
-// WithFreshness sets the age in milliseconds above which a report is too old.
-func WithFreshness(bound oleanderspool.Millis) Option {
-	return func(r *Router) { r.freshness = bound }
-}
-
-// WithPrefillRate sets the rate assumed for a server that reported none, in
-// tokens per millisecond.
-func WithPrefillRate(rate float64) Option {
-	return func(r *Router) { r.fallback = rate }
-}
-
-// WithCallTime sets the assumed length of a service call in milliseconds.
-func WithCallTime(span oleanderspool.Millis) Option {
-	return func(r *Router) { r.callTime = span }
-}
-
 // WithDistances sets the one-way distances to data centres in milliseconds.
 func WithDistances(oneWay map[oleanderspool.DataCentreID]float64) Option {
 	return func(r *Router) { r.distances = oneWay }
@@ -105,27 +89,11 @@
 	return func(r *Router) { r.spread = limit }
 }
 
-// WithSampleAbove sets the number of candidates above which only a sample of
-// them is scored.
-func WithSampleAbove(candidates int) Option {
-	return func(r *Router) { r.sampleAbove = candidates }
-}
-
 // WithSeed seeds the choice of samples, for tests.
 func WithSeed(seed uint64) Option {
 	return func(r *Router) { r.sampler = newSampler(seed) }
 }
 
-// WithFilters adds filters to the standard ones.
-func WithFilters(filters ...oleanderspool.Prioritized[oleanderspool.Filter]) Option {
-	return func(r *Router) { r.addedFilters = append(r.addedFilters, filters...) }
-}
-
-// WithScorers adds scorers to the standard ones.
-func WithScorers(scorers ...oleanderspool.Prioritized[oleanderspool.Scorer]) Option {
-	return func(r *Router) { r.addedScorers = append(r.addedScorers, scorers...) }
-}
-
 // Router is the standard [oleanderspool.Router]. It is safe for concurrent
 // use.
 type Router struct {
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -37,16 +37,6 @@
 	return func(c *Client) { c.maxResponse = limit }
 }
 
-// WithTimeout sets the time limit of calls that state no remaining time.
-func WithTimeout(timeout oleanderspool.Millis) Option {
-	return func(c *Client) { c.timeout = timeout }
-}
-
-// WithDialTimeout bounds the time to connect.
-func WithDialTimeout(timeout oleanderspool.Millis) Option {
-	return func(c *Client) { c.dialTimeout = timeout }
-}
-
 // NewClient returns a client of the service at an IP number and port.
 func NewClient(address string, options ...Option) *Client {
 	c := &Client{
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -18,12 +18,6 @@
 	return func(e *Engine) { e.batch = requests }
 }
 
-// WithAdapters sets the adapters that a started engine serves, each as
-// "model:adapter".
-func WithAdapters(adapters ...string) Option {
-	return func(e *Engine) { e.initialAdapters = adapters }
-}
-
 // WithSize sets the memory in tokens.
 func WithSize(tokens int64) Option {
 	return func(e *Engine) { e.sizeTokens = tokens }
@@ -70,12 +64,6 @@
 	return func(e *Engine) { e.eventDelay, e.gapEvery = delay.Duration(), gapEvery }
 }
 
-// WithCrashMarker sets the text in a prompt that crashes the engine; an empty
-// one crashes it never.
-func WithCrashMarker(marker string) Option {
-	return func(e *Engine) { e.crashMarker = marker }
-}
-
 // WithMaxWaiting bounds the engine's queue.
 func WithMaxWaiting(limit int) Option {
 	return func(e *Engine) { e.maxWaiting = limit }
@@ -104,12 +92,6 @@
 	return func(e *Engine) { e.leak = true }
 }
 
-// WithOnCrash sets a function that is called on a crash, so that a process can
-// exit. It must not call the engine.
-func WithOnCrash(f func()) Option {
-	return func(e *Engine) { e.onCrash = f }
-}
-
 // WithFault adds a fault from the start.
 func WithFault(fault standin.Fault) Option {
 	return func(e *Engine) { e.Add(fault) }
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -54,17 +54,6 @@
 	return func(s *State) { s.ledger.limit = fingerprints }
 }
 
-// WithRetention sets the span in milliseconds for which a cause is refused.
-func WithRetention(span oleanderspool.Millis) Option {
-	return func(s *State) { s.ledger.retention = span }
-}
-
-// WithSettle sets the span in milliseconds in which other entries learn of a
-// crash.
-func WithSettle(span oleanderspool.Millis) Option {
-	return func(s *State) { s.settle = span }
-}
-
 // State is one entry's view of the suspects. It is not safe for concurrent
 // use.
 type State struct {
