Put the header limit of the configuration in force

Cause: a header might take 5 s, a constant, whatever headerTimeoutMs of the operator's configuration said; the HTTP library takes its limit at the start only. The connection now notes the first byte of a header, and the loop that closes idle connections closes those whose header takes longer than the configuration in force allows, within half a second. Idle connections keep their own limit. Ruled out: setting the library's limit at run time (it is read without a lock). Before: a header without an end is open after 3 s at a limit of 0.8 s (the new spec fails). After: closed; internal/forward and platform pass.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -95,7 +95,10 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
-	IdleTimeout oleanderspool.Millis
+	// HeaderTimeout is the span from the first byte of a request in which its header
+	// arrives.
+	HeaderTimeout oleanderspool.Millis
+	IdleTimeout   oleanderspool.Millis
 }
 
 // Configuration is a version of the operator's configuration. It is immutable.
--- /dev/null
+++ b/internal/forward/connection_test.go
@@ -0,0 +1,52 @@
+package forward_test
+
+import (
+	"io"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("A caller's connection", func() {
+	// Guards against callers that hold connections by headers that never end, for a
+	// span that the operator's configuration does not name.
+	It("is closed when a header takes longer than the configuration in force allows", func() {
+		w := newWorld(1, 0)
+		limits := configuration
+		limits.HeaderMs = 800
+		w.store.Configure(limits)
+		Eventually(func() int64 { return w.view.Snapshot().Configuration.Version }, settle, poll).Should(BeEquivalentTo(2))
+		dial := func() net.Conn {
+			conn, err := net.Dial("tcp", w.address)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			return conn
+		}
+		write := func(conn net.Conn, text string) {
+			_, err := conn.Write([]byte(text))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		// answers reports whether bytes come within a span; false also when the
+		// connection is closed.
+		answers := func(conn net.Conn, span time.Duration) (bool, error) {
+			Expect(conn.SetReadDeadline(time.Now().Add(span))).To(Succeed())
+			n, err := conn.Read(make([]byte, 1))
+			return n > 0, err
+		}
+		idle, slow, late := dial(), dial(), dial()
+		start := time.Now()
+		write(late, "GET /lookup/a HTTP/1.1\r\n")
+		write(slow, "GET /lookup/a HTTP/1.1\r\n")
+		time.Sleep(300 * time.Millisecond)
+		write(slow, "Host: "+host+"\r\n\r\n")
+		Expect(answers(slow, settle)).To(BeTrue(), "a header within the limit")
+		answered, err := answers(late, 3*time.Second)
+		Expect(answered).To(BeFalse())
+		Expect(err).To(MatchError(io.EOF), "the header that does not end")
+		Expect(time.Since(start)).To(BeNumerically(">", 700*time.Millisecond))
+		write(idle, "GET /lookup/a HTTP/1.1\r\nHost: "+host+"\r\n\r\n")
+		Expect(answers(idle, settle)).To(BeTrue(), "a connection that was idle meanwhile")
+	})
+})
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -19,8 +19,14 @@
 	idleMargin = 1.25
 	// defaultIdleLimit applies until a configuration is known.
 	defaultIdleLimit = 30 * oleanderspool.Second
-	// defaultHeaderTimeout bounds the header of a request.
-	defaultHeaderTimeout = 5 * oleanderspool.Second
+	// defaultHeaderLimit applies until a configuration is known that has one.
+	defaultHeaderLimit = 5 * oleanderspool.Second
+	// longestWait bounds a configured limit: the library closes connections after
+	// it.
+	longestWait = 5 * oleanderspool.Minute
+	// sweepInterval is the span between two looks for connections that waited too
+	// long, by which they may exceed their limit.
+	sweepInterval = 500 * oleanderspool.Millis(1)
 	// maxHeader bounds the header of a request in bytes before it is known which
 	// configuration applies.
 	maxHeader = 64 << 10
@@ -39,7 +45,7 @@
 	logger  *slog.Logger
 
 	mu   sync.Mutex
-	idle map[net.Conn]oleanderspool.Millis
+	idle map[net.Conn]oleanderspool.Millis // connections without a request, since when
 }
 
 // NewServer returns a server of a gateway.
@@ -47,13 +53,11 @@
 	s := &Server{gateway: g, clock: g.clock, logger: g.logger, idle: make(map[net.Conn]oleanderspool.Millis)}
 	s.server = &http.Server{
 		Handler:           g,
-		ReadHeaderTimeout: defaultHeaderTimeout.Duration(),
+		ReadHeaderTimeout: longestWait.Duration(), // the configured limits apply before it
+		IdleTimeout:       longestWait.Duration(),
 		MaxHeaderBytes:    maxHeader,
 		ConnState:         s.track,
 		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
-		// The library closes idle connections after this limit; the configured
-		// one applies before it.
-		IdleTimeout: (5 * oleanderspool.Minute).Duration(),
 	}
 	return s
 }
@@ -63,6 +67,9 @@
 	defer s.mu.Unlock()
 	if state == http.StateIdle || state == http.StateNew {
 		s.idle[conn] = s.clock.Now()
+		if c, ok := conn.(*callerConn); ok {
+			c.headerAt.Store(0)
+		}
 	} else {
 		delete(s.idle, conn)
 	}
@@ -72,8 +79,8 @@
 // cutting a request that can end in it.
 func (s *Server) Serve(ctx context.Context, listener net.Listener, grace oleanderspool.Millis) error {
 	done := make(chan error, 1)
-	go func() { done <- s.server.Serve(listener) }()
-	ticker := time.NewTicker(time.Second)
+	go func() { done <- s.server.Serve(callerListener{listener, s.clock}) }()
+	ticker := time.NewTicker(sweepInterval.Duration())
 	defer ticker.Stop()
 	for {
 		select {
@@ -87,19 +94,24 @@
 	}
 }
 
-// sweep closes connections that were idle for longer than the configuration
-// allows.
+// sweep closes connections that wait for longer than the configuration allows for
+// a request, or for the rest of its header.
 func (s *Server) sweep() {
-	limit := defaultIdleLimit
-	if c := s.gateway.view.Snapshot().Configuration; c != nil && c.Limits.IdleTimeout > 0 {
-		limit = oleanderspool.Millis(float64(c.Limits.IdleTimeout) * idleMargin)
+	header, idle := defaultHeaderLimit, defaultIdleLimit
+	if c := s.gateway.view.Snapshot().Configuration; c != nil {
+		if c.Limits.HeaderTimeout > 0 {
+			header = c.Limits.HeaderTimeout
+		}
+		if c.Limits.IdleTimeout > 0 {
+			idle = oleanderspool.Millis(float64(c.Limits.IdleTimeout) * idleMargin)
+		}
 	}
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for conn, since := range s.idle {
-		if now-since > limit {
-			_ = conn.Close() // it is idle
+		if waitsTooLong(conn, now-since, header, idle, now) {
+			_ = conn.Close() // no request of it is in progress
 			delete(s.idle, conn)
 		}
 	}
