--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -43,11 +43,14 @@
 	writerCost = 5e-3
 	// preferenceCost is the largest difference between servers that are otherwise
 	// equal, by which entries choose different ones: as much as one request on a
-	// server. For a prompt that is read for at least longRead ms, which others must
-	// not meet on its servers, it is longPreferenceCost.
+	// server. For long prompts, which delay each other by seconds where they meet, it
+	// is longPreferenceCost.
 	preferenceCost     = 5e-3
 	longPreferenceCost = 0.05
-	longRead           = 500
+	// longRead is the time in ms to read a prompt from which it is long. A shorter
+	// one is not refused: it delays others little, and is served late sooner than
+	// its caller would come back.
+	longRead = 500
 )
 
 // Request is a request to place.
@@ -120,7 +123,7 @@
 	best.Load = millis(load)
 	read := readMillis(e, r.Prompt)
 	best.Cost += r.timeCost(read, load)
-	best.Refuse = !r.Started && read >= minRefusedRead && best.Cost > refusalShare*r.Value()
+	best.Refuse = !r.Started && read >= longRead && best.Cost > refusalShare*r.Value()
 	return best, true
 }
 
@@ -140,10 +143,6 @@
 	// refusalShare is the part of a request's value that is lost when it is
 	// refused: its caller may come back when the servers are less busy.
 	refusalShare = 0.9
-	// minRefusedRead is the shortest reading in ms for which a request is refused: a
-	// shorter one delays others little, and is served late sooner than its caller
-	// would come back.
-	minRefusedRead = 500
 	// abandonSpan, abandonGoals and abandonPauses say when the caller of a stream
 	// gives up: after the longest of a fixed span in ms, a number of times the
 	// goal of the first token, and a number of times the goal of a pause.
