--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -45,12 +45,12 @@
 	logger  *slog.Logger
 
 	mu   sync.Mutex
-	idle map[net.Conn]oleanderspool.Millis // connections without a request, since when
+	waiting map[net.Conn]oleanderspool.Millis // connections without a request, since when
 }
 
 // NewServer returns a server of a gateway.
 func NewServer(g *Gateway) *Server {
-	s := &Server{gateway: g, clock: g.clock, logger: g.logger, idle: make(map[net.Conn]oleanderspool.Millis)}
+	s := &Server{gateway: g, clock: g.clock, logger: g.logger, waiting: make(map[net.Conn]oleanderspool.Millis)}
 	s.server = &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: longestWait.Duration(), // the configured limits apply before it
@@ -66,12 +66,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateIdle || state == http.StateNew {
-		s.idle[conn] = s.clock.Now()
+		s.waiting[conn] = s.clock.Now()
 		if c, ok := conn.(*callerConn); ok {
 			c.headerAt.Store(0)
 		}
 	} else {
-		delete(s.idle, conn)
+		delete(s.waiting, conn)
 	}
 }
 
@@ -109,10 +109,10 @@
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for conn, since := range s.idle {
+	for conn, since := range s.waiting {
 		if waitsTooLong(conn, now-since, header, idle, now) {
 			_ = conn.Close() // no request of it is in progress
-			delete(s.idle, conn)
+			delete(s.waiting, conn)
 		}
 	}
 }
