--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -44,7 +44,7 @@
 	clock   oleanderspool.Clock
 	logger  *slog.Logger
 
-	mu   sync.Mutex
+	mu      sync.Mutex
 	waiting map[net.Conn]oleanderspool.Millis // connections without a request, since when
 }
 
