Decode the log lines of predictions in the codec file

The wire forms of two log lines stood with their tags in the file of the command. They are decoded in codec.go now, as the other wire forms of the package, into a type without tags. No change of behaviour; the spec is as it was.

--- a/internal/command/predictions.go
+++ b/internal/command/predictions.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -63,24 +62,17 @@
 	return &predictionTable{prompts: make(map[string]int), rows: make(map[predictionRow]*predictionSamples)}
 }
 
-// placedLine and answeredLine are what the table takes from a log.
-type (
-	placedLine struct {
-		Request string `json:"request_id"`
-		Prompt  int    `json:"prompt"`
-	}
-	answeredLine struct {
-		Request   string  `json:"request_id"`
-		First     float64 `json:"first_ms"`
-		Predicted float64 `json:"predicted_ms"`
-		Helpers   int     `json:"helpers"`
-		Events    int     `json:"events"`
-		Sends     int     `json:"sends"`
-	}
-)
+// firstToken is a first token that an entry logged; times are in ms.
+type firstToken struct {
+	request         string
+	predicted, real float64
+	joint           bool // the prompt was read by several servers
+	events          int  // of the answer; 0 for a plain one
+	sends           int  // to backend servers
+}
 
 // read takes a log in JSON. What stands before the object in a line is skipped,
-// and so are lines without one. Requests that were sent more than once are left
+// and so are lines without one that can be read. Requests that were sent more than once are left
 // out: their first token has no single prediction.
 func (t *predictionTable) read(r io.Reader) error {
 	lines := bufio.NewScanner(r)
@@ -93,35 +85,33 @@
 		}
 		switch {
 		case bytes.Contains(line, []byte(`"msg":"placed"`)):
-			var placed placedLine
-			if json.Unmarshal(line[start:], &placed) == nil {
-				t.prompts[placed.Request] = placed.Prompt
+			if request, prompt, ok := decodePlaced(line[start:]); ok {
+				t.prompts[request] = prompt
 			}
 		case bytes.Contains(line, []byte(`"msg":"answered"`)):
-			var answered answeredLine
-			if json.Unmarshal(line[start:], &answered) == nil && answered.Events > 0 && answered.Sends == 1 {
-				t.add(answered)
+			if f, ok := decodeAnswered(line[start:]); ok && f.events > 0 && f.sends == 1 {
+				t.add(f)
 			}
 		}
 	}
 	return lines.Err()
 }
 
-func (t *predictionTable) add(a answeredLine) {
-	prompt, found := t.prompts[a.Request]
+func (t *predictionTable) add(f firstToken) {
+	prompt, found := t.prompts[f.request]
 	if !found {
 		return
 	}
-	delete(t.prompts, a.Request)
-	row := predictionRow{length: observe.LengthClass(prompt), joint: a.Helpers > 0}
+	delete(t.prompts, f.request)
+	row := predictionRow{length: observe.LengthClass(prompt), joint: f.joint}
 	samples := t.rows[row]
 	if samples == nil {
 		samples = &predictionSamples{}
 		t.rows[row] = samples
 	}
-	samples.predicted = append(samples.predicted, a.Predicted)
-	samples.real = append(samples.real, a.First)
-	samples.errors = append(samples.errors, a.First-a.Predicted)
+	samples.predicted = append(samples.predicted, f.predicted)
+	samples.real = append(samples.real, f.real)
+	samples.errors = append(samples.errors, f.real-f.predicted)
 }
 
 // print writes the table; times are in ms.
