Wake a reader in one place

The change had added to internal/gossip a function that puts one signal into a channel without blocking; agent, entry (three times) and the stand-in of the engine had the same lines. broadcast.Wake serves all seven now. The sending loop of internal/gossip sleeps in one way for both of its delays (the loop may end 30 ms after its context; nothing waits for it). No change of behaviour otherwise.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -337,10 +337,7 @@
 }
 
 func (a *Agent) wakePump() {
-	select {
-	case a.wake <- struct{}{}:
-	default:
-	}
+	broadcast.Wake(a.wake)
 }
 
 // Revision returns the revision of the configuration in force.
--- a/internal/agent/configuration.go
+++ b/internal/agent/configuration.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/broadcast"
 	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
 	"github.com/oleanderspool/oleanderspool/pkg/configuration"
@@ -52,10 +53,7 @@
 	defer a.mu.Unlock()
 	a.planner.Configure(c, revision)
 	a.changed.Notify()
-	select {
-	case a.reorder <- struct{}{}:
-	default:
-	}
+	broadcast.Wake(a.reorder)
 }
 
 // Configuration returns what the caller lacks of the configuration stream.
--- a/internal/broadcast/signal.go
+++ b/internal/broadcast/signal.go
@@ -1,6 +1,15 @@
-// Package broadcast wakes everyone who waits for a change.
+// Package broadcast wakes those who wait for a change.
 package broadcast
 
+// Wake wakes the reader of a channel that has room for one signal. It does not
+// block: a signal that waits already wakes the reader as well.
+func Wake(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // Signal wakes all waiters at once. The zero value is ready for use. It is not
 // safe for concurrent use: the lock that guards the changed state guards it.
 type Signal struct {
--- a/internal/command/predictions.go
+++ b/internal/command/predictions.go
@@ -72,8 +72,8 @@
 }
 
 // read takes a log in JSON. What stands before the object in a line is skipped,
-// and so are lines without one that can be read. Requests that were sent more than once are left
-// out: their first token has no single prediction.
+// and so are lines without one that can be read. Requests that were sent more than
+// once are left out: their first token has no single prediction.
 func (t *predictionTable) read(r io.Reader) error {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, maxLogLine)
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -188,10 +188,7 @@
 	}
 	channel := make(chan claim.Event, 1)
 	c.settled[cl.Attempt] = channel
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
+	broadcast.Wake(c.wake)
 	return channel
 }
 
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -10,6 +10,7 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/attempt"
+	"github.com/oleanderspool/oleanderspool/internal/broadcast"
 	"github.com/oleanderspool/oleanderspool/internal/memory"
 	"github.com/oleanderspool/oleanderspool/internal/peer/peerpb"
 	"github.com/oleanderspool/oleanderspool/internal/routing"
@@ -200,10 +201,7 @@
 	messages := handle(m, now)
 	v.mu.Unlock()
 	v.deliver(ctx, messages)
-	select {
-	case v.changed <- struct{}{}:
-	default:
-	}
+	broadcast.Wake(v.changed)
 }
 
 // name returns the name of the memory on each engine.
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -135,10 +135,7 @@
 }
 
 func (s *suspects) hasten() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
+	broadcast.Wake(s.wake)
 }
 
 // crashed takes a crash that an agent reported. fresh says that the agent told
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/oleanderspool/oleanderspool"
-	"github.com/oleanderspool/oleanderspool/internal/clock"
+	"github.com/oleanderspool/oleanderspool/internal/broadcast"
 )
 
 const (
@@ -20,7 +20,7 @@
 	// joinDelay is the span for which newly heard of entries are collected before
 	// they get a complete message, and the span between complete messages of an
 	// entry that has just started and has heard of none.
-	joinDelay = 30 * oleanderspool.Millis(1)
+	joinDelay = 30 * time.Millisecond
 	// joinSpan is how long after its start an entry that has heard of none repeats
 	// its message faster: the entries of its seeds start at about the same time.
 	joinSpan = 5 * time.Second
@@ -98,14 +98,7 @@
 
 // Wake asks for the changes of the state to be sent soon.
 func (n *Node) Wake() {
-	signal(n.wake)
-}
-
-func signal(c chan<- struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
+	broadcast.Wake(n.wake)
 }
 
 // Alive returns the number of other entries that were heard of lately.
@@ -151,14 +144,14 @@
 		if n.Alive() > 0 || time.Since(start) > joinSpan {
 			break
 		}
-		clock.Sleep(ctx, joinDelay)
+		time.Sleep(joinDelay)
 	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-n.joined:
-			clock.Sleep(ctx, joinDelay)
+			time.Sleep(joinDelay)
 			n.tell(n.state.Report(true))
 		case <-ticker.C:
 			n.expire()
@@ -242,7 +235,7 @@
 	}
 	n.mu.Unlock()
 	if isNew || added {
-		signal(n.joined)
+		broadcast.Wake(n.joined)
 	}
 	if lost != 0 {
 		n.state.Lose(lost)
--- a/internal/standin/engine/sequence.go
+++ b/internal/standin/engine/sequence.go
@@ -1,5 +1,9 @@
 package engine
 
+import (
+	"github.com/oleanderspool/oleanderspool/internal/broadcast"
+)
+
 // sequence is a request in the engine.
 type sequence struct {
 	owner    string // attempt
@@ -34,10 +38,7 @@
 
 // notify wakes the handler that writes the answer.
 func (s *sequence) notify() {
-	select {
-	case s.changed <- struct{}{}:
-	default:
-	}
+	broadcast.Wake(s.changed)
 }
 
 func (s *sequence) ended() bool {
