Build the program for tests in one place

The suites of internal/command and internal/soak built the program in the same lines; internal/program does it for both. No check, bound or expectation is changed.

--- a/internal/command/deployment_test.go
+++ b/internal/command/deployment_test.go
@@ -109,7 +109,7 @@
 
 // restart starts a process with the settings that it had before.
 func (d *deployment) restart(name string, args ...string) {
-	c := exec.Command(program, append(args, "--settings", d.settings[name])...)
+	c := exec.Command(binary, append(args, "--settings", d.settings[name])...)
 	session, err := gexec.Start(c, GinkgoWriter, GinkgoWriter)
 	Expect(err).NotTo(HaveOccurred())
 	d.sessions[name] = session
--- a/internal/command/forward_test.go
+++ b/internal/command/forward_test.go
@@ -38,7 +38,7 @@
 		instance = platformtest.Instance{Name: "front-1", Listen: freeAddress(), Ready: freeAddress(), Control: freeAddress(), Peer: freeAddress()}
 		variable, err := store.WriteSettings(GinkgoT().TempDir(), instance)
 		Expect(err).NotTo(HaveOccurred())
-		command := exec.Command(program, "forward")
+		command := exec.Command(binary, "forward")
 		command.Env = append(os.Environ(), variable)
 		session, err = gexec.Start(command, GinkgoWriter, GinkgoWriter)
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/command/suite_test.go
+++ b/internal/command/suite_test.go
@@ -5,7 +5,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/onsi/gomega/gexec"
+
+	"github.com/oleanderspool/oleanderspool/internal/program"
 )
 
 func TestCommand(t *testing.T) {
@@ -13,12 +14,7 @@
 	RunSpecs(t, "command")
 }
 
-// program is the built program that the tests with separate processes run.
-var program string
+// binary is the built program that the tests with separate processes run.
+var binary string
 
-var _ = BeforeSuite(func() {
-	var err error
-	program, err = gexec.Build("github.com/oleanderspool/oleanderspool/cmd/oleanderspool")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(gexec.CleanupBuildArtifacts)
-})
+var _ = BeforeSuite(func() { binary = program.Build() })
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -66,7 +66,7 @@
 }
 
 func (e *entry) start(log *os.File) {
-	command := exec.Command(program, "forward")
+	command := exec.Command(binary, "forward")
 	command.Env = append(os.Environ(), e.variable)
 	command.Stdout, command.Stderr = log, log
 	exited := make(chan struct{})
