Honour keys until shortly before their limit

Cause: keys were honoured until 1.3 s before the limit of 5 s, and a confirmation is up to 2 s old when the store goes away.

Ruled out: that the margin guards a rule. The limit counts from the sending of the request, before it is judged, and the confirmation from the sending of a read.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -17,8 +17,9 @@
 
 const (
 	// keyMargin is kept between the age of a key's confirmation and its limit, for
-	// the way of the caller's request and for clocks that run differently.
-	keyMargin = 1300 * oleanderspool.Millis(1)
+	// clocks that run differently: 6% of the usual limit of 5 s. The way of the
+	// caller's request needs none, since it was sent before it is judged.
+	keyMargin = 300 * oleanderspool.Millis(1)
 	// denyFreshness is the age of the configuration above which an unknown route
 	// or key is not refused for good: it may have been added meanwhile.
 	denyFreshness = 3000 * oleanderspool.Millis(1)
--- a/internal/forward/configuration_test.go
+++ b/internal/forward/configuration_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"fmt"
 	"context"
 	"io"
 	"log/slog"
@@ -109,6 +110,21 @@
 		})
 	}
 
+	// Guards against callers that are refused in the first seconds of an outage of
+	// the store although their keys are confirmed, and against keys that are honoured
+	// beyond the limit of 5 s.
+	for _, c := range []struct {
+		age    oleanderspool.Millis
+		status int
+	}{{3900, http.StatusOK}, {4950, http.StatusServiceUnavailable}} {
+		It(fmt.Sprintf("answers %d to a key that was confirmed %d ms ago", c.status, c.age), func() {
+			w := newWorld(1, 0)
+			w.store.SetOutage(platformtest.Silent)
+			w.clock.jump.Store(int64(c.age))
+			Expect(w.send(query{path: "/lookup/1"}).status).To(Equal(c.status))
+		})
+	}
+
 	// Guards against a process that acts on old belief after a freeze or a
 	// suspension.
 	It("is not trusted after a suspension until it was read again", func() {
