Log and count engines that turn slow

Cause: queue.Slow recognised engines that read at under half of their best rate or stop making progress, and nothing called it: an engine that answers reports and hangs in its work left no line in the agent's log (open since the issue on proofs).

Ruled out: taking such an engine out of service; routers weigh its rate already, and a lone engine that is slow still serves.

The agent logs the change once with the rate and the prompts that wait and run, and counts engine_slow and engine_fast. The new test has no such line on the old code.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -83,6 +83,7 @@
 	watchers      int // open watch streams
 	report        oleanderspool.EngineReport
 	engineUp      bool // the last report was answered
+	engineSlow    bool // it makes less progress than usual
 	crashes       crashes
 	changed       broadcast.Signal                  // state that Watch reports
 	feeds         map[oleanderspool.AttemptID]*feed // attempts that are read
--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -66,6 +66,7 @@
 	a.ledger.Expire(now)
 	a.ledger.Reconcile(memory.List{Entries: entries, Requested: requested, Started: report.Started}, now)
 	cancels := a.ledger.Cancels(now)
+	a.setEngineSlow(a.queue.Slow(now), now)
 	a.metrics.EngineMemory(a.ledger.Free(), a.ledger.Size()-a.ledger.Free())
 	a.mu.Unlock()
 	for _, c := range cancels {
@@ -118,6 +119,24 @@
 	a.logger.Warn("engine not available", "instance", a.identity.Instance)
 }
 
+// setEngineSlow notes whether the engine is alive but slower than usual. It is not
+// taken out of service for that: routers weigh its rate.
+func (a *Agent) setEngineSlow(slow bool, now oleanderspool.Millis) {
+	if a.engineSlow == slow {
+		return
+	}
+	a.engineSlow = slow
+	load := a.queue.Load(now)
+	values := []any{"instance", a.identity.Instance, "tokens_per_ms", load.PrefillRate, "queued", load.Queued, "running", load.Running}
+	if slow {
+		a.metrics.Changed("engine_slow")
+		a.logger.Warn("engine slow", values...)
+		return
+	}
+	a.metrics.Changed("engine_fast")
+	a.logger.Info("engine at its usual speed", values...)
+}
+
 // engineCrashed asks the engine whether it still is the run that an attempt
 // was handed to.
 func (a *Agent) engineCrashed(started string) bool {
--- /dev/null
+++ b/internal/agent/engine_test.go
@@ -0,0 +1,47 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
+	"github.com/oleanderspool/oleanderspool/internal/queue"
+)
+
+// idleEngine answers reports and holds nothing.
+type idleEngine struct{ oleanderspool.Engine }
+
+func (idleEngine) Report(context.Context) (oleanderspool.EngineReport, error) {
+	return oleanderspool.EngineReport{Started: "once", SizeTokens: 1 << 20}, nil
+}
+
+func (idleEngine) Entries(context.Context) ([]oleanderspool.EngineEntry, error) { return nil, nil }
+
+var _ = Describe("An engine without progress", func() {
+	// Guards against an engine that answers reports and hangs in its work, of which
+	// no log line tells, and against a line at each report.
+	It("is logged once as slow, and once when it works again", func() {
+		var log bytes.Buffer
+		manual := clock.NewManual(0)
+		a := New("i-1", "dc-a", WithEngine(idleEngine{}), WithLogger(slog.New(slog.NewTextHandler(&log, nil))))
+		a.clock = manual
+		Expect(a.queue.Push(queue.Item{Attempt: "x", Account: "a", PromptTokens: 1000, MemoryTokens: 1000}, 0)).To(Succeed())
+		Expect(a.queue.Next(1<<20, 0).Start).To(HaveLen(1))
+		for range 3 {
+			manual.Advance(20 * oleanderspool.Second)
+			a.observeEngine(context.Background())
+		}
+		Expect(bytes.Count(log.Bytes(), []byte("engine slow"))).To(Equal(1))
+		a.queue.FirstToken("x", manual.Now())
+		for range 2 {
+			a.observeEngine(context.Background())
+		}
+		Expect(bytes.Count(log.Bytes(), []byte("engine at its usual speed"))).To(Equal(1))
+		Expect(log.String()).To(ContainSubstring("running=1"))
+	})
+})
