Renew confirmations each 2.5 s again

How the shorter wait loses is not traced.

Conclusion: the former share of 0.55 is back, and the wait is at its bound of 2.5 s. Refusals begin 2.2 s after a cut at the earliest instead of 1.7 s.

--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -46,8 +46,8 @@
 	configurationWait = 2500 * oleanderspool.Millis(1)
 	// confirmShare is the part of the span for which a confirmation holds after
 	// which it is renewed. The rest covers a call without an answer and its
-	// repetition at a store that is slow, and the first seconds of an outage.
-	confirmShare = 0.45
+	// repetition at a store that is slow.
+	confirmShare = 0.55
 	// drainShare is the part of the span in which a server that leaves must be
 	// known after which the registry is read again. The rest covers one call that
 	// gets no answer and its repetition.
