--- a/internal/forward/configuration_test.go
+++ b/internal/forward/configuration_test.go
@@ -1,8 +1,8 @@
 package forward_test
 
 import (
-	"fmt"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
