--- a/internal/forward/configuration_test.go
+++ b/internal/forward/configuration_test.go
@@ -119,6 +119,7 @@
 	}{{3750, http.StatusOK}, {4950, http.StatusServiceUnavailable}} {
 		It(fmt.Sprintf("answers %d to a key that was confirmed %d ms ago", c.status, c.age), func() {
 			w := newWorld(1, 0)
+			Expect(w.send(query{path: "/lookup/1"}).status).To(Equal(200), "confirmed")
 			w.store.SetOutage(platformtest.Silent)
 			w.clock.jump.Store(int64(c.age))
 			Expect(w.send(query{path: "/lookup/1"}).status).To(Equal(c.status))
