Count requests that were just cancelled as in flight at a crash

Entries cancel the other copies when they learn of a crash. An attempt leaves the agent's list at its cancellation, so an engine that the same request brings down within those milliseconds was reported without it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -298,6 +298,9 @@
 func (a *Agent) stopWork(id oleanderspool.AttemptID) {
 	a.queue.Cancel(id)
 	if cancel, ok := a.cancels[id]; ok {
+		if call, ok := a.calls[id]; ok {
+			a.crashes.cancelled(call.Request.Fingerprint, a.clock.Now())
+		}
 		cancel()
 	}
 }
