--- a/internal/standin/control_test.go
+++ b/internal/standin/control_test.go
@@ -123,6 +123,31 @@
 	})
 })
 
+// crashingBody is the body of a request during whose arrival the engine crashes.
+type crashingBody struct {
+	io.Reader
+	engine *engine.Engine
+}
+
+func (b crashingBody) Read(data []byte) (int, error) {
+	b.engine.Crash()
+	return b.Reader.Read(data)
+}
+
+var _ = Describe("The engine stand-in", func() {
+	// Guards against a run after the crash on an engine that is down. A prompt that
+	// crashes its engine would then count as two crashes of one engine.
+	It("takes no request that was arriving when it crashed", func() {
+		e := engine.New(engine.WithModels("ode"))
+		DeferCleanup(e.Close)
+		body := crashingBody{strings.NewReader(`{"model":"ode","prompt":"p","max_tokens":2,"request_id":"a"}`), e}
+		Expect(func() {
+			e.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/v1/completions", body))
+		}).To(PanicWith(http.ErrAbortHandler))
+		Expect(e.Requests()).To(BeEmpty())
+	})
+})
+
 var _ = Describe("The platform stand-in", func() {
 	It("drops records after their retention and keeps counting offsets", func() {
 		p := platform.New(platform.WithRetention(50))
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -38,7 +38,7 @@
 func (e *Engine) whileUp(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.mu.Lock()
-		down := time.Now().Before(e.downUntil)
+		down := e.isDown()
 		e.mu.Unlock()
 		if down {
 			panic(http.ErrAbortHandler)
@@ -47,6 +47,10 @@
 	})
 }
 
+// isDown reports whether the engine is down after a crash. The caller holds the
+// lock.
+func (e *Engine) isDown() bool { return time.Now().Before(e.downUntil) }
+
 func refuse(w http.ResponseWriter, status int, code, message string) {
 	standin.WriteError(w, status, standin.Error{Message: message, Code: code, Effect: "none"})
 }
