Name the trial and the cancelled requests of a crash in one branch

noteCrash asked twice whether the call is a trial, and cancelMemory converted callTimeout to milliseconds by hand. No change of behaviour; the tests of the agent are the same and green.

--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/peer"
@@ -20,7 +19,7 @@
 // cancelMemory is the span for which a cancelled request counts as in flight at a
 // crash. The engine may have begun to crash because of it, and the check of a
 // crash takes up to [callTimeout].
-const cancelMemory = oleanderspool.Millis(callTimeout / time.Millisecond)
+const cancelMemory = callTimeout
 
 // cancellation is a request whose run on the engine was cancelled.
 type cancellation struct {
@@ -36,7 +35,7 @@
 
 // forget drops the cancellations that are older than [cancelMemory].
 func (c *crashes) forget(now oleanderspool.Millis) {
-	c.lately = slices.DeleteFunc(c.lately, func(e cancellation) bool { return now-e.at > cancelMemory })
+	c.lately = slices.DeleteFunc(c.lately, func(e cancellation) bool { return (now - e.at).Duration() > cancelMemory })
 }
 
 // cancelledLately returns the requests besides those given whose runs were
@@ -68,13 +67,12 @@
 			fingerprints = append(fingerprints, c.Request.Fingerprint)
 		}
 	}
-	var cancelled []oleanderspool.Fingerprint
-	if !call.Trial { // a trial runs alone, and its crash names nothing else
-		cancelled = a.crashes.cancelledLately(fingerprints, a.clock.Now())
-	}
 	var trial oleanderspool.AttemptID
-	if call.Trial {
+	var cancelled []oleanderspool.Fingerprint
+	if call.Trial { // it runs alone, and its crash names nothing else
 		trial = call.Attempt
+	} else {
+		cancelled = a.crashes.cancelledLately(fingerprints, a.clock.Now())
 	}
 	crash := a.crashes.history.Add(append(fingerprints, cancelled...), trial)
 	a.crashes.started, a.crashes.id = started, string(crash.ID)
