Let every request of the stand-in's engine look for a crash under its lock

Reservations, imports, exports, cancellations and orders have the same gap between the look and the lock: one that was arriving took effect on the engine that is down, and its memory or model was there after the restart.

lockUp takes the lock and closes the connection of a request to an engine that is down; the check before the handlers and all handlers with a body call it, so the second check in submit is gone.

--- a/internal/standin/control_test.go
+++ b/internal/standin/control_test.go
@@ -135,17 +135,28 @@
 }
 
 var _ = Describe("The engine stand-in", func() {
-	// Guards against a run after the crash on an engine that is down. A prompt that
-	// crashes its engine would then count as two crashes of one engine.
-	It("takes no request that was arriving when it crashed", func() {
-		e := engine.New(engine.WithModels("ode"))
-		DeferCleanup(e.Close)
-		body := crashingBody{strings.NewReader(`{"model":"ode","prompt":"p","max_tokens":2,"request_id":"a"}`), e}
-		Expect(func() {
-			e.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/v1/completions", body))
-		}).To(PanicWith(http.ErrAbortHandler))
-		Expect(e.Requests()).To(BeEmpty())
-	})
+	// Guards against work after the crash on an engine that is down. A prompt that
+	// crashes its engine would count as two crashes of one engine, and memory or a
+	// model would be there after the restart.
+	cases := []struct{ name, path, body string }{
+		{"request", "/v1/completions", `{"model":"ode","prompt":"p","max_tokens":2,"request_id":"a"}`},
+		{"reservation", "/v1/reserve", `{"owner":"a","tokens":10}`},
+		{"import", "/v1/import?owner=a", `{"owner":"a","model":"ode","tokens":10}`},
+		{"export", "/v1/export", `{"owner":"a"}`},
+		{"cancellation", "/v1/cancel", `{"owner":"a"}`},
+		{"order", "/v1/orders", `{"kind":"load","model":"hymn","version":"1","fencing":1}`},
+	}
+	for _, c := range cases {
+		It("takes no "+c.name+" that was arriving when it crashed", func() {
+			e := engine.New(engine.WithModels("ode"))
+			DeferCleanup(e.Close)
+			body := crashingBody{strings.NewReader(c.body), e}
+			Expect(func() {
+				e.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, c.path, body))
+			}).To(PanicWith(http.ErrAbortHandler))
+			Expect(e.Requests()).To(BeEmpty())
+		})
+	}
 })
 
 var _ = Describe("The platform stand-in", func() {
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -39,15 +39,11 @@
 	message string
 }
 
-// submit puts a request into the engine's queue. It closes the connection of a
-// request that was arriving when the engine crashed.
+// submit puts a request into the engine's queue.
 func (e *Engine) submit(b generateBody) (*sequence, *refusal) {
 	q := newSequence(b)
-	e.mu.Lock()
+	e.lockUp()
 	defer e.mu.Unlock()
-	if e.isDown() {
-		panic(http.ErrAbortHandler)
-	}
 	if refusal := e.check(q, b); refusal != nil {
 		return nil, refusal
 	}
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -37,19 +37,21 @@
 // whileUp closes connections while the engine is down.
 func (e *Engine) whileUp(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		e.mu.Lock()
-		down := e.isDown()
+		e.lockUp()
 		e.mu.Unlock()
-		if down {
-			panic(http.ErrAbortHandler)
-		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// isDown reports whether the engine is down after a crash. The caller holds the
-// lock.
-func (e *Engine) isDown() bool { return time.Now().Before(e.downUntil) }
+// lockUp takes the lock for a request. It closes the connection if the engine is
+// down, also if it crashed while the request's body arrived.
+func (e *Engine) lockUp() {
+	e.mu.Lock()
+	if time.Now().Before(e.downUntil) {
+		e.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+}
 
 func refuse(w http.ResponseWriter, status int, code, message string) {
 	standin.WriteError(w, status, standin.Error{Message: message, Code: code, Effect: "none"})
@@ -60,7 +62,7 @@
 	if !standin.ReadJSON(w, r, &b) {
 		return
 	}
-	e.mu.Lock()
+	e.lockUp()
 	defer e.mu.Unlock()
 	freed := e.memory.owned[b.Owner]
 	for _, q := range e.usersOf(b.Owner) {
@@ -137,7 +139,7 @@
 		refuse(w, http.StatusBadRequest, "bad_request", "owner is empty or tokens below 1")
 		return
 	}
-	e.mu.Lock()
+	e.lockUp()
 	granted := e.memory.grow(b.Owner, b.Tokens)
 	e.mu.Unlock()
 	if !granted {
@@ -152,7 +154,7 @@
 	if !standin.ReadJSON(w, r, &b) {
 		return
 	}
-	e.mu.Lock()
+	e.lockUp()
 	q, found := e.sequences[b.Owner]
 	var body exportBody
 	if found {
@@ -184,7 +186,7 @@
 		refuse(w, http.StatusBadRequest, "bad_request", "owner or KV cache is malformed")
 		return
 	}
-	e.mu.Lock()
+	e.lockUp()
 	granted := e.memory.grow(owner, b.Tokens)
 	if granted {
 		e.imported[owner] = b.Tokens
@@ -267,7 +269,7 @@
 // fences takes the fencing number of an order and returns the run of the engine,
 // or refuses a number below the highest one seen.
 func (e *Engine) fences(w http.ResponseWriter, b orderBody) (run string, fenced bool) {
-	e.mu.Lock()
+	e.lockUp()
 	defer e.mu.Unlock()
 	if e.fencing && b.Fencing < e.fence {
 		refuse(w, http.StatusConflict, "fenced", "fencing number is below "+strconv.FormatInt(e.fence, 10))
