--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,15 +18,48 @@
 // connection is a connection to a backend server. It serves one request at a time.
 type connection struct {
 	conn             net.Conn
-	reader           *bufio.Reader
+	input            *boundedReader
+	reader           *bufio.Reader // reads from input
 	key              poolKey
+	reused           bool // it carried an earlier request
 	lastUsedAt       oleanderspool.Millis
 	expiresAt        oleanderspool.Millis
 	keepAliveTimeout oleanderspool.Millis // keep-alive timeout that the server announced; 0 for none
 }
 
 func newConnection(conn net.Conn, key poolKey) *connection {
-	return &connection{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), key: key}
+	input := &boundedReader{conn: conn}
+	return &connection{conn: conn, input: input, reader: bufio.NewReaderSize(input, readBuffer), key: key}
+}
+
+// errAnswerTooLong means that a server sent more bytes than a part of an answer
+// may have.
+var errAnswerTooLong = errors.New("the answer exceeds its maximum size")
+
+// boundedReader reads from a connection and fails once a bound is exceeded, so
+// that a server that sends without end occupies no memory.
+type boundedReader struct {
+	conn    net.Conn
+	bounded bool
+	left    int
+}
+
+// setBound bounds the bytes that are read until the next call; 0 removes the bound.
+func (r *boundedReader) setBound(bytes int) {
+	r.bounded, r.left = bytes > 0, bytes
+}
+
+// Read implements [io.Reader].
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if !r.bounded {
+		return r.conn.Read(p)
+	}
+	if r.left == 0 {
+		return 0, errAnswerTooLong
+	}
+	n, err := r.conn.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
 }
 
 func (c *connection) close() {
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -20,6 +20,16 @@
 	// maxSkippedAnswers is the maximum number of answers to other requests that are
 	// skipped.
 	maxSkippedAnswers = 2
+	// maxInterimAnswers is the maximum number of interim answers (1xx) before the
+	// final one.
+	maxInterimAnswers = 16
+	// maxAnswerHeader bounds the header of an answer in bytes. Servers send less than
+	// 1 KiB.
+	maxAnswerHeader = 64 << 10
+	// maxSkippedBody bounds the body of a skipped answer, and of one that
+	// [Exchange.Discard] reads, in bytes. Reading more costs more than a new
+	// connection.
+	maxSkippedBody = 256 << 10
 )
 
 // Request is a request to a backend server.
@@ -105,31 +115,62 @@
 // receive reads the header of the answer. It skips interim answers and complete
 // answers to other requests.
 func (e *Exchange) receive(r Request, format oleanderspool.ExchangeFormat) error {
-	for skipped := 0; ; {
-		//nolint:bodyclose // Close ends the body together with the connection.
-		response, err := http.ReadResponse(e.connection.reader, &http.Request{Method: r.Method})
+	for skipped, interim := 0, 0; ; {
+		response, err := e.readHeader(r.Method)
 		if err != nil {
 			return err
 		}
 		if response.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterimAnswers {
+				return errAnswerTooLong
+			}
 			continue
 		}
 		answer := format.DecodeAnswerHeader(response.StatusCode, response.Header)
 		reusable := e.connection.recordKeepAlive(response)
-		if answer.ID == "" || r.ID == "" || answer.ID == r.ID {
+		if e.answers(r, answer) {
 			e.Answer, e.Header, e.response, e.reusable = answer, response.Header, response, reusable
 			return nil
 		}
 		skipped++
-		if skipped > maxSkippedAnswers || !reusable {
+		if answer.ID == "" || skipped > maxSkippedAnswers || !reusable {
 			return oleanderspool.ErrUncertain.New("received an answer to request %q", answer.ID)
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := skip(response.Body); err != nil {
 			return err
 		}
 	}
 }
 
+// readHeader reads the header of the next answer. Its body follows on the
+// connection without a bound.
+func (e *Exchange) readHeader(method string) (*http.Response, error) {
+	e.connection.input.setBound(maxAnswerHeader)
+	defer e.connection.input.setBound(0)
+	return http.ReadResponse(e.connection.reader, &http.Request{Method: method})
+}
+
+// answers reports whether an answer belongs to a request. A server repeats the ID
+// of a request, so an answer with another ID is a late copy, also when the request
+// has no ID. An answer without an ID may be a copy of the answer to an earlier
+// request without one: on a connection that carried one it is not trusted to say
+// that the request did not run.
+func (e *Exchange) answers(r Request, answer oleanderspool.AnswerHeader) bool {
+	if answer.ID != "" {
+		return answer.ID == r.ID
+	}
+	return r.ID == "" || !e.connection.reused || !answer.NotRun
+}
+
+// skip reads a body that nobody needs, so that the connection can be reused.
+func skip(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBody+1))
+	if err == nil && n > maxSkippedBody {
+		return errAnswerTooLong
+	}
+	return err
+}
+
 // Read reads the body of the answer. It returns io.EOF only after a complete body.
 func (e *Exchange) Read(b []byte) (int, error) {
 	n, err := e.response.Body.Read(b)
@@ -144,10 +185,10 @@
 	return max(0, e.response.ContentLength), e.response.ContentLength >= 0
 }
 
-// Discard reads the body of the answer to its end.
+// Discard reads the body of the answer to its end. It fails on a body that is not
+// worth reading.
 func (e *Exchange) Discard() error {
-	_, err := io.Copy(io.Discard, e)
-	return err
+	return skip(e)
 }
 
 // Close ends the exchange. It returns the connection to the pool if the request
@@ -158,6 +199,7 @@
 		return
 	}
 	if e.stop() {
+		e.connection.reused = true
 		e.pool.put(e.connection)
 	}
 }
--- a/internal/command/forward_test.go
+++ b/internal/command/forward_test.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -13,6 +16,7 @@
 	"github.com/onsi/gomega/gbytes"
 	"github.com/onsi/gomega/gexec"
 
+	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/platform/platformtest"
 )
 
@@ -85,6 +89,48 @@
 		}
 	})
 
+	// Guards against a backend server in trouble whose answer without end fills the
+	// memory of the entry, or whose request is answered as not run.
+	It("keeps its memory bounded while a server sends without end", func() {
+		const maxGrowth = 32 << 20 // bytes
+		heap := func() float64 { return metricValue(instance.Control, "go_memstats_heap_inuse_bytes") }
+		idle := heap()
+		answers := []struct {
+			name      string
+			behaviour platformtest.Behaviour
+		}{
+			{"a header line", platformtest.EndlessAnswer(false, "HTTP/1.1 200 OK\r\nX-A: ", "aaaaaaaaaaaaaaaa")},
+			{"header lines", platformtest.EndlessAnswer(false, "HTTP/1.1 200 OK\r\n", "X-Header: a value\r\n")},
+			{"no answer", platformtest.EndlessAnswer(false, "", "garbage ")},
+			{"interim answers", platformtest.EndlessAnswer(false, "", "HTTP/1.1 102 Processing\r\n\r\n")},
+			{"an event", platformtest.EndlessAnswer(true, "id: 1\ndata: ", "aaaaaaaaaaaaaaaa")},
+			{"lines of an event", platformtest.EndlessAnswer(true, "id: 1\n", "data: piece\n")},
+		}
+		for _, a := range answers {
+			By(a.name)
+			runner.SetBehaviour(a.behaviour)
+			var callers sync.WaitGroup
+			for range 4 {
+				callers.Go(func() {
+					defer GinkgoRecover()
+					body, err := ask()
+					Expect(err != nil || strings.Contains(body, oleanderspool.MayHaveRun.String())).To(BeTrue(), "%s", body)
+				})
+			}
+			done := make(chan struct{})
+			go func() {
+				callers.Wait()
+				close(done)
+			}()
+			highest := 0.0
+			Eventually(func() <-chan struct{} {
+				highest = max(highest, heap())
+				return done
+			}, "15s", 20*time.Millisecond).Should(BeClosed())
+			Expect(highest-idle).To(BeNumerically("<", maxGrowth), a.name)
+		}
+	})
+
 	// Guards against counters that nobody can read.
 	It("serves its counters and logs a reload", func() {
 		runner.SetBehaviour(platformtest.Stream(2, 0, 0))
@@ -101,6 +147,24 @@
 	})
 })
 
+// metricValue returns the value of a metric without labels.
+func metricValue(address, name string) float64 {
+	response, err := http.Get("http://" + address + "/metrics")
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	for line := range strings.SplitSeq(string(body), "\n") {
+		if text, found := strings.CutPrefix(line, name+" "); found {
+			value, err := strconv.ParseFloat(text, 64)
+			Expect(err).NotTo(HaveOccurred())
+			return value
+		}
+	}
+	Fail("no metric " + name)
+	return 0
+}
+
 // httpStatus returns the HTTP status of a path, or 0 without an answer.
 func httpStatus(address, path string) int {
 	response, err := http.Get("http://" + address + path)
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -39,7 +40,7 @@
 )
 
 // admit checks a request and reads its body. The transaction is never nil.
-func (g *Gateway) admit(r *http.Request) (*transaction, *oleanderspool.Refusal) {
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*transaction, *oleanderspool.Refusal) {
 	t := &transaction{
 		gateway: g, request: r, call: g.format.DecodeCallHeader(r.Header),
 		receivedAt: g.clock.Now(),
@@ -67,7 +68,7 @@
 	if limit := c.Limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
 		return t, oleanderspool.Refuse(oleanderspool.RefusalHeaderTooLarge, "the header is too large")
 	}
-	if refusal := t.readBody(c.Limits.BodyBytes); refusal != nil {
+	if refusal := t.readBody(w, c.Limits.BodyBytes); refusal != nil {
 		return t, refusal
 	}
 	t.chooseService(c)
@@ -154,18 +155,33 @@
 	return size
 }
 
-func (t *transaction) readBody(limit int64) *oleanderspool.Refusal {
+// defaultMaxBody bounds a request's body in bytes when the configuration does not.
+const defaultMaxBody = 4 << 20
+
+// readBody reads the body before the deadline of the request, so that a caller
+// that sends a byte now and then does not hold its connection and memory longer.
+func (t *transaction) readBody(w http.ResponseWriter, limit int64) *oleanderspool.Refusal {
 	if limit <= 0 {
-		limit = 4 << 20
+		limit = defaultMaxBody
+	}
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(time.Now().Add(t.remaining().Duration())); err != nil {
+		t.gateway.logger.Debug("cannot bound the time for the body", "request_id", t.call.ID, "error", err.Error())
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(nil, t.request.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		t.gateway.logger.Warn("body did not arrive in time", "request_id", t.call.ID, "bytes", len(body), "age_ms", int64(t.gateway.clock.Now()-t.receivedAt))
+		return oleanderspool.Refuse(oleanderspool.RefusalTimeLimit, "the body did not arrive in time")
 	case errors.As(err, &tooLarge):
 		return oleanderspool.Refuse(oleanderspool.RefusalBodyTooLarge, "the body is too large")
 	case err != nil:
 		return oleanderspool.Refuse(oleanderspool.RefusalBadRequest, "the body is incomplete")
 	}
+	if err := controller.SetReadDeadline(time.Time{}); err != nil {
+		t.gateway.logger.Debug("cannot end the time limit for the body", "request_id", t.call.ID, "error", err.Error())
+	}
 	t.body = body
 	h := xxhash.New()
 	for _, part := range []string{t.account.Name, "\x00", t.request.Method, "\x00", t.request.RequestURI, "\x00"} {
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -188,7 +188,7 @@
 	if g.stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	t, refusal := g.admit(r)
+	t, refusal := g.admit(w, r)
 	if refusal != nil {
 		g.refuse(w, t, refusal)
 		return
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -22,7 +22,7 @@
 	// maxBuffered bounds the part of an answer, in bytes, that is read before
 	// any of it is passed on. A longer answer is passed on from then on, and
 	// the answer of another server can no longer replace it.
-	maxBuffered = 4 << 20
+	maxBuffered = 1 << 20
 )
 
 // runPlain answers a request for a plain service.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -107,6 +107,9 @@
 	id := ""
 	for {
 		line, err := reader.ReadSlice('\n')
+		if len(event)+len(line) > maxEvent {
+			return oleanderspool.ErrInvalid.New("an event of the stream exceeds %d bytes", maxEvent)
+		}
 		event = append(event, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
@@ -116,9 +119,6 @@
 		case err != nil:
 			return err
 		}
-		if len(event) > maxEvent {
-			return oleanderspool.ErrInvalid.New("an event of the stream exceeds %d bytes", maxEvent)
-		}
 		if value, found := o.transaction.gateway.format.EventID(bytes.TrimRight(line, "\r\n")); found {
 			id = value
 		}
