--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -111,10 +111,14 @@
 	if len(loads) == 0 {
 		return Decision{}, false
 	}
-	best := Decision{Cost: math.Inf(1)}
+	tieBreak := tieBreakCost
+	if prefillMillis(e, r.PromptTokens) >= longPrefill {
+		tieBreak = longTieBreakCost
+	}
+	best := chooseWhole(loads, e, r, tieBreak, now)
 	maxShards := 1 + min(e.MaxExtraServers, int(r.PromptTokens/minShardTokens)-1)
-	for shards := 1; shards <= max(1, min(maxShards, len(loads))); shards++ {
-		if d := chooseShards(loads, e, r, shards, now); d.Cost < best.Cost {
+	if maxShards = min(maxShards, len(loads)); maxShards > 1 {
+		if d := sc.chooseSharded(loads, e, r, maxShards, tieBreak, now); d.Cost < best.Cost {
 			best = d
 		}
 	}
@@ -122,8 +126,8 @@
 		return Decision{}, false
 	}
 	meanBacklog := 0.0
-	for i := range loads {
-		meanBacklog += loads[i].backlog / float64(len(loads))
+	for _, l := range loads {
+		meanBacklog += l.backlog / float64(len(loads))
 	}
 	best.MeanBacklog = millis(meanBacklog)
 	prefill := prefillMillis(e, r.PromptTokens)
@@ -173,123 +177,194 @@
 	return missProbability(duration, timeout)
 }
 
-// eligible returns the loads of the servers that may be chosen. Avoided servers
-// are used only when there are no others.
-func (sc *Scheduler) eligible(servers []directory.Server, e *directory.Engine, r Request, now oleanderspool.Millis) []serverLoad {
-	var preferred, avoided []serverLoad
-	scale := tieBreakCost
-	if prefillMillis(e, r.PromptTokens) >= longPrefill {
-		scale = longTieBreakCost
+// eligible returns the loads of the servers that may be chosen, or of a sample of
+// them. Avoided servers are used only when there are no others.
+func (sc *Scheduler) eligible(servers []directory.Server, e *directory.Engine, r Request, now oleanderspool.Millis) []*serverLoad {
+	sc.candidates, sc.avoidedCandidates = sc.candidates[:0], sc.avoidedCandidates[:0]
+	count := min(len(servers), sc.maxCandidates)
+	if count < len(servers) {
+		sc.sampled = (sc.sampled + count) % len(servers)
+	} else {
+		sc.sampled = 0
 	}
-	for _, s := range servers {
-		if slices.Contains(r.Tried, s.Instance) {
+	for i := range len(servers) {
+		if len(sc.candidates) >= count {
+			break
+		}
+		s := &servers[(sc.sampled+i)%len(servers)]
+		switch {
+		case slices.Contains(r.Tried, s.Instance):
+		case sc.isAvoided(s.Instance, now):
+			sc.avoidedCandidates = append(sc.avoidedCandidates, sc.load(s, e, now))
+		default:
+			sc.candidates = append(sc.candidates, sc.load(s, e, now))
+		}
+	}
+	if len(sc.candidates) == 0 {
+		return sc.avoidedCandidates
+	}
+	return sc.candidates
+}
+
+// chooseWhole returns the best placement of a prompt that one server prefills.
+func chooseWhole(loads []*serverLoad, e *directory.Engine, r Request, tieBreak float64, now oleanderspool.Millis) Decision {
+	prefill := prefillMillis(e, r.PromptTokens)
+	maxPass := maxPassPrefillMillis(e, r.PromptTokens, prefill)
+	var best *serverLoad
+	bestCost, bestTTFT := math.Inf(1), 0.0
+	for _, s := range loads {
+		start := max(s.backlog, s.slotWait(e))
+		cost := s.memoryCost(e, r, s.missingTokens(e, r))
+		if math.IsInf(start+cost, 1) {
 			continue
 		}
-		l := sc.load(s, e, now)
-		l.tieBreak = scale * sc.tieBreakOf(s.Instance)
-		if sc.isAvoided(s.Instance, now) {
-			avoided = append(avoided, l)
-		} else {
-			preferred = append(preferred, l)
+		ttft := start + prefill + s.passDelay(start) + deliveryDelay
+		cost += s.secondaryCost(e, r, tieBreak) + r.ttftLoss(ttft)
+		if cost >= bestCost {
+			continue // the cost to others is not negative
+		}
+		if cost += s.costToOthers(e, prefill, maxPass, false, now); cost < bestCost {
+			best, bestCost, bestTTFT = s, cost, ttft
 		}
 	}
-	if len(preferred) == 0 {
-		return avoided
+	if best == nil {
+		return Decision{Cost: bestCost}
 	}
-	return preferred
+	return best.decision(bestCost, bestTTFT)
 }
 
+// decision returns a decision for the server without helpers.
+func (s *serverLoad) decision(cost, ttft float64) Decision {
+	return Decision{Server: *s.server, Cost: cost, TTFT: millis(ttft), Backlog: millis(s.backlog), ActiveStreams: s.decoding}
+}
+
+// shardCounts are the numbers of shards that are compared. The more there are, the
+// less one more changes.
+var shardCounts = [...]int{2, 3, 4, 5, 6, 7, 8, 10, 12, 14, 17}
+
 // helperCandidate is a possible helper with the cost of prefilling a shard on it.
 type helperCandidate struct {
 	*serverLoad
 	cost float64
 }
 
-// helperCandidates returns the servers as possible helpers, cheapest first. To the
-// given costs it adds those of the backlog and of the tie-break.
-func helperCandidates(loads []serverLoad, costs []float64) []helperCandidate {
-	list := make([]helperCandidate, len(loads))
-	for i := range loads {
-		list[i] = helperCandidate{&loads[i], costs[i] + backlogCost*loads[i].backlog + loads[i].tieBreak}
+// chooseSharded returns the best placement of a prompt that is split into several
+// equal shards.
+func (sc *Scheduler) chooseSharded(loads []*serverLoad, e *directory.Engine, r Request, maxShards int, tieBreak float64, now oleanderspool.Millis) Decision {
+	candidates := make([]helperCandidate, len(loads))
+	for i, s := range loads {
+		candidates[i] = helperCandidate{serverLoad: s}
 	}
-	slices.SortStableFunc(list, func(x, y helperCandidate) int { return cmp.Compare(x.cost, y.cost) })
-	return list
-}
-
-// chooseShards returns the best placement of a prompt that is split into the given
-// number of equal shards.
-func chooseShards(loads []serverLoad, e *directory.Engine, r Request, shards int, now oleanderspool.Millis) Decision {
-	prefill := prefillMillis(e, r.PromptTokens) / float64(shards)
-	tokens := r.PromptTokens / int64(shards)
-	maxPass := maxPassPrefillMillis(e, tokens, prefill)
-	if shards > 1 {
-		// A pass prefills up to PrefillChunk tokens in each of its steps. The prefill
-		// time of a shard is assumed to be proportional to its tokens.
-		maxPass = min(prefill, max(maxPass, float64(e.PrefillChunk*int64(e.StepsPerPass))/float64(max(tokens, 1))*prefill))
-	}
-	costs := make([]float64, len(loads))
-	for i := range loads {
-		costs[i] = loads[i].costToOthers(e, prefill, maxPass, shards > 1, now)
-	}
-	var helpers []helperCandidate
-	if shards > 1 {
-		helpers = helperCandidates(loads, costs)
+	if len(candidates) > sc.maxHelperCandidates {
+		sortCandidates(candidates, e, r, maxShards, tieBreak, now)
+		candidates = candidates[:sc.maxHelperCandidates]
 	}
 	best := Decision{Cost: math.Inf(1)}
-	for i := range loads {
-		s := &loads[i]
-		d, start := s.assemble(helpers, e, r, shards)
-		start = max(start, s.slotWait(e))
-		if math.IsInf(start, 1) {
-			continue
+	for _, shards := range shardCounts {
+		if shards > maxShards {
+			break
 		}
-		d.Cost += costs[i] + s.secondaryCost(e, r)
-		ttft := start + prefill + s.passDelay(start) + deliveryDelay
-		d.TTFT = millis(ttft)
-		d.Cost += r.ttftLoss(ttft)
-		if d.Cost < best.Cost {
+		if d := chooseShards(candidates, e, r, shards, tieBreak, now); d.Cost < best.Cost {
 			best = d
 		}
 	}
 	return best
 }
 
-// assemble returns a decision for the server with the cheapest helpers, and the
-// time in ms until the prefill starts. If the chosen servers lack free memory, the
-// cost grows by lastResortCost, or is infinite when the request exceeds the KV cache
-// of one server.
-func (s *serverLoad) assemble(helpers []helperCandidate, e *directory.Engine, r Request, shards int) (Decision, float64) {
-	d := Decision{Server: s.server, Backlog: millis(s.backlog), ActiveStreams: len(s.decoding)}
-	// the memory that the server lacks for the request
-	missingTokens := r.PromptTokens + r.OutputTokens - (e.KVCacheTokens - s.memoryTokens)
-	start := 0.0
-	if shards == 1 {
-		start = s.backlog
+// shardPrefill returns the prefill time of one of several equal shards of a prompt,
+// and its longest part within one pass, in ms.
+func shardPrefill(e *directory.Engine, r Request, shards int) (prefill, maxPass float64) {
+	prefill = prefillMillis(e, r.PromptTokens) / float64(shards)
+	tokens := r.PromptTokens / int64(shards)
+	maxPass = maxPassPrefillMillis(e, tokens, prefill)
+	// A pass prefills up to PrefillChunk tokens in each of its steps. The prefill time
+	// of a shard is assumed to be proportional to its tokens.
+	return prefill, min(prefill, max(maxPass, float64(e.PrefillChunk*int64(e.StepsPerPass))/float64(max(tokens, 1))*prefill))
+}
+
+// sortCandidates calculates the cost of a shard on each server, including those of
+// the backlog and of the tie-break, and sorts the servers by it.
+func sortCandidates(candidates []helperCandidate, e *directory.Engine, r Request, shards int, tieBreak float64, now oleanderspool.Millis) {
+	prefill, maxPass := shardPrefill(e, r, shards)
+	for i := range candidates {
+		c := &candidates[i]
+		c.cost = c.costToOthers(e, prefill, maxPass, true, now) + backlogCost*c.backlog + tieBreak*c.tieBreak
 	}
-	for _, h := range helpers {
-		if len(d.Helpers) == shards-1 {
-			break
+	slices.SortStableFunc(candidates, func(x, y helperCandidate) int { return cmp.Compare(x.cost, y.cost) })
+}
+
+// chooseShards returns the best placement of a prompt that is split into the given
+// number of equal shards. It changes the order of the candidates.
+func chooseShards(candidates []helperCandidate, e *directory.Engine, r Request, shards int, tieBreak float64, now oleanderspool.Millis) Decision {
+	prefill, _ := shardPrefill(e, r, shards)
+	sortCandidates(candidates, e, r, shards, tieBreak, now)
+	var best *helperCandidate
+	bestCost, bestTTFT := math.Inf(1), 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		helperCost, missing := c.helperCost(candidates, e, r, shards, nil)
+		cost := helperCost + c.memoryCost(e, r, missing)
+		start := c.slotWait(e)
+		if math.IsInf(start+cost, 1) {
+			continue
+		}
+		ttft := start + prefill + c.passDelay(start) + deliveryDelay
+		// The cost of the candidate contains its backlog and its tie-break, which
+		// secondaryCost contains too.
+		cost += c.cost - backlogCost*c.backlog - tieBreak*c.tieBreak + c.secondaryCost(e, r, tieBreak) + r.ttftLoss(ttft)
+		if cost < bestCost {
+			best, bestCost, bestTTFT = c, cost, ttft
 		}
-		if h.serverLoad == s {
+	}
+	if best == nil {
+		return Decision{Cost: bestCost}
+	}
+	d := best.decision(bestCost, bestTTFT)
+	best.helperCost(candidates, e, r, shards, &d.Helpers)
+	return d
+}
+
+// helperCost returns the cost of the cheapest helpers for a prompt on the candidate's
+// server, and the memory in tokens that the server and the helpers lack. It appends
+// the helpers to list unless that is nil.
+func (c *helperCandidate) helperCost(candidates []helperCandidate, e *directory.Engine, r Request, shards int, list *[]Helper) (cost float64, missing int64) {
+	missing = c.missingTokens(e, r)
+	for i, count := 0, 0; i < len(candidates) && count < shards-1; i++ {
+		h := &candidates[i]
+		if h.serverLoad == c.serverLoad {
 			continue
 		}
-		helper := Helper{Server: h.server}
-		if missingTokens > 0 {
-			helper.ReservedTokens = max(0, min(missingTokens+reservationMargin, e.KVCacheTokens-h.memoryTokens-helperMemoryMargin))
-			missingTokens -= helper.ReservedTokens
-			d.Cost += reservationCost
+		count++
+		helper := Helper{Server: *h.server}
+		if missing > 0 {
+			helper.ReservedTokens = max(0, min(missing+reservationMargin, e.KVCacheTokens-h.memoryTokens-helperMemoryMargin))
+			missing -= helper.ReservedTokens
+			cost += reservationCost
+		}
+		cost += h.cost + helperCost
+		if list != nil {
+			*list = append(*list, helper)
 		}
-		d.Helpers = append(d.Helpers, helper)
-		d.Cost += h.cost + helperCost
 	}
+	return cost, missing
+}
+
+// missingTokens returns the memory in tokens that the server lacks for a request; it
+// is negative when some would remain.
+func (s *serverLoad) missingTokens(e *directory.Engine, r Request) int64 {
+	return r.PromptTokens + r.OutputTokens - (e.KVCacheTokens - s.memoryTokens)
+}
+
+// memoryCost returns the cost of memory that the chosen servers lack: infinite when
+// the request exceeds the KV cache of one server.
+func (s *serverLoad) memoryCost(e *directory.Engine, r Request, missing int64) float64 {
 	switch {
-	case missingTokens <= 0:
+	case missing <= 0:
+		return 0
 	case r.PromptTokens+r.OutputTokens > e.KVCacheTokens:
-		d.Cost = math.Inf(1)
-	default:
-		d.Cost += lastResortCost
+		return math.Inf(1)
 	}
-	return d, start
+	return lastResortCost
 }
 
 // passDelay returns the time in ms that decoding adds to the first token of a new
@@ -322,19 +397,17 @@
 // lose when it prefills a prompt or, if sharded is set, a shard. prefill is the total
 // prefill time and maxPass the longest within one pass, in ms.
 func (s *serverLoad) costToOthers(e *directory.Engine, prefill, maxPass float64, sharded bool, now oleanderspool.Millis) float64 {
-	loss := 0.0
-	for _, t := range s.decoding {
-		if t.InterTokenGoal == 0 || t.OutputTokens == 0 {
-			continue // its caller does not stream, or it is a helper's shard
-		}
-		loss += t.Value * max(0, t.interTokenLoss(s.passDuration+s.passPrefill(e, prefill, maxPass))-t.interTokenLoss(s.passDuration+s.passPrefill(e, 0, 0)))
+	loss, latency := 0.0, s.passDuration+s.passPrefill(e, prefill, maxPass)
+	for i := range s.streams {
+		g := &s.streams[i]
+		loss += g.value * max(0, g.interTokenLoss(latency)-g.baseLoss)
 	}
 	if !sharded {
 		return loss // whole prompts queue behind all pending prefills and delay none
 	}
 	for _, t := range s.prefills {
 		ttft := float64(now-t.PlacedAt) + t.finishesIn
-		loss += t.Value * max(0, t.ttftLoss(ttft+prefill)-t.ttftLoss(ttft))
+		loss += t.Value * max(0, t.goals().ttftLoss(ttft+prefill)-t.goals().ttftLoss(ttft))
 	}
 	return loss
 }
@@ -362,16 +435,25 @@
 	return float64(waiting) * answer / float64(e.Slots)
 }
 
+// goals are the latencies up to which a request loses no value.
+type goals struct {
+	ttft, interToken oleanderspool.Millis
+}
+
+func (t *Task) goals() goals {
+	return goals{ttft: t.TTFTGoal, interToken: t.InterTokenGoal}
+}
+
 // interTokenLoss returns the fraction of its value that a stream loses with the
 // given inter-token latency in ms.
-func (t *Task) interTokenLoss(latency float64) float64 {
-	return (1-lateFraction)*missProbability(latency, float64(t.InterTokenGoal)) + lateFraction*abandonProbability(latency, t.TTFTGoal, t.InterTokenGoal)
+func (g goals) interTokenLoss(latency float64) float64 {
+	return (1-lateFraction)*missProbability(latency, float64(g.interToken)) + lateFraction*abandonProbability(latency, g.ttft, g.interToken)
 }
 
 // ttftLoss returns the fraction of its value that a request loses with the given
 // time to the first token in ms.
-func (t *Task) ttftLoss(ttft float64) float64 {
-	return (1-lateFraction)*missProbability(ttft, float64(t.TTFTGoal)) + lateFraction*abandonProbability(ttft, t.TTFTGoal, t.InterTokenGoal)
+func (g goals) ttftLoss(ttft float64) float64 {
+	return (1-lateFraction)*missProbability(ttft, float64(g.ttft)) + lateFraction*abandonProbability(ttft, g.ttft, g.interToken)
 }
 
 // passPrefill returns the longest prefill time in ms within one pass when another
@@ -382,8 +464,8 @@
 }
 
 // secondaryCost returns a small cost that decides between otherwise equal servers.
-func (s *serverLoad) secondaryCost(e *directory.Engine, r Request) float64 {
-	cost := backlogCost*s.backlog + packingCost*packing(s.slotsUsed, e.Slots) + s.tieBreak
+func (s *serverLoad) secondaryCost(e *directory.Engine, r Request, tieBreak float64) float64 {
+	cost := backlogCost*s.backlog + packingCost*packing(s.slotsUsed, e.Slots) + tieBreak*s.tieBreak
 	if s.server.DataCentre != r.DataCentre {
 		cost += remoteCost
 	}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -49,12 +49,37 @@
 // and places requests. It is not safe for concurrent use.
 type Scheduler struct {
 	tasks    map[TaskID]*Task
-	byServer map[oleanderspool.InstanceID]map[TaskID]*Task
+	byServer map[oleanderspool.InstanceID]*serverState
 	avoided  map[oleanderspool.InstanceID]avoidance
 	// tieBreakSeed seeds the preference among equal servers; 0 for no preference.
 	tieBreakSeed uint64
+	// maxCandidates and maxHelperCandidates bound the servers that a decision compares.
+	maxCandidates       int
+	maxHelperCandidates int
+	sampled             int // index of the first server of the next sample
+	// candidates and avoidedCandidates are reused by each decision.
+	candidates, avoidedCandidates []*serverLoad
 }
 
+// serverState holds the tasks on a server and the load that they cause. It stays
+// without tasks until [Scheduler.Expire], so that its memory is reused.
+type serverState struct {
+	tasks    []*Task
+	load     serverLoad
+	changed  bool // the load does not reflect the tasks
+	tieBreak float64
+}
+
+const (
+	// defaultMaxCandidates is the number of servers that are compared for a request. A
+	// sample of so many contains a server that is nearly as good as the best one of any
+	// number.
+	defaultMaxCandidates = 256
+	// defaultMaxHelperCandidates is the number of servers that are compared for a
+	// sharded prompt, after those with the least work.
+	defaultMaxHelperCandidates = 64
+)
+
 // Option configures a [Scheduler].
 type Option func(*Scheduler)
 
@@ -69,8 +94,10 @@
 func NewScheduler(options ...Option) *Scheduler {
 	sc := &Scheduler{
 		tasks:    make(map[TaskID]*Task),
-		byServer: make(map[oleanderspool.InstanceID]map[TaskID]*Task),
+		byServer: make(map[oleanderspool.InstanceID]*serverState),
 		avoided:  make(map[oleanderspool.InstanceID]avoidance),
+
+		maxCandidates: defaultMaxCandidates, maxHelperCandidates: defaultMaxHelperCandidates,
 	}
 	for _, o := range options {
 		o(sc)
@@ -81,17 +108,37 @@
 // Add adds a task, or replaces the one with the same ID.
 func (sc *Scheduler) Add(t Task) {
 	if old, found := sc.tasks[t.ID]; found {
-		delete(sc.byServer[old.Server], t.ID)
-	}
-	tasks := sc.byServer[t.Server]
-	if tasks == nil {
-		tasks = make(map[TaskID]*Task)
-		sc.byServer[t.Server] = tasks
+		if old.Server == t.Server {
+			*old = t
+			sc.state(t.Server).changed = true
+			return
+		}
+		sc.detach(old)
 	}
-	tasks[t.ID] = &t
+	st := sc.state(t.Server)
+	st.tasks, st.changed = append(st.tasks, &t), true
 	sc.tasks[t.ID] = &t
 }
 
+// state returns the state of a server.
+func (sc *Scheduler) state(server oleanderspool.InstanceID) *serverState {
+	st := sc.byServer[server]
+	if st == nil {
+		st = &serverState{changed: true, tieBreak: sc.tieBreakOf(server)}
+		sc.byServer[server] = st
+	}
+	return st
+}
+
+// detach removes a task from its server.
+func (sc *Scheduler) detach(t *Task) {
+	st := sc.state(t.Server)
+	if i := slices.Index(st.tasks, t); i >= 0 {
+		st.tasks = slices.Delete(st.tasks, i, i+1)
+	}
+	st.changed = true
+}
+
 // Task returns the task with the given ID.
 func (sc *Scheduler) Task(id TaskID) (Task, bool) {
 	t, found := sc.tasks[id]
@@ -105,6 +152,7 @@
 func (sc *Scheduler) MarkDecoding(id TaskID) {
 	if t, found := sc.tasks[id]; found {
 		t.Decoding = true
+		sc.state(t.Server).changed = true
 	}
 }
 
@@ -115,10 +163,7 @@
 		return
 	}
 	delete(sc.tasks, id)
-	delete(sc.byServer[t.Server], id)
-	if len(sc.byServer[t.Server]) == 0 {
-		delete(sc.byServer, t.Server)
-	}
+	sc.detach(t)
 }
 
 // Retain removes the tasks of an entry that are not in keep.
@@ -130,13 +175,19 @@
 	}
 }
 
-// Expire removes tasks older than taskExpiry, and past avoidances.
+// Expire removes tasks older than taskExpiry, past avoidances and the states of
+// servers without tasks.
 func (sc *Scheduler) Expire(now oleanderspool.Millis) {
 	for id, t := range sc.tasks {
 		if now-t.PlacedAt > taskExpiry {
 			sc.Remove(id)
 		}
 	}
+	for server, st := range sc.byServer {
+		if len(st.tasks) == 0 {
+			delete(sc.byServer, server)
+		}
+	}
 	for id, a := range sc.avoided {
 		if now >= a.until+escalationWindow {
 			delete(sc.avoided, id)
@@ -156,58 +207,125 @@
 	return list
 }
 
+// Tasks returns all tasks.
+func (sc *Scheduler) Tasks() []Task {
+	list := make([]Task, 0, len(sc.tasks))
+	for _, t := range sc.tasks {
+		list = append(list, *t)
+	}
+	return list
+}
+
 // Count returns the number of tasks on a server.
 func (sc *Scheduler) Count(server oleanderspool.InstanceID) int {
-	return len(sc.byServer[server])
+	if st := sc.byServer[server]; st != nil {
+		return len(st.tasks)
+	}
+	return 0
 }
 
 // serverLoad is the predicted load of a server.
 type serverLoad struct {
-	server         directory.Server
+	server         *directory.Server
 	prefills       []pendingPrefill // in the order in which the server runs them
-	decoding       []*Task          // tasks that decode
 	backlog        float64          // time until all pending prefills are done, in ms
 	maxPassPrefill float64          // longest prefill within one pass, in ms
 	passDuration   float64          // duration of a pass without prefill, in ms; 0 if no task decodes
+	streams        []streamGroup    // decoding requests by their goals
+	decoding       int              // number of tasks that decode
 	memoryTokens   int64            // KV cache in use
-	contextTokens  int64            // sum over the decoding tasks
 	slotsUsed      int              // requests that occupy or wait for a slot
 	// tieBreak is a small cost that differs by the entry's tie-break seed.
 	tieBreak float64
+
+	calculatedAt oleanderspool.Millis
+	engine       *directory.Engine
+	pending      []*Task // tasks that do not decode, by placement
+	simulation   simulation
+}
+
+// streamGroup sums the decoding requests of a server that have the same goals.
+type streamGroup struct {
+	goals
+	value    float64
+	baseLoss float64 // loss of value with the load as it is
 }
 
-func (sc *Scheduler) load(s directory.Server, e *directory.Engine, now oleanderspool.Millis) serverLoad {
-	l := serverLoad{server: s}
-	var pending []*Task
-	for _, t := range sc.byServer[s.Instance] {
+// load returns the load of a server. It is valid until the next call for the same
+// server.
+func (sc *Scheduler) load(s *directory.Server, e *directory.Engine, now oleanderspool.Millis) *serverLoad {
+	st := sc.state(s.Instance)
+	l := &st.load
+	l.server, l.tieBreak = s, st.tieBreak
+	if st.changed || l.engine != e {
+		l.engine = e
+		l.count(st.tasks, e)
+		st.changed = false
+	} else if l.calculatedAt == now || len(l.pending) == 0 {
+		return l
+	}
+	l.calculatedAt = now
+	l.predict(e, now)
+	return l
+}
+
+// count sums the tasks of a server.
+func (l *serverLoad) count(tasks []*Task, e *directory.Engine) {
+	contextTokens := int64(0)
+	l.memoryTokens, l.slotsUsed, l.decoding, l.passDuration = 0, 0, 0, 0
+	l.pending, l.streams = l.pending[:0], l.streams[:0]
+	for _, t := range tasks {
 		l.memoryTokens += t.MemoryTokens
-		if t.Decoding {
-			l.decoding = append(l.decoding, t)
-			l.contextTokens += t.ContextTokens
-		} else {
-			pending = append(pending, t)
-		}
 		if t.OutputTokens > 0 {
 			l.slotsUsed++
 		}
+		if !t.Decoding {
+			l.pending = append(l.pending, t)
+			continue
+		}
+		l.decoding++
+		contextTokens += t.ContextTokens
+		// A request without the goal does not stream, and one without an answer is a
+		// helper's shard.
+		if t.InterTokenGoal > 0 && t.OutputTokens > 0 {
+			l.addStream(t)
+		}
 	}
-	if len(l.decoding) > 0 {
-		l.passDuration = passMillis(e, len(l.decoding), l.contextTokens)
+	if l.decoding > 0 {
+		l.passDuration = passMillis(e, l.decoding, contextTokens)
 	}
-	slices.SortFunc(pending, func(x, y *Task) int {
+	slices.SortFunc(l.pending, func(x, y *Task) int {
 		return cmp.Or(cmp.Compare(x.PlacedAt, y.PlacedAt), cmp.Compare(x.ID, y.ID))
 	})
-	order := prefillOrder(pending)
-	left := remainingPrefill(pending, order, now)
+}
+
+func (l *serverLoad) addStream(t *Task) {
+	for i := range l.streams {
+		if l.streams[i].goals == t.goals() {
+			l.streams[i].value += t.Value
+			return
+		}
+	}
+	l.streams = append(l.streams, streamGroup{goals: t.goals(), value: t.Value})
+}
+
+// predict calculates what changes with the time.
+func (l *serverLoad) predict(e *directory.Engine, now oleanderspool.Millis) {
+	l.backlog, l.maxPassPrefill = 0, 0
+	l.prefills = l.prefills[:0]
+	order, left := l.simulation.run(l.pending, now)
 	for _, i := range order {
 		if left[i] == 0 {
 			continue
 		}
 		l.backlog += left[i]
-		l.prefills = append(l.prefills, pendingPrefill{Task: pending[i], finishesIn: l.backlog})
-		l.maxPassPrefill = max(l.maxPassPrefill, min(left[i], pending[i].MaxPassPrefillMillis))
+		l.prefills = append(l.prefills, pendingPrefill{Task: l.pending[i], finishesIn: l.backlog})
+		l.maxPassPrefill = max(l.maxPassPrefill, min(left[i], l.pending[i].MaxPassPrefillMillis))
+	}
+	latency := l.passDuration + l.passPrefill(e, 0, 0)
+	for i := range l.streams {
+		l.streams[i].baseLoss = l.streams[i].interTokenLoss(latency)
 	}
-	return l
 }
 
 // tieBreakOf returns a pseudo-random number from 0 to 1 for a server and the
@@ -227,45 +345,51 @@
 	finishesIn float64 // time in ms until its prefill is done
 }
 
-// prefillOrder returns the indices of tasks, which are sorted by placement time, in
-// the order in which a server prefills them: shards first, newest first, then whole
-// prompts, oldest first.
-func prefillOrder(tasks []*Task) []int {
-	order := make([]int, 0, len(tasks))
+// simulation predicts the prefills of a server. It keeps its slices for reuse.
+type simulation struct {
+	order         []int
+	left, endedAt []float64
+}
+
+// setOrder sets order to the indices of tasks, which are sorted by placement time,
+// in the order in which a server prefills them: shards first, newest first, then
+// whole prompts, oldest first.
+func (si *simulation) setOrder(tasks []*Task) {
+	si.order = si.order[:0]
 	for i := len(tasks) - 1; i >= 0; i-- {
 		if tasks[i].Sharded {
-			order = append(order, i)
+			si.order = append(si.order, i)
 		}
 	}
 	for i, t := range tasks {
 		if !t.Sharded {
-			order = append(order, i)
+			si.order = append(si.order, i)
 		}
 	}
-	return order
 }
 
 // overdueFactor predicts the rest of an overdue prefill, as a fraction of the time
 // for which it is overdue.
 const overdueFactor = 0.3
 
-// remainingPrefill returns the remaining prefill time of each task in ms. It
-// simulates a server that always runs the first task of the given order among those
-// placed so far.
-func remainingPrefill(tasks []*Task, order []int, now oleanderspool.Millis) []float64 {
-	left := make([]float64, len(tasks))
-	endedAt := make([]float64, len(tasks))
-	for i, t := range tasks {
-		left[i] = t.PrefillMillis
+// run returns the order of the tasks and the remaining prefill time of each in ms. It
+// simulates a server that always runs the first task of the order among those placed
+// so far. The results are valid until the next run.
+func (si *simulation) run(tasks []*Task, now oleanderspool.Millis) (order []int, left []float64) {
+	si.setOrder(tasks)
+	si.left, si.endedAt = si.left[:0], si.endedAt[:0]
+	for _, t := range tasks {
+		si.left = append(si.left, t.PrefillMillis)
+		si.endedAt = append(si.endedAt, 0)
 	}
 	end := float64(now)
 	for clock := 0.0; clock < end; {
 		next, current := end, -1
-		for _, i := range order {
+		for _, i := range si.order {
 			switch at := float64(tasks[i].PlacedAt); {
 			case at > clock:
 				next = min(next, at)
-			case left[i] > 0 && current < 0:
+			case si.left[i] > 0 && current < 0:
 				current = i
 			}
 		}
@@ -273,19 +397,19 @@
 			clock = next
 			continue
 		}
-		duration := min(next-clock, left[current])
-		left[current] -= duration
+		duration := min(next-clock, si.left[current])
+		si.left[current] -= duration
 		clock += duration
-		if left[current] <= 0 {
-			left[current], endedAt[current] = 0, clock
+		if si.left[current] <= 0 {
+			si.left[current], si.endedAt[current] = 0, clock
 		}
 	}
 	for i, t := range tasks {
 		// The end of the prefill is reported for a request, but not for the shards
 		// of helpers, so only a request can be known to be overdue.
-		if left[i] == 0 && t.OutputTokens > 0 && t.PrefillMillis > 0 {
-			left[i] = (end - endedAt[i]) * overdueFactor
+		if si.left[i] == 0 && t.OutputTokens > 0 && t.PrefillMillis > 0 {
+			si.left[i] = (end - si.endedAt[i]) * overdueFactor
 		}
 	}
-	return left
+	return si.order, si.left
 }
