Send the messages of a large fleet through relays, and end tasks instead of processes

Cause: each change of each request went from each entry to all others 3 ms later, some 1,900 datagrams a second sent or received by an entry with 0.144 of a core, and crossed once for each entry to the other data centres. Entries knew at most 64 addresses. Each of them confirmed the configuration by its own read every 2.5 s and, during an outage, called the store eight times a second.

Ruled out: the choice of a server as the main cost of processor time on an idle fleet (1 ms a second at 3 requests a second; it is a cause of its own for long prompts).

Change: from nine entries on, the entry with the largest processor share of each data centre (one for 24 entries) is a relay. Others send to it; relays collect for 10 ms and exchange. A silent relay is replaced after 600 ms; two that both act as relays answer each other; messages are numbered and count once; a new subscriber gets the tasks of all. A relay confirms the configuration to its subscribers: a read that was sent after a question had arrived confirms it as of the instant at which it was asked, on the clock of the asking entry, and only if that entry has all records. Without it an entry reads itself, after 2.5 to 2.8 s. Reads that fail are repeated ever less often by entries that others read for. Numbers in datagrams are bounded. A panic ends one datagram, read or request, with a log line and a counter (panics_total); its state is read again or released.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -116,6 +116,7 @@
 // answers to other requests.
 func (e *Exchange) receive(r Request, format oleanderspool.ExchangeFormat) error {
 	for skipped, interim := 0, 0; ; {
+		//nolint:bodyclose // Close ends the body together with the connection.
 		response, err := e.readHeader(r.Method)
 		if err != nil {
 			return err
--- a/internal/command/forward.go
+++ b/internal/command/forward.go
@@ -57,27 +57,29 @@
 	options := []forward.Option{
 		forward.WithLogger(logger),
 		forward.WithMetrics(metrics),
-		forward.WithInstance(s.Instance, s.DataCentre),
+		forward.WithDataCentre(s.DataCentre),
 		forward.WithRetryBudget(s.RetryBudget.Ratio, s.RetryBudget.Reserve),
 		forward.WithMaxKeyAge(s.KeyFreshness),
 	}
 	if s.MemoryIdleTimeout > 0 {
 		options = append(options, forward.WithMemoryIdleTimeout(s.MemoryIdleTimeout))
 	}
+	guard := observe.NewGuard(logger, metrics)
 	gateway := forward.New(view, platform.Headers{}, clock, options...)
 	store := platform.NewStoreClient(s.StoreAddress)
 	follower := directory.NewFollower(view, platform.NewConfigurationFeed(store), platform.NewServerFeed(store, clock), clock, logger,
-		directory.WithMaxDrainDelay(s.MaxDrainDelay), directory.WithConfirmationTTL(gateway.EffectiveMaxKeyAge()), directory.WithCoordinator(gateway.Coordinator()))
+		directory.WithMaxDrainDelay(s.MaxDrainDelay), directory.WithConfirmationTTL(gateway.EffectiveMaxKeyAge()), directory.WithCoordinator(gateway.Coordinator()),
+		directory.WithGuard(guard))
 
 	listeners, err := listenForward(s)
 	if err != nil {
 		return err
 	}
-	node, err := listenGossip(s, gateway.State(), clock, logger)
+	node, err := listenGossip(s, gateway.State(), clock, logger, guard)
 	if err != nil {
 		return err
 	}
-	gateway.SetPeers(node, follower.Receive)
+	gateway.SetPeers(node, follower.Receive, follower.ReceiveConfirmation)
 
 	// Everything but the callers' server goes on until that has stopped.
 	after, stop := context.WithCancel(context.WithoutCancel(env.ctx))
@@ -134,12 +136,13 @@
 	})
 }
 
-func listenGossip(s platform.Settings, state gossip.State, clock *clock.Boot, logger *slog.Logger) (*gossip.Node, error) {
+func listenGossip(s platform.Settings, state gossip.State, clock *clock.Boot, logger *slog.Logger, guard *observe.Guard) (*gossip.Node, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.PeerListen))
 	if err != nil {
 		return nil, err
 	}
-	return gossip.NewNode(conn, s.PeerListen, s.Seeds, state, clock, logger), nil
+	self := gossip.Endpoint{Instance: s.Instance, Address: s.PeerListen.String(), DataCentre: s.DataCentre, Capacity: s.ProcessorShare}
+	return gossip.NewNode(conn, self, s.Seeds, state, clock, logger, gossip.WithGuard(guard)), nil
 }
 
 // logReloads reads the settings again on SIGHUP and logs what it finds. All
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/clock"
+	"github.com/oleanderspool/oleanderspool/internal/observe"
 )
 
 // Change is one decoded record of a feed.
@@ -57,6 +59,24 @@
 	defaultServerInterval = 600 * oleanderspool.Millis(1)
 	// retryInterval is the delay between reads that fail.
 	retryInterval = 250 * oleanderspool.Millis(1)
+	// maxRetryInterval bounds the delay for an entry that others read for: it doubles
+	// with each failure, so that a fleet does not load a store in trouble.
+	maxRetryInterval = oleanderspool.Second
+	// sharedReadWait is the longest time that a read waits for a new configuration
+	// while other entries depend on its confirmation. It is shorter than maxReadWait by
+	// the interval at which they ask.
+	sharedReadWait = 1200 * oleanderspool.Millis(1)
+	// maxOwnReadDelay bounds the random delay after which an entry that gets no
+	// confirmation from others reads the configuration itself.
+	maxOwnReadDelay = 300 * oleanderspool.Millis(1)
+	// maxChangeReadDelay bounds the random delay after which an entry reads a
+	// configuration that another one has announced. It spreads the load on the store.
+	maxChangeReadDelay = 150 * oleanderspool.Millis(1)
+	// readDelayFraction bounds the delay of the entries that read the registry when
+	// the others do not, as a fraction of the maximum drain delay.
+	readDelayFraction = 0.225
+	// defaultMaxReadDelay applies without [WithMaxDrainDelay].
+	defaultMaxReadDelay = 300 * oleanderspool.Millis(1)
 	// expiryGrace is the time after an outage of the store during which a removed
 	// server is still used: its registration may have expired only because the
 	// server could not renew it. It is shorter than the time after which a server
@@ -80,6 +100,9 @@
 	// serverInterval is the time between two reads of the registry. All records that
 	// arrive within an interval are fetched by one read.
 	serverInterval oleanderspool.Millis
+	maxReadDelay   oleanderspool.Millis
+	confirmations  chan Confirmation
+	guard          *observe.Guard
 }
 
 // FollowerOption configures a [Follower].
@@ -88,7 +111,10 @@
 // WithMaxDrainDelay sets the time within which the entry must learn that a server
 // is draining.
 func WithMaxDrainDelay(delay oleanderspool.Millis) FollowerOption {
-	return func(f *Follower) { f.serverInterval = oleanderspool.Millis(float64(delay) * drainReadFraction) }
+	return func(f *Follower) {
+		f.serverInterval = oleanderspool.Millis(float64(delay) * drainReadFraction)
+		f.maxReadDelay = oleanderspool.Millis(float64(delay) * readDelayFraction)
+	}
 }
 
 // WithConfirmationTTL sets how long a confirmation of the configuration is valid; 0
@@ -107,6 +133,11 @@
 	return func(f *Follower) { f.coordinator = c }
 }
 
+// WithGuard sets the guard of the follower's tasks.
+func WithGuard(guard *observe.Guard) FollowerOption {
+	return func(f *Follower) { f.guard = guard }
+}
+
 // maxReceived is the number of updates from other entries that may wait to be
 // applied.
 const maxReceived = 16
@@ -130,7 +161,8 @@
 func NewFollower(view *View, configurations, servers Feed, clock oleanderspool.Clock, logger *slog.Logger, options ...FollowerOption) *Follower {
 	f := &Follower{
 		view: view, clock: clock, logger: logger, wait: maxReadWait, serverInterval: defaultServerInterval,
-		coordinator: noCoordinator{}, received: make(chan receivedUpdate, maxReceived),
+		guard: observe.NewGuard(logger, observe.NewMetrics()), maxReadDelay: defaultMaxReadDelay,
+		coordinator: noCoordinator{}, received: make(chan receivedUpdate, maxReceived), confirmations: make(chan Confirmation, maxReceived),
 		configurations: feedState{name: "configuration", feed: configurations},
 		servers:        feedState{name: "servers", feed: servers},
 	}
@@ -147,11 +179,22 @@
 // old, and a reply that leaves out later records. A read that follows one of them or
 // a failed read does not wait, so that it confirms at once.
 func (f *Follower) RunConfigurations(ctx context.Context) {
-	confirmed := false
 	for ctx.Err() == nil {
-		wait := f.wait
+		if f.guard.Run("configuration", func() { f.followConfigurations(ctx) }) {
+			f.configurations.synced = false // records may have been applied in part
+			clock.Sleep(ctx, retryInterval)
+		}
+	}
+}
+
+func (f *Follower) followConfigurations(ctx context.Context) {
+	confirmed, failures := false, 0
+	for ctx.Err() == nil {
+		wait := f.readWait()
 		if !confirmed {
 			wait = 0
+		} else if !f.coordinator.ReadsConfiguration() && f.awaitConfirmations(ctx) {
+			wait = 0
 		}
 		sentAt, from, incremental := f.clock.Now(), f.configurations.next, f.configurations.synced
 		batch, ok := f.read(ctx, &f.configurations, wait)
@@ -166,19 +209,92 @@
 				sentAt += wait
 			}
 			f.view.Confirm(sentAt)
+			f.coordinator.ConfirmConfiguration(sentAt, f.configurations.next)
+			failures = 0
 		} else if !ok {
-			clock.Sleep(ctx, retryInterval)
+			clock.Sleep(ctx, f.retryDelay(failures, !f.coordinator.ReadsConfiguration()))
+			failures++
+		}
+	}
+}
+
+// readWait returns how long a read waits for a new configuration.
+func (f *Follower) readWait() oleanderspool.Millis {
+	if f.coordinator.ServesConfirmations() {
+		return min(f.wait, sharedReadWait)
+	}
+	return f.wait
+}
+
+// retryDelay returns the delay after a number of failed reads before this one. It
+// grows only if others read for this entry.
+func (f *Follower) retryDelay(failures int, grows bool) oleanderspool.Millis {
+	if !grows {
+		return retryInterval
+	}
+	return min(retryInterval<<min(failures, 8), maxRetryInterval)
+}
+
+// ReceiveConfirmation queues the confirmation of another entry. It does not block.
+func (f *Follower) ReceiveConfirmation(c Confirmation) {
+	select {
+	case f.confirmations <- c:
+	default:
+	}
+}
+
+// awaitConfirmations applies the confirmations of other entries until this entry has
+// to read the configuration itself: its confirmation is too old, there is a newer
+// configuration, or other entries depend on it. It reports whether the read is to
+// return at once.
+func (f *Follower) awaitConfirmations(ctx context.Context) bool {
+	maxAge := f.wait + rand.N(maxOwnReadDelay)
+	for ctx.Err() == nil {
+		if f.coordinator.ReadsConfiguration() {
+			return false
+		}
+		left := maxAge - f.view.ConfirmationAge(f.clock.Now())
+		if left <= 0 {
+			return true
+		}
+		timer := time.NewTimer(left.Duration())
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case c := <-f.confirmations:
+			if c.Next > f.configurations.next {
+				timer.Stop()
+				clock.Sleep(ctx, rand.N(maxChangeReadDelay))
+				return true
+			}
+			if c.AskedAt > 0 {
+				f.view.Confirm(c.AskedAt)
+			}
 		}
+		timer.Stop()
 	}
+	return true
 }
 
 // RunServers follows the registry until ctx ends.
 func (f *Follower) RunServers(ctx context.Context) {
+	for ctx.Err() == nil {
+		if f.guard.Run("registry", func() { f.followServers(ctx) }) {
+			f.servers.synced = false // records may have been applied in part
+			clock.Sleep(ctx, retryInterval)
+		}
+	}
+}
+
+func (f *Follower) followServers(ctx context.Context) {
+	failures := 0
 	for ctx.Err() == nil {
 		if f.readServers(ctx) {
+			failures = 0
 			f.awaitRead(ctx)
 		} else {
-			clock.Sleep(ctx, retryInterval)
+			clock.Sleep(ctx, f.retryDelay(failures, f.coordinator.ReadDelay(f.maxReadDelay) > 0))
+			failures++
 		}
 	}
 }
@@ -218,7 +334,7 @@
 // updates of other entries meanwhile. An update postpones the read.
 func (f *Follower) awaitRead(ctx context.Context) {
 	for ctx.Err() == nil {
-		left := f.servers.lastReadAt + f.serverInterval + f.coordinator.ReadDelay() - f.clock.Now()
+		left := f.servers.lastReadAt + f.serverInterval + f.coordinator.ReadDelay(f.maxReadDelay) - f.clock.Now()
 		if left <= 0 {
 			return
 		}
--- a/internal/directory/registry_update.go
+++ b/internal/directory/registry_update.go
@@ -13,15 +13,31 @@
 	Age     oleanderspool.Millis // time since the read was sent
 }
 
+// Confirmation is what another entry's reads of the configuration say about this
+// entry's copy: if it has all records before Next, it is confirmed as of AskedAt.
+type Confirmation struct {
+	AskedAt oleanderspool.Millis // on the clock of this entry; 0 for none
+	Next    oleanderspool.Offset
+}
+
 // Coordinator connects the followers of several entries, so that usually one of
-// them reads the registry on behalf of all.
+// them reads the registry on behalf of all, and a few read the configuration.
 type Coordinator interface {
 	// Publish sends an update to the other entries. It does not block.
 	Publish(u RegistryUpdate)
-	// ReadDelay returns how long after the end of the read interval this entry reads.
-	// The delays differ between entries, so that the others usually receive the update
-	// of the first one before they would read.
-	ReadDelay() oleanderspool.Millis
+	// ReadDelay returns how long after the end of the read interval this entry reads,
+	// up to the given limit. The delays differ between entries, so that the others
+	// usually receive the update of the first one before they would read.
+	ReadDelay(limit oleanderspool.Millis) oleanderspool.Millis
+	// ReadsConfiguration reports whether this entry reads the configuration all the
+	// time. Others read it when no other entry confirms it to them.
+	ReadsConfiguration() bool
+	// ServesConfirmations reports whether other entries depend on the confirmations of
+	// this one.
+	ServesConfirmations() bool
+	// ConfirmConfiguration tells them that the configuration before the offset next is
+	// confirmed as of an instant. It does not block.
+	ConfirmConfiguration(at oleanderspool.Millis, next oleanderspool.Offset)
 }
 
 // noCoordinator is the coordinator of a single entry.
@@ -29,7 +45,13 @@
 
 func (noCoordinator) Publish(RegistryUpdate) {}
 
-func (noCoordinator) ReadDelay() oleanderspool.Millis { return 0 }
+func (noCoordinator) ReadDelay(oleanderspool.Millis) oleanderspool.Millis { return 0 }
+
+func (noCoordinator) ReadsConfiguration() bool { return true }
+
+func (noCoordinator) ServesConfirmations() bool { return false }
+
+func (noCoordinator) ConfirmConfiguration(oleanderspool.Millis, oleanderspool.Offset) {}
 
 // maxUpdateChanges bounds the changes of one update. When a read finds more, the
 // other entries read the registry themselves.
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -32,9 +32,9 @@
 	return func(g *Gateway) { g.metrics = metrics }
 }
 
-// WithInstance sets the instance name and the data centre of the entry.
-func WithInstance(instance oleanderspool.InstanceID, dataCentre oleanderspool.DataCentreID) Option {
-	return func(g *Gateway) { g.shared.instance, g.dataCentre = instance, dataCentre }
+// WithDataCentre sets the data centre of the entry.
+func WithDataCentre(dataCentre oleanderspool.DataCentreID) Option {
+	return func(g *Gateway) { g.dataCentre = dataCentre }
 }
 
 // WithRetryBudget bounds the retries to the servers of a service in ten
@@ -68,6 +68,7 @@
 	clock             oleanderspool.Clock
 	logger            *slog.Logger
 	metrics           *observe.Metrics
+	guard             *observe.Guard
 	dataCentre        oleanderspool.DataCentreID
 	maxKeyAge         oleanderspool.Millis
 	memoryIdleTimeout oleanderspool.Millis
@@ -85,8 +86,8 @@
 		logger: slog.New(slog.DiscardHandler), metrics: observe.NewMetrics(), memoryIdleTimeout: defaultMemoryIdleTimeout,
 		startedAt: clock.Now(),
 		shared: &sharedState{
-			clock: clock, entry: entry, wake: func() {}, peerCount: func() int { return 0 },
-			rank: func() int { return 0 }, onRegistryUpdate: func(directory.RegistryUpdate) {},
+			clock: clock, entry: entry, peers: noPeers{},
+			onRegistryUpdate: func(directory.RegistryUpdate) {}, onConfirmation: func(directory.Confirmation) {},
 			scheduler: placement.NewScheduler(placement.WithTieBreakSeed(entry)), crashes: newCrashTracker(), refusals: newRefusalTracker(),
 			budgets: make(map[string]*retry.Budget), changed: make(map[placement.TaskID]bool),
 		},
@@ -94,6 +95,7 @@
 	for _, o := range options {
 		o(g)
 	}
+	g.guard = observe.NewGuard(g.logger, g.metrics)
 	return g
 }
 
@@ -116,12 +118,35 @@
 	// Rank returns the number of other entries that precede this one in their
 	// common order.
 	Rank() int
+	// IsRelay reports whether no other entry confirms the configuration to this one.
+	IsRelay() bool
+	// HasSubscribers reports whether this entry confirms it to others.
+	HasSubscribers() bool
+	// ConfirmConfiguration tells these that the configuration before an offset is
+	// confirmed as of an instant.
+	ConfirmConfiguration(at oleanderspool.Millis, next oleanderspool.Offset)
 }
 
-// SetPeers sets the other entries, and the function that receives their updates
-// of the registry. It is called before the first request.
-func (g *Gateway) SetPeers(peers Peers, onRegistryUpdate func(directory.RegistryUpdate)) {
-	g.shared.wake, g.shared.peerCount, g.shared.rank, g.shared.onRegistryUpdate = peers.Wake, peers.LivePeers, peers.Rank, onRegistryUpdate
+// noPeers are the peers of a single entry.
+type noPeers struct{}
+
+func (noPeers) Wake() {}
+
+func (noPeers) LivePeers() int { return 0 }
+
+func (noPeers) Rank() int { return 0 }
+
+func (noPeers) IsRelay() bool { return true }
+
+func (noPeers) HasSubscribers() bool { return false }
+
+func (noPeers) ConfirmConfiguration(oleanderspool.Millis, oleanderspool.Offset) {}
+
+// SetPeers sets the other entries, and the functions that receive their updates of
+// the registry and their confirmations of the configuration. It is called before
+// the first request.
+func (g *Gateway) SetPeers(peers Peers, onRegistryUpdate func(directory.RegistryUpdate), onConfirmation func(directory.Confirmation)) {
+	g.shared.peers, g.shared.onRegistryUpdate, g.shared.onConfirmation = peers, onRegistryUpdate, onConfirmation
 }
 
 // Run maintains the connections to backend servers until ctx ends.
@@ -189,6 +214,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	t, refusal := g.admit(w, r)
+	defer t.recoverPanic()
 	if refusal != nil {
 		g.refuse(w, t, refusal)
 		return
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -84,7 +84,7 @@
 	logger := slog.New(slog.NewTextHandler(GinkgoWriter, nil))
 	follower := directory.NewFollower(h.view, platform.NewConfigurationFeed(store), platform.NewServerFeed(store, h.clock), h.clock, logger)
 	h.gateway = forward.New(h.view, platform.Headers{}, h.clock, append([]forward.Option{
-		forward.WithLogger(logger), forward.WithInstance("entry-1", "dc-a"),
+		forward.WithLogger(logger), forward.WithDataCentre("dc-a"),
 		forward.WithRetryBudget(0.2, 20), forward.WithMaxKeyAge(5 * oleanderspool.Second),
 	}, options...)...)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/forward/memory.go
+++ b/internal/forward/memory.go
@@ -74,7 +74,7 @@
 		res := reservation{server: h.Server, id: reservationID(as.ids[i+1]), tokens: h.ReservedTokens}
 		r.list = append(r.list, res)
 		if !g.sendOrder(ctx, res.server, g.format.ReserveOrder(res.server.Instance, res.id, res.tokens, memoryLease)) {
-			go r.release()
+			go g.guard.Run("release", r.release)
 			return nil, h.Server
 		}
 	}
@@ -82,7 +82,7 @@
 	r.cancel = cancel
 	for _, res := range r.list {
 		r.done.Add(1)
-		go r.renew(renewal, res)
+		go g.guard.Run("renewal", func() { r.renew(renewal, res) })
 	}
 	return r, directory.Server{}
 }
--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -16,13 +16,11 @@
 type sharedState struct {
 	clock            oleanderspool.Clock
 	entry            uint64
-	instance         oleanderspool.InstanceID
 	retryFraction    float64
 	retryReserve     float64
-	wake             func()
-	peerCount        func() int
-	rank             func() int
+	peers            Peers
 	onRegistryUpdate func(directory.RegistryUpdate)
+	onConfirmation   func(directory.Confirmation)
 
 	mu              sync.Mutex
 	scheduler       *placement.Scheduler
@@ -85,7 +83,7 @@
 		s.changed[t.ID] = true
 		as.ids = append(as.ids, t.ID)
 	}
-	s.wake()
+	s.peers.Wake()
 	return as, true
 }
 
@@ -102,7 +100,7 @@
 		s.scheduler.MarkDecoding(id)
 		s.changed[id] = true
 	}
-	s.wake()
+	s.peers.Wake()
 }
 
 // endTasks removes the tasks of a request from its servers.
@@ -110,7 +108,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.removeTasks(as.ids)
-	s.wake()
+	s.peers.Wake()
 }
 
 func (s *sharedState) removeTasks(ids []placement.TaskID) {
@@ -130,7 +128,7 @@
 	defer s.mu.Unlock()
 	until := s.scheduler.RecordFailure(server, now)
 	s.avoidances = append(s.avoidances, gossip.Suspicion{Server: server, Remaining: until})
-	s.wake()
+	s.peers.Wake()
 }
 
 // recordAdmission adds a request to the retry budget of its service.
@@ -148,7 +146,7 @@
 	b := s.budget(service)
 	// The budget is shared with one more entry than are known, in case one has
 	// just started.
-	b.SetReserve(int(s.retryReserve * budgetFraction / float64(s.peerCount()+2)))
+	b.SetReserve(int(s.retryReserve * budgetFraction / float64(s.peers.LivePeers()+2)))
 	return b.Take(s.clock.Now())
 }
 
@@ -170,7 +168,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.crashes.recordLocal(f, server, now)
-	s.wake()
+	s.peers.Wake()
 	return s.crashes.count(f, now)
 }
 
@@ -186,7 +184,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refusals.recordLocal(f, s.clock.Now())
-	s.wake()
+	s.peers.Wake()
 }
 
 // wasRefused reports whether an entry refused the request before and asked its
@@ -210,7 +208,7 @@
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := gossip.Message{RunID: s.entry, Instance: s.instance, Complete: complete, EndedTasks: s.ended}
+	m := gossip.Message{RunID: s.entry, Complete: complete, EndedTasks: s.ended}
 	if complete {
 		s.scheduler.Expire(now)
 		s.crashes.expire(now)
@@ -239,25 +237,66 @@
 	return m
 }
 
+// Snapshot implements [gossip.State].
+func (s *sharedState) Snapshot() []gossip.Message {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	messages := make(map[uint64]*gossip.Message)
+	for _, t := range s.scheduler.Tasks() {
+		m := messages[t.Entry]
+		if m == nil {
+			m = &gossip.Message{RunID: t.Entry}
+			messages[t.Entry] = m
+		}
+		m.Tasks = append(m.Tasks, taskWithAge(t, now))
+	}
+	list := make([]gossip.Message, 0, len(messages))
+	for _, m := range messages {
+		list = append(list, *m)
+	}
+	return list
+}
+
+// Confirm implements [gossip.State].
+func (s *sharedState) Confirm(c gossip.Confirmation) {
+	s.onConfirmation(directory.Confirmation{AskedAt: c.AskedAt, Next: c.Next})
+}
+
 const (
 	// readDelayStep is the delay between the reads of entries that are adjacent
 	// in rank and both received no update from the others. It covers a call of
 	// the store and a datagram.
 	readDelayStep = 60 * oleanderspool.Millis(1)
-	// lateReadDelayStep is that delay after the first readDelaySteps entries,
-	// so that many entries can read one after another before a server that
-	// announced its shutdown is gone.
-	lateReadDelayStep = 10 * oleanderspool.Millis(1)
-	readDelaySteps    = 3
-	// maxReadDelay bounds the delay for any number of entries.
-	maxReadDelay = 450 * oleanderspool.Millis(1)
+	// readDelaySteps is the number of entries after which the delays between
+	// entries are even parts of the rest of the maximum delay.
+	readDelaySteps = 3
 )
 
 // ReadDelay implements [directory.Coordinator].
-func (s *sharedState) ReadDelay() oleanderspool.Millis {
-	rank := s.rank()
+func (s *sharedState) ReadDelay(limit oleanderspool.Millis) oleanderspool.Millis {
+	rank, others := s.peers.Rank(), s.peers.LivePeers()
 	first := min(rank, readDelaySteps)
-	return min(maxReadDelay, oleanderspool.Millis(first)*readDelayStep+oleanderspool.Millis(rank-first)*lateReadDelayStep)
+	delay := min(limit, oleanderspool.Millis(first)*readDelayStep)
+	if later := others - readDelaySteps; later > 0 {
+		delay += (limit - delay) * oleanderspool.Millis(rank-first) / oleanderspool.Millis(later)
+	}
+	return delay
+}
+
+// ReadsConfiguration implements [directory.Coordinator].
+func (s *sharedState) ReadsConfiguration() bool {
+	return s.peers.IsRelay()
+}
+
+// ServesConfirmations implements [directory.Coordinator].
+func (s *sharedState) ServesConfirmations() bool {
+	return s.peers.HasSubscribers()
+}
+
+// ConfirmConfiguration implements [directory.Coordinator].
+func (s *sharedState) ConfirmConfiguration(at oleanderspool.Millis, next oleanderspool.Offset) {
+	s.peers.ConfirmConfiguration(at, next)
 }
 
 // Publish implements [directory.Coordinator].
@@ -265,7 +304,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.registryUpdates = append(s.registryUpdates, u)
-	s.wake()
+	s.peers.Wake()
 }
 
 func taskWithAge(t placement.Task, now oleanderspool.Millis) gossip.Task {
--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 
 	"github.com/joomcode/errorx"
@@ -29,7 +30,8 @@
 	deadline        oleanderspool.Millis
 	confirmationAge oleanderspool.Millis
 
-	sends     int // number of backend servers that the request was sent to
+	open      *attempt // the attempt in progress; nil for none
+	sends     int      // number of backend servers that the request was sent to
 	tried     []oleanderspool.InstanceID
 	lastEvent string // id of the last event that the caller received
 	committed bool   // the caller has received a part of the answer
@@ -92,9 +94,27 @@
 		a.exchange.Close()
 	}
 	if a.memory != nil {
-		go a.memory.release()
+		go t.gateway.guard.Run("release", a.memory.release)
 	}
 	t.gateway.shared.endTasks(a.assignment)
+	t.open = nil
+}
+
+// recoverPanic ends a request whose processing panics. The caller gets no complete
+// answer; its server, memory and tasks are released.
+func (t *transaction) recoverPanic() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if t.open != nil {
+		t.close(*t.open)
+	}
+	if err, _ := p.(error); !errors.Is(err, http.ErrAbortHandler) {
+		t.gateway.logger.Error("request aborted", "request_id", t.call.ID, "route", t.route.Name, "sends", t.sends, "cause", "panic")
+		t.gateway.guard.Record("request", p)
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // placementRequest returns the properties of the request that the placement
@@ -120,6 +140,7 @@
 		return attempt{assignment: as}, false
 	}
 	a := attempt{assignment: as}
+	t.open = &attempt{assignment: as}
 	t.gateway.logger.Info("placed", "request_id", t.call.ID, "route", t.route.Name, "instance", as.Server.Instance, "prompt", t.call.PromptTokens,
 		"helpers", as.helpers(), "predicted_ms", int64(as.TTFT), "cost", as.Cost, "backlog_ms", int64(as.Backlog), "writers", as.ActiveStreams,
 		"sends", t.sends, "version", t.snapshot.Configuration.Version, "confirmed_ms", int64(t.confirmationAge), "left_ms", int64(t.remaining()))
@@ -144,14 +165,14 @@
 				"error", "no memory reserved", "sends", t.sends)
 			return a, true
 		}
-		a.memory = memory
+		a.memory, t.open.memory = memory, memory
 	}
 	exchange, err := t.gateway.pool.Do(ctx, as.Server, backend.Request{
 		Method: t.request.Method, Target: t.request.RequestURI, Host: t.request.Host,
 		Header: t.gateway.format.EncodeForwardHeader(t.request.Header, forwarded),
 		Body:   t.body, ID: t.call.ID, NonIdempotent: !t.route.Repeatable(),
 	}, t.gateway.format)
-	a.exchange = exchange
+	a.exchange, t.open.exchange = exchange, exchange
 	a.outcome = t.classify(a, err)
 	t.recordAttempt(ctx, a, err)
 	return a, true
@@ -248,7 +269,7 @@
 // request in flight.
 func (t *transaction) checkForCrash(s directory.Server) {
 	t.gateway.pool.CloseIdle(s)
-	go func() {
+	go t.gateway.guard.Run("crash check", func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), crashCheckTimeout.Duration())
 		defer cancel()
 		if t.gateway.pool.Reachable(ctx, s) {
@@ -256,7 +277,7 @@
 		}
 		n := t.gateway.shared.recordCrash(t.fingerprint, s.Instance)
 		t.gateway.logger.Warn("server crashed", "request_id", t.call.ID, "instance", s.Instance, "fingerprint", uint64(t.fingerprint), "crashes", n)
-	}()
+	})
 }
 
 // crashCheckTimeout bounds the check whether a server still accepts
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -12,19 +12,29 @@
 
 // Field numbers of a message.
 const (
-	fieldEntry protowire.Number = iota + 1
-	fieldInstance
+	fieldRunID protowire.Number = iota + 1
+	_                           // reserved: the instance name that earlier versions sent
 	fieldComplete
 	fieldLeaving
 	fieldTask
 	fieldEndedTask
 	fieldCrash
 	fieldSuspicion
-	fieldPeer
+	_ // reserved: the addresses that earlier versions sent
 	fieldRefused
 	fieldAnswered
 	fieldSentAt
 	fieldRegistryUpdate
+	fieldSequence
+	fieldEntry
+)
+
+// Field numbers of an entry.
+const (
+	fieldEntryInstance protowire.Number = iota + 1
+	fieldEntryAddress
+	fieldEntryDataCentre
+	fieldEntryCapacity
 )
 
 // Field numbers of a task.
@@ -122,11 +132,14 @@
 	e.data = protowire.AppendBytes(e.data, inner.data)
 }
 
-// Encode encodes a message as a datagram.
+// Encode encodes a message.
 func Encode(m Message) []byte {
 	var e encoder
-	e.fixed(fieldEntry, m.RunID)
-	e.text(fieldInstance, string(m.Instance))
+	e.fixed(fieldRunID, m.RunID)
+	e.number(fieldSequence, m.Sequence)
+	if m.Endpoint != (Endpoint{}) {
+		e.nested(fieldEntry, func(e *encoder) { encodeEntry(e, m.Endpoint) })
+	}
 	e.flag(fieldComplete, m.Complete)
 	e.flag(fieldLeaving, m.Leaving)
 	for _, t := range m.Tasks {
@@ -148,9 +161,6 @@
 			e.millis(fieldEventDuration, s.Remaining)
 		})
 	}
-	for _, p := range m.Peers {
-		e.text(fieldPeer, p)
-	}
 	for _, f := range m.Refused {
 		e.fixed(fieldRefused, uint64(f))
 	}
@@ -164,6 +174,13 @@
 	return e.data
 }
 
+func encodeEntry(e *encoder, n Endpoint) {
+	e.text(fieldEntryInstance, string(n.Instance))
+	e.text(fieldEntryAddress, n.Address)
+	e.text(fieldEntryDataCentre, string(n.DataCentre))
+	e.number(fieldEntryCapacity, uint64(max(0, n.Capacity)))
+}
+
 func encodeTask(e *encoder, t Task) {
 	e.fixed(fieldTaskID, uint64(t.ID))
 	e.text(fieldTaskServer, string(t.Server))
@@ -212,6 +229,11 @@
 	return oleanderspool.Millis(min(v.number, uint64(oleanderspool.Hour)))
 }
 
+// tokens returns a number of tokens, limited so that sums do not overflow.
+func (v value) tokens() int64 {
+	return int64(min(v.number, math.MaxInt32))
+}
+
 func (v value) offset() oleanderspool.Offset {
 	return oleanderspool.Offset(min(v.number, math.MaxInt64))
 }
@@ -221,7 +243,7 @@
 	if math.IsNaN(f) || math.IsInf(f, 0) {
 		return 0
 	}
-	return f
+	return max(0, f)
 }
 
 func (v value) instance() oleanderspool.InstanceID {
@@ -266,15 +288,19 @@
 	return oleanderspool.ErrInvalid.Wrap(protowire.ParseError(code), "cannot decode datagram")
 }
 
-// Decode decodes a datagram. Unknown fields are ignored.
+// Decode decodes a message. Unknown fields are ignored.
 func Decode(data []byte) (Message, error) {
 	var m Message
 	err := fields(data, func(n protowire.Number, v value) error {
 		switch n {
-		case fieldEntry:
+		case fieldRunID:
 			m.RunID = v.number
-		case fieldInstance:
-			m.Instance = v.instance()
+		case fieldSequence:
+			m.Sequence = v.number
+		case fieldEntry:
+			var err error
+			m.Endpoint, err = decodeEntry(v.bytes)
+			return err
 		case fieldComplete:
 			m.Complete = v.number == 1
 		case fieldLeaving:
@@ -293,8 +319,6 @@
 			server, _, duration, err := decodeServerEvent(v.bytes)
 			m.Suspicions = append(m.Suspicions, Suspicion{Server: server, Remaining: duration})
 			return err
-		case fieldPeer:
-			m.Peers = append(m.Peers, string(v.bytes))
 		case fieldRefused:
 			m.Refused = append(m.Refused, oleanderspool.Fingerprint(v.number))
 		case fieldAnswered:
@@ -311,6 +335,24 @@
 	return m, err
 }
 
+func decodeEntry(data []byte) (Endpoint, error) {
+	var entry Endpoint
+	err := fields(data, func(n protowire.Number, v value) error {
+		switch n {
+		case fieldEntryInstance:
+			entry.Instance = v.instance()
+		case fieldEntryAddress:
+			entry.Address = string(v.bytes)
+		case fieldEntryDataCentre:
+			entry.DataCentre = oleanderspool.DataCentreID(v.bytes)
+		case fieldEntryCapacity:
+			entry.Capacity = int64(min(v.number, math.MaxInt32))
+		}
+		return nil
+	})
+	return entry, err
+}
+
 func decodeRegistryUpdate(data []byte) (directory.RegistryUpdate, error) {
 	var u directory.RegistryUpdate
 	err := fields(data, func(n protowire.Number, v value) error {
@@ -393,11 +435,11 @@
 		case fieldTaskServer:
 			t.Server = v.instance()
 		case fieldTaskContextTokens:
-			t.ContextTokens = int64(v.number)
+			t.ContextTokens = v.tokens()
 		case fieldTaskMemoryTokens:
-			t.MemoryTokens = int64(v.number)
+			t.MemoryTokens = v.tokens()
 		case fieldTaskOutputTokens:
-			t.OutputTokens = int64(v.number)
+			t.OutputTokens = v.tokens()
 		case fieldTaskPrefill:
 			t.PrefillMillis = v.float()
 		case fieldTaskMaxPassPrefill:
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -19,7 +20,7 @@
 )
 
 var fullMessage = gossip.Message{
-	RunID: 7, Instance: "entry-1", Complete: true, Leaving: true,
+	RunID: 7, Sequence: 8, Endpoint: gossip.Endpoint{Instance: "entry-1", Address: "127.0.0.1:9", DataCentre: "a", Capacity: 144}, Complete: true, Leaving: true,
 	Tasks: []gossip.Task{{
 		Task: placement.Task{ID: 9, Server: "s", ContextTokens: 5, MemoryTokens: 6, OutputTokens: 7, PrefillMillis: 1.5, MaxPassPrefillMillis: 0.5, Value: 2, TTFTGoal: 300, InterTokenGoal: 200, Sharded: true, Decoding: true},
 		Age:  40,
@@ -36,7 +37,6 @@
 			Instance: "s", Service: "llm", Address: "10.0.0.1:80", DataCentre: "a", Started: 5, Slots: 16, Draining: true, ColdUntil: 21,
 		}},
 	}}},
-	Peers: []string{"127.0.0.1:9"},
 }
 
 var _ = Describe("A message", func() {
@@ -71,6 +71,10 @@
 	return gossip.Message{RunID: r.entry, Complete: complete, EndedTasks: []placement.TaskID{placement.TaskID(r.entry)}}
 }
 
+func (r *recorder) Snapshot() []gossip.Message { return nil }
+
+func (r *recorder) Confirm(gossip.Confirmation) {}
+
 func (r *recorder) Apply(m gossip.Message) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -112,7 +116,8 @@
 func joinOn(conn *net.UDPConn, entry uint64, seeds ...string) member {
 	r := &recorder{entry: entry, received: map[uint64]gossip.Message{}}
 	address := conn.LocalAddr().(*net.UDPAddr).AddrPort()
-	n := gossip.NewNode(conn, address, seeds, r, clock.NewBoot(), slog.New(slog.DiscardHandler))
+	self := gossip.Endpoint{Instance: oleanderspool.InstanceID(fmt.Sprint("entry-", entry)), Address: address.String(), DataCentre: "a"}
+	n := gossip.NewNode(conn, self, seeds, r, clock.NewBoot(), slog.New(slog.DiscardHandler))
 	ctx, stop := context.WithCancel(context.Background())
 	go n.Run(ctx)
 	DeferCleanup(stop)
@@ -187,8 +192,10 @@
 			}
 			return -1
 		}
+		sequence := uint64(0)
 		send := func(sentAt oleanderspool.Millis) {
-			_, err := b.Write(gossip.Encode(gossip.Message{RunID: 2, SentAt: sentAt, RegistryUpdates: []directory.RegistryUpdate{{Next: 1, Age: 5}}}))
+			sequence++
+			_, err := b.Write(gossip.EncodeRelayed(2, gossip.Message{RunID: 2, Sequence: sequence, SentAt: sentAt, RegistryUpdates: []directory.RegistryUpdate{{Next: 1, Age: 5}}}))
 			Expect(err).NotTo(HaveOccurred())
 		}
 		start := time.Now()
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -2,6 +2,12 @@
 // has on the backend servers and which failures of these servers it observed.
 // Datagrams may be lost, so each entry repeats its whole state every second;
 // correctness does not depend on their arrival.
+//
+// In a small fleet every entry sends to every other one. In a larger one some
+// entries of each data centre are relays: an entry sends its messages to one of
+// them, which collects those of its subscribers and exchanges them with the other
+// relays. So the datagrams of an entry do not grow with the number of entries, and
+// a message crosses to another data centre once for each relay there.
 package gossip
 
 import (
@@ -14,10 +20,13 @@
 // others. It contains ages and remaining durations instead of instants, since
 // entries share no clock.
 type Message struct {
-	RunID           uint64 // identifies one run of an entry; random, not 0
-	Instance        oleanderspool.InstanceID
-	Complete        bool // Tasks lists all tasks of the entry
-	Leaving         bool // the entry is shutting down
+	RunID uint64 // identifies one run of an entry; random, not 0
+	// Sequence numbers the messages of a run from 1; 0 for a copy of its tasks that
+	// another entry sends.
+	Sequence        uint64
+	Endpoint        Endpoint // set in complete messages
+	Complete        bool     // Tasks lists all tasks of the entry
+	Leaving         bool     // the entry is shutting down
 	Tasks           []Task
 	EndedTasks      []placement.TaskID
 	Crashes         []Crash
@@ -26,7 +35,15 @@
 	SentAt          oleanderspool.Millis        // on the clock of the sender
 	RegistryUpdates []directory.RegistryUpdate  // results of reads of the backend server registry
 	Answered        []oleanderspool.Fingerprint // requests of reported crashes that a backend server has answered since
-	Peers           []string                    // addresses of the entries that are alive for the sender
+}
+
+// Endpoint describes an entry to the others.
+type Endpoint struct {
+	Instance   oleanderspool.InstanceID
+	Address    string // IP address and port at which it receives datagrams
+	DataCentre oleanderspool.DataCentreID
+	// Capacity is the processor share of its instance in thousandths of a core.
+	Capacity int64
 }
 
 // Task is a task on a backend server, with the time since its placement.
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -66,6 +66,7 @@
 	revision        prometheus.Gauge
 	running         prometheus.Gauge
 	engineMemory    *prometheus.GaugeVec
+	panics          *prometheus.CounterVec
 }
 
 // NewMetrics returns the metrics of one process. The counters of every refusal
@@ -93,6 +94,7 @@
 			Help:      "Time to first token less its prediction, by length class of the prompt.",
 			Buckets:   []float64{-2, -0.5, -0.2, -0.1, -0.05, 0, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10},
 		}, []string{"length"}),
+		panics:   counter("panics_total", "Unexpected panics by the task that they ended.", "task"),
 		attempts: counter("attempts_total", "Requests sent to backend servers by outcome.", "outcome"),
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "configuration_revision", Help: "Revision of the configuration in force.",
@@ -117,7 +119,7 @@
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.admitted, m.finished, m.refused, m.retried, m.piecesDropped, m.stateChanges, m.orders, m.transfers,
-		m.firstToken, m.predictionError, m.attempts, m.revision, m.running, m.engineMemory,
+		m.firstToken, m.predictionError, m.attempts, m.revision, m.running, m.engineMemory, m.panics,
 	)
 	for _, r := range oleanderspool.RefusalReasons {
 		m.refused.WithLabelValues(string(r), oleanderspool.NotRun.String())
