Read configurations in quick succession together, and soak fleets with relays

An entry that others read for now reads an announced configuration at once and a further one a second later at the earliest, half of the shortest bound on configurations in force.

The soak plays ten entries with a relay beside three that all send to each other, and servers that send a header, interim answers or an event without end or a byte now and then. Older seeds keep their faults.

--- a/internal/directory/confirmation_test.go
+++ b/internal/directory/confirmation_test.go
@@ -126,6 +126,21 @@
 		Expect(view.ConfirmedAt()).To(BeNumerically("<", asked+60_000))
 	})
 
+	// Guards against a read by each entry for each of many configurations in quick
+	// succession, and against one that is in force late.
+	It("reads configurations in quick succession together", func() {
+		start()
+		before := feed.reads.Load()
+		for range 20 {
+			feed.end.Add(1)
+			follower.ReceiveConfirmation(directory.Confirmation{Next: oleanderspool.Offset(feed.end.Load())})
+			time.Sleep(100 * time.Millisecond)
+		}
+		at := boot.Now()
+		Eventually(view.ConfirmedAt, "1300ms", time.Millisecond).Should(BeNumerically(">", at))
+		Expect(feed.reads.Load() - before).To(BeNumerically("<=", 6))
+	})
+
 	// Guards against a store in trouble that every entry of a large fleet calls four
 	// times a second. An entry that reads for others goes on at that interval.
 	It("calls a store that fails less and less often", func() {
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -72,6 +72,10 @@
 	// maxChangeReadDelay bounds the random delay after which an entry reads a
 	// configuration that another one has announced. It spreads the load on the store.
 	maxChangeReadDelay = 150 * oleanderspool.Millis(1)
+	// changeReadInterval is the smallest time between two reads of announced
+	// configurations, so that several in quick succession are read together. It is a
+	// half of the shortest time within which a configuration must be in force.
+	changeReadInterval = oleanderspool.Second
 	// readDelayFraction bounds the delay of the entries that read the registry when
 	// the others do not, as a fraction of the maximum drain delay.
 	readDelayFraction = 0.225
@@ -102,6 +106,7 @@
 	serverInterval oleanderspool.Millis
 	maxReadDelay   oleanderspool.Millis
 	confirmations  chan Confirmation
+	changeReadAt   oleanderspool.Millis // last read of an announced configuration
 	guard          *observe.Guard
 }
 
@@ -264,7 +269,9 @@
 		case c := <-f.confirmations:
 			if c.Next > f.configurations.next {
 				timer.Stop()
-				clock.Sleep(ctx, rand.N(maxChangeReadDelay))
+				spacing := max(0, f.changeReadAt+changeReadInterval-f.clock.Now())
+				clock.Sleep(ctx, spacing+rand.N(maxChangeReadDelay))
+				f.changeReadAt = f.clock.Now()
 				return true
 			}
 			if c.AskedAt > 0 {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -40,6 +40,9 @@
 	fleet   *fleet
 	callers *callers
 	rng     *rand.Rand
+	// endless adds servers that send without end or byte by byte. Seeds from before
+	// they were added keep their sequences of faults.
+	endless bool
 
 	mu      sync.Mutex
 	windows []faultWindow
@@ -265,10 +268,7 @@
 	if in.rng.IntN(4) == 0 {
 		return relayFault(in.rng, t, s.relay)
 	}
-	behaviours := []struct {
-		name string
-		platformtest.Behaviour
-	}{
+	behaviours := []namedBehaviour{
 		{"rejects", platformtest.Reject},
 		{"fails", platformtest.Fail},
 		{"loses answers", platformtest.LoseAnswer},
@@ -285,6 +285,9 @@
 		{"ends streams in the middle of an event", endMidEvent},
 		{"writes noise", platformtest.RawAnswer(func(conn net.Conn, _ string) { _, _ = conn.Write([]byte("\x00\x01\r\n\r\n")) })},
 	}
+	if in.endless {
+		behaviours = append(behaviours, endlessBehaviours...)
+	}
 	b := behaviours[in.rng.IntN(len(behaviours))]
 	return fault{b.name, t, func() func() {
 		s.SetBehaviour(intermittent(b.Behaviour))
@@ -292,6 +295,26 @@
 	}}
 }
 
+// namedBehaviour is a behaviour of a server with a fault.
+type namedBehaviour struct {
+	name string
+	platformtest.Behaviour
+}
+
+// endlessBehaviours are servers that send until the caller closes the connection.
+var endlessBehaviours = []namedBehaviour{
+	{"sends a header without end", platformtest.EndlessAnswer(false, "HTTP/1.1 200 OK\r\nX-A: ", "aaaaaaaaaaaaaaaa")},
+	{"sends interim answers without end", platformtest.EndlessAnswer(false, "", "HTTP/1.1 102 Processing\r\n\r\n")},
+	{"sends an event without end", platformtest.EndlessAnswer(true, "id: 1\ndata: ", "aaaaaaaaaaaaaaaa")},
+	{"sends a byte now and then", platformtest.RawAnswer(func(conn net.Conn, id string) {
+		platformtest.WriteRaw(conn, id, true, "", "id: 1\ndata: ")
+		for err := error(nil); err == nil; {
+			time.Sleep(100 * time.Millisecond)
+			_, err = conn.Write([]byte("a"))
+		}
+	})},
+}
+
 // intermittent makes a server misbehave for two requests in three, unless b leaves
 // the request to the healthy behaviour.
 func intermittent(b platformtest.Behaviour) platformtest.Behaviour {
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -21,6 +21,8 @@
 	host       = "pegs.example"
 	stopGrace  = 8 * time.Second
 	startLimit = 15 * time.Second
+	// maxEntries is the maximum number of entries of a fleet.
+	maxEntries = 16
 )
 
 // route is a configured route and what its callers expect of it.
@@ -165,8 +167,8 @@
 // loopbackAddress returns the loopback address of entry i. It depends on the ID of this
 // process, so that test processes that run at the same time don't share addresses.
 func loopbackAddress(i int) string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 128+pid>>14&0x3f, pid>>6&0xff, pid&0x3f*4+i)
+	n := os.Getpid()*maxEntries + i
+	return fmt.Sprintf("127.%d.%d.%d", 128+n>>16&0x7f, n>>8&0xff, n&0xff)
 }
 
 func (f *fleet) addServer(name, service string) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,6 +45,10 @@
 	// share the machine with other tests.
 	schedulingAllowance = 500 * time.Millisecond
 	callerCount         = 16
+	// smallFleet is a number of entries that all send to each other, and relayedFleet
+	// one with a relay.
+	smallFleet   = 3
+	relayedFleet = 10
 	// At least one in servedDivisor of the requests sent while neither their entry nor
 	// the store had a fault must be served, whatever faults the servers have.
 	servedDivisor = 4
@@ -67,11 +71,11 @@
 	// answers to another request, truncated answers that look complete, keys and
 	// servers that are used too long after their removal, lost requests, memory that
 	// stays reserved, and entries that do not recover.
-	runSeed := func(seed uint64) {
+	runSeed := func(seed uint64, entries int, endless bool) {
 		By(fmt.Sprintf("seed %d", seed))
-		f := newFleet(3, 3, 4)
+		f := newFleet(entries, 3, 4)
 		senders := &callers{fleet: f, seed: seed}
-		in := &injector{fleet: f, callers: senders, rng: rand.New(rand.NewPCG(seed, 0)), busy: make(map[target]bool)}
+		in := &injector{fleet: f, callers: senders, rng: rand.New(rand.NewPCG(seed, 0)), busy: make(map[target]bool), endless: endless}
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
 		var sending sync.WaitGroup
@@ -95,10 +99,11 @@
 	}
 
 	for _, r := range regressions {
-		It(fmt.Sprintf("keep the promises with seed %d: %s", r.seed, r.cause), func() { runSeed(r.seed) })
+		It(fmt.Sprintf("keep the promises with seed %d: %s", r.seed, r.cause), func() { runSeed(r.seed, smallFleet, false) })
 	}
 	for i := range uint64(*runs) {
-		It(fmt.Sprintf("keep the promises, run %d", i), func() { runSeed(*seed + i) })
+		It(fmt.Sprintf("keep the promises, run %d", i), func() { runSeed(*seed+i, smallFleet, true) })
+		It(fmt.Sprintf("keep the promises with relays, run %d", i), func() { runSeed(*seed+i, relayedFleet, true) })
 	}
 })
 
