Keep the listener of a stopping entry open while connections arrive

Cause: 3.2 s after SIGTERM the listener was closed. A balancer that goes on, for example because under half of a data centre's entries are ready, had its new connections reset or refused without an answer.

Ruled out: keep-alive connections; their answers say that they close, and no request that was read was cut.

Change: the listener is closed when no connection has come for 0.3 s, at the latest 1.5 s before the end of the grace. Until then new requests are refused as not run with the time to come back.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oleanderspool/oleanderspool"
@@ -35,6 +36,14 @@
 	// that late requests are refused with an answer instead of a connection
 	// error.
 	listenAfterStop = 3200 * oleanderspool.Millis(1)
+	// quietBeforeClose is how long no connection may have arrived before a stopping
+	// entry closes its listener: connections that wait to be accepted are reset then.
+	quietBeforeClose = 300 * oleanderspool.Millis(1)
+	// quietCheckInterval is the interval between two checks for that.
+	quietCheckInterval = 50 * oleanderspool.Millis(1)
+	// closeMargin is the part of the grace period before stopMargin in which the
+	// listener is closed also while connections arrive.
+	closeMargin = oleanderspool.Second
 	// stopMargin is the part at the end of the stop grace period that is
 	// reserved for the exit of the process.
 	stopMargin = 500 * oleanderspool.Millis(1)
@@ -47,6 +56,8 @@
 	clock   oleanderspool.Clock
 	logger  *slog.Logger
 
+	acceptedAt atomic.Int64 // instant of the last new connection
+
 	mu      sync.Mutex
 	waiting map[net.Conn]oleanderspool.Millis // connections without a request, and since when
 }
@@ -66,6 +77,9 @@
 }
 
 func (s *Server) track(conn net.Conn, state http.ConnState) {
+	if state == http.StateNew {
+		s.acceptedAt.Store(int64(s.clock.Now()))
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateIdle || state == http.StateNew {
@@ -120,13 +134,16 @@
 	}
 }
 
-// stop keeps serving until the load balancer no longer sends requests, then
+// stop keeps serving until the load balancer no longer opens connections, then
 // closes idle connections and waits for the requests in progress.
 func (s *Server) stop(grace oleanderspool.Millis) error {
 	startedAt := s.clock.Now()
 	s.gateway.Stop()
 	s.logger.Info("stopping", "running", s.gateway.InFlight(), "grace_ms", int64(grace))
 	time.Sleep(min(listenAfterStop, grace/2).Duration())
+	for s.clock.Now() < startedAt+grace-stopMargin-closeMargin && s.clock.Now()-oleanderspool.Millis(s.acceptedAt.Load()) < quietBeforeClose {
+		time.Sleep(quietCheckInterval.Duration())
+	}
 	left := max(0, grace-stopMargin-(s.clock.Now()-startedAt))
 	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
 	defer cancel()
--- /dev/null
+++ b/internal/forward/stop_test.go
@@ -0,0 +1,86 @@
+package forward_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("A planned stop under load", func() {
+	// Guards against connections that the balancer has just opened, and keep-alive
+	// connections whose next request crosses the stop, that are closed without an
+	// answer. The balancer goes on for 5 s, longer than entries usually listen.
+	It("answers each request on a new connection and each one that it has read", func() {
+		h := newHarness(2, 0)
+		var sending sync.WaitGroup
+		var answered, refused, cut atomic.Int64
+		var first atomic.Value // description of the first cut request
+		end := time.Now().Add(5 * time.Second)
+		ask := func(conn net.Conn, reader *bufio.Reader, id string) (reusable bool, err error) {
+			_, err = fmt.Fprintf(conn, "POST /lookup/1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nAuthorization: Bearer crew-key\r\nContent-Length: 4\r\n\r\n", host, id)
+			if err != nil {
+				return false, err
+			}
+			time.Sleep(5 * time.Millisecond) // the body arrives after the header
+			if _, err := conn.Write([]byte("body")); err != nil {
+				return false, err
+			}
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				return false, err
+			}
+			defer response.Body.Close()
+			switch response.StatusCode {
+			case http.StatusOK:
+				answered.Add(1)
+			case http.StatusServiceUnavailable:
+				refused.Add(1)
+				Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+			}
+			_, err = io.Copy(io.Discard, response.Body)
+			return !response.Close, err
+		}
+		for caller := range 20 {
+			sending.Go(func() {
+				defer GinkgoRecover()
+				for n := 0; time.Now().Before(end); n++ {
+					conn, err := net.Dial("tcp", h.address)
+					if err != nil {
+						cut.Add(1)
+						first.CompareAndSwap(nil, "connect: "+err.Error())
+						continue
+					}
+					reader := bufio.NewReader(conn)
+					for i := 0; ; i++ {
+						reusable, err := ask(conn, reader, strings.ReplaceAll(fmt.Sprint("stop ", caller, n, i), " ", "-"))
+						if err != nil {
+							cut.Add(1)
+							first.CompareAndSwap(nil, fmt.Sprint(err, " request ", i, " of connection, before the end: ", time.Until(end)))
+						}
+						if err != nil || !reusable || time.Now().After(end) {
+							break
+						}
+					}
+					conn.Close()
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(200 * time.Millisecond)
+		h.stop()
+		sending.Wait()
+		Expect(cut.Load()).To(BeZero(), "first: %v", first.Load())
+		Expect(answered.Load()).To(BeNumerically(">", 0))
+		Expect(refused.Load()).To(BeNumerically(">", 0))
+		Eventually(h.stopped, "4s").Should(Receive(BeNil()))
+	})
+})
