--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/oleanderspool/oleanderspool"
@@ -311,16 +312,12 @@
 func (f *Follower) readServers(ctx context.Context) bool {
 	full, from, sentAt := !f.servers.synced, f.servers.next, f.clock.Now()
 	batch, ok := f.read(ctx, &f.servers, 0)
-	var applied []Change
-	for _, c := range batch.Changes {
-		if c.Removed && f.inGrace() {
-			f.expired = append(f.expired, c)
-			continue
-		}
-		if f.register(c) {
-			applied = append(applied, c)
-		}
+	current := batch.Changes
+	if f.inGrace() {
+		current = slices.DeleteFunc(slices.Clone(current), func(c Change) bool { return c.Removed })
+		f.expired = append(f.expired, slices.DeleteFunc(slices.Clone(batch.Changes), func(c Change) bool { return !c.Removed })...)
 	}
+	applied := f.register(current)
 	if ok && full {
 		f.removeUnlisted(batch.Changes)
 	}
@@ -368,9 +365,7 @@
 	if f.inGrace() {
 		return
 	}
-	for _, c := range f.expired {
-		f.register(c)
-	}
+	f.register(f.expired)
 	f.expired = nil
 }
 
@@ -435,16 +430,26 @@
 	}
 }
 
-// register applies a record of the registry and reports whether it changes a server.
-func (f *Follower) register(c Change) bool {
+// register applies records of the registry and returns those that change a server.
+func (f *Follower) register(records []Change) []Change {
+	var changes []Change
+	for i, effect := range f.view.Register(records...) {
+		if effect.Changed {
+			changes = append(changes, records[i])
+		}
+		if effect.Notable || records[i].Err != nil {
+			f.logRecord(records[i], effect)
+		}
+	}
+	return changes
+}
+
+func (f *Follower) logRecord(c Change, effect Registered) {
 	if c.Err != nil {
 		f.logger.Debug("cannot decode server record", "instance", c.Instance, "offset", c.Offset, "error", c.Err.Error())
 	}
-	changed, notable := f.view.Register(c.Instance, c.Server, c.Offset)
-	if !notable {
-		return changed
-	}
 	switch {
+	case !effect.Notable:
 	case c.Server == nil:
 		f.logger.Info("server removed", "instance", c.Instance, "cause", "removed", "offset", c.Offset)
 	case c.Server.Draining:
@@ -452,5 +457,4 @@
 	default:
 		f.logger.Info("server ready", "instance", c.Instance, "address", c.Server.Address, "service", c.Server.Service, "started", c.Server.Started, "offset", c.Offset)
 	}
-	return changed
 }
--- a/internal/directory/registry_update.go
+++ b/internal/directory/registry_update.go
@@ -1,6 +1,11 @@
 package directory
 
-import "github.com/oleanderspool/oleanderspool"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/oleanderspool/oleanderspool"
+)
 
 // RegistryUpdate is the result of one entry's read of the registry, for the entries
 // that did not read.
@@ -53,9 +58,14 @@
 
 func (noCoordinator) ConfirmConfiguration(oleanderspool.Millis, oleanderspool.Offset) {}
 
-// maxUpdateChanges bounds the changes of one update. When a read finds more, the
-// other entries read the registry themselves.
-const maxUpdateChanges = 20
+const (
+	// maxUpdateChanges is the number of changes in one update, so that it fits into a
+	// datagram.
+	maxUpdateChanges = 40
+	// maxPublishedChanges is the number of changes of one read that are sent to the
+	// other entries. When there are more, they read the registry themselves.
+	maxPublishedChanges = 10 * maxUpdateChanges
+)
 
 // receivedUpdate is an update of another entry with the local instant at which its
 // read was sent.
@@ -81,24 +91,35 @@
 	if !s.synced || f.inGrace() || len(f.expired) > 0 || s.failingSince != 0 || u.From > s.next {
 		return
 	}
-	for _, c := range u.Changes {
-		f.register(c.shifted(f.clock.Now()))
+	changes := make([]Change, len(u.Changes))
+	for i, c := range u.Changes {
+		changes[i] = c.shifted(f.clock.Now())
 	}
+	f.register(changes)
 	s.next = max(s.next, u.Next)
 	s.lastReadAt = max(s.lastReadAt, u.sentAt)
 }
 
-// publish sends the changes that a read from an offset found to the other entries.
-// During the grace period, while registrations may have expired because of the
+// publish sends the changes that a read from an offset found to the other entries,
+// in updates that follow one another: one is not applied when those before it are
+// missing. During the grace period, while registrations may have expired because of the
 // outage, each entry reads for itself.
 func (f *Follower) publish(from oleanderspool.Offset, changes []Change, sentAt oleanderspool.Millis) {
-	if f.inGrace() || len(f.expired) > 0 || len(changes) > maxUpdateChanges {
+	if f.inGrace() || len(f.expired) > 0 || len(changes) > maxPublishedChanges {
 		return
 	}
 	now := f.clock.Now()
 	for i, c := range changes {
 		changes[i] = c.shifted(-now)
 	}
+	slices.SortFunc(changes, func(x, y Change) int { return cmp.Compare(x.Offset, y.Offset) })
+	for len(changes) > maxUpdateChanges {
+		part := changes[:maxUpdateChanges]
+		next := part[maxUpdateChanges-1].Offset + 1
+		// Only the last update is as new as the read.
+		f.coordinator.Publish(RegistryUpdate{From: from, Next: next, Changes: part, Age: f.serverInterval + now - sentAt})
+		from, changes = next, changes[maxUpdateChanges:]
+	}
 	f.coordinator.Publish(RegistryUpdate{From: from, Next: f.servers.next, Changes: changes, Age: now - sentAt})
 }
 
--- a/internal/directory/registry_update_test.go
+++ b/internal/directory/registry_update_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,34 @@
 
 func (f *countingFeed) Compacted(error) bool { return false }
 
+// manyChanges is a feed whose second read has a number of new servers.
+type manyChanges struct {
+	count int
+}
+
+func (f *manyChanges) Newest(context.Context) (directory.Batch, error) {
+	return directory.Batch{}, nil
+}
+
+func (f *manyChanges) Read(_ context.Context, from oleanderspool.Offset, _ oleanderspool.Millis) (directory.Batch, error) {
+	batch := directory.Batch{Next: oleanderspool.Offset(f.count)}
+	for i := int(from); i < f.count; i++ {
+		id := oleanderspool.InstanceID(fmt.Sprint("s", i))
+		batch.Changes = append(batch.Changes, directory.Change{Offset: oleanderspool.Offset(i), Instance: id, Server: &directory.Server{Instance: id, Service: "llm", Address: "10.0.0.1:80"}})
+	}
+	return batch, nil
+}
+
+func (f *manyChanges) Compacted(error) bool { return false }
+
+// publisher is a coordinator that collects the published updates.
+type publisher struct {
+	*subscriber
+	published chan directory.RegistryUpdate
+}
+
+func (p publisher) Publish(u directory.RegistryUpdate) { p.published <- u }
+
 var _ = Describe("A follower that receives registry updates of other entries", func() {
 	const (
 		maxDelay = 400 * oleanderspool.Millis(1)
@@ -56,6 +85,28 @@
 
 	draining := directory.Change{Offset: 10, Instance: "s", Server: &directory.Server{Instance: "s", Service: "llm", Address: "10.0.0.1:80", Draining: true}}
 
+	// Guards against changes of one read that do not fit into a datagram, for which
+	// each entry of a large fleet would read the registry.
+	It("sends many changes in updates that follow one another", func() {
+		published := make(chan directory.RegistryUpdate, 100)
+		many := &manyChanges{count: 100}
+		reader := directory.NewFollower(directory.NewView(), many, many, clock.NewBoot(), slog.New(slog.DiscardHandler),
+			directory.WithMaxDrainDelay(maxDelay), directory.WithCoordinator(publisher{&subscriber{}, published}))
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		go reader.RunServers(ctx)
+		next, changes := oleanderspool.Offset(0), 0
+		for changes < 100 {
+			var u directory.RegistryUpdate
+			Eventually(published, "5s").Should(Receive(&u))
+			Expect(u.From).To(Equal(next))
+			Expect(len(u.Changes)).To(BeNumerically("<=", 40))
+			next = u.Next
+			changes += len(u.Changes)
+		}
+		Expect(next).To(Equal(oleanderspool.Offset(100)))
+	})
+
 	// Guards against a load on the store that grows with the number of entries, and
 	// against updates that are received but not applied.
 	It("applies the received updates instead of reading the registry itself", func() {
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -108,28 +108,48 @@
 	return true
 }
 
-// Register applies a record of a server unless a newer one is known. A nil server
-// means that the record removes the server or cannot be decoded. changed reports
-// whether the record changes what is known of the server. notable reports whether it
-// is the first record of the server, makes the server usable or unusable, or describes
-// another process than the record before; the caller logs such a record.
-func (v *View) Register(instance oleanderspool.InstanceID, s *Server, offset oleanderspool.Offset) (changed, notable bool) {
+// Registered is the effect of a record of a server.
+type Registered struct {
+	// Changed says that the record changes what is known of the server.
+	Changed bool
+	// Notable says that it is the first record of the server, makes the server usable
+	// or unusable, or describes another process than the record before; the caller logs
+	// such a record.
+	Notable bool
+}
+
+// Register applies records of servers, each unless a newer one is known, and returns
+// their effects. A nil server means that the record removes the server or cannot be
+// decoded. All records become visible together.
+func (v *View) Register(records ...Change) []Registered {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	old, known := v.records[instance]
-	if known && offset <= old.offset {
-		return false, false
+	effects := make([]Registered, len(records))
+	changed := false
+	for i, c := range records {
+		effects[i] = v.register(c)
+		changed = changed || effects[i].Changed
+	}
+	if changed {
+		v.publish()
+	}
+	return effects
+}
+
+func (v *View) register(c Change) Registered {
+	old, known := v.records[c.Instance]
+	if known && c.Offset <= old.offset {
+		return Registered{}
 	}
-	r := registration{offset: offset}
-	if s != nil {
-		r.server, r.usable = *s, !s.Draining
+	r := registration{offset: c.Offset}
+	if c.Server != nil {
+		r.server, r.usable = *c.Server, !c.Server.Draining
 	}
-	v.records[instance] = r
+	v.records[c.Instance] = r
 	if known && old.usable == r.usable && (!r.usable || old.server == r.server) {
-		return false, false
+		return Registered{}
 	}
-	v.publish()
-	return true, !known || old.usable != r.usable || !old.server.SameRun(r.server)
+	return Registered{Changed: true, Notable: !known || old.usable != r.usable || !old.server.SameRun(r.server)}
 }
 
 // RemoveUnlisted removes the servers that are missing from a complete list and
--- a/internal/directory/view_test.go
+++ b/internal/directory/view_test.go
@@ -12,6 +12,9 @@
 	version := func(n int64) *directory.Configuration {
 		return directory.NewConfiguration(n, directory.Limits{}, nil, nil, nil)
 	}
+	record := func(id oleanderspool.InstanceID, s *directory.Server, offset oleanderspool.Offset) directory.Change {
+		return directory.Change{Instance: id, Server: s, Offset: offset, Removed: s == nil}
+	}
 	server := func(id string) *directory.Server {
 		return &directory.Server{Instance: oleanderspool.InstanceID(id), Service: "s", Address: "10.0.0.1:80", Started: 1}
 	}
@@ -36,20 +39,32 @@
 	// Guards against an old record that brings a removed server back.
 	It("does not use a removed server again because of an older record", func() {
 		v := directory.NewView()
-		v.Register("a", server("a"), 3)
-		v.Register("a", nil, 5)
-		v.Register("a", server("a"), 4)
+		v.Register(record("a", server("a"), 3))
+		v.Register(record("a", nil, 5))
+		v.Register(record("a", server("a"), 4))
 		Expect(v.Snapshot().Servers("s")).To(BeEmpty())
-		v.Register("a", server("a"), 6)
+		v.Register(record("a", server("a"), 6))
 		Expect(v.Snapshot().Servers("s")).To(HaveLen(1))
 	})
 
+	// Guards against records that are lost among others in one call, and against a
+	// snapshot that is built anew for each of them.
+	It("applies the records of a call together", func() {
+		v := directory.NewView()
+		effects := v.Register(record("a", server("a"), 3), record("b", server("b"), 4), record("a", server("a"), 5), record("b", nil, 6), record("a", nil, 2))
+		Expect(effects).To(Equal([]directory.Registered{{Changed: true, Notable: true}, {Changed: true, Notable: true}, {}, {Changed: true, Notable: true}, {}}))
+		Expect(v.Snapshot().Servers("s")).To(ConsistOf(*server("a")))
+		before := v.Snapshot()
+		v.Register(record("a", server("a"), 7))
+		Expect(v.Snapshot()).To(BeIdenticalTo(before))
+	})
+
 	// Guards against removing a server that registered after a list was made, and
 	// against keeping one whose record was compacted away.
 	It("removes the servers that a complete list lacks, except those registered after it", func() {
 		v := directory.NewView()
-		v.Register("old", server("old"), 3)
-		v.Register("new", server("new"), 8)
+		v.Register(record("old", server("old"), 3))
+		v.Register(record("new", server("new"), 8))
 		Expect(v.RemoveUnlisted(map[oleanderspool.InstanceID]bool{}, 6)).To(Equal([]oleanderspool.InstanceID{"old"}))
 		Expect(v.Snapshot().Servers("s")).To(HaveLen(1))
 	})
--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -203,6 +203,10 @@
 	s.scheduler.RecordSuccess(server)
 }
 
+// maxMessageUpdates is the number of registry updates in one message, so that it fits
+// into a datagram.
+const maxMessageUpdates = 2
+
 // Report implements [gossip.State].
 func (s *sharedState) Report(complete bool) gossip.Message {
 	now := s.clock.Now()
@@ -226,7 +230,11 @@
 	m.Crashes = s.crashes.recentCrashes(now)
 	m.Refused = s.refusals.takeUnreported()
 	m.Answered = s.crashes.takeUnreportedAnswers()
-	m.RegistryUpdates, s.registryUpdates = s.registryUpdates, nil
+	count := min(len(s.registryUpdates), maxMessageUpdates)
+	m.RegistryUpdates, s.registryUpdates = s.registryUpdates[:count:count], s.registryUpdates[count:]
+	if len(s.registryUpdates) > 0 {
+		s.peers.Wake()
+	}
 	for _, sp := range s.avoidances {
 		if sp.Remaining > now {
 			m.Suspicions = append(m.Suspicions, gossip.Suspicion{Server: sp.Server, Remaining: sp.Remaining - now})
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -49,6 +49,7 @@
 // and places requests. It is not safe for concurrent use.
 type Scheduler struct {
 	tasks    map[TaskID]*Task
+	byEntry  map[uint64]map[TaskID]*Task
 	byServer map[oleanderspool.InstanceID]*serverState
 	avoided  map[oleanderspool.InstanceID]avoidance
 	// tieBreakSeed seeds the preference among equal servers; 0 for no preference.
@@ -94,6 +95,7 @@
 func NewScheduler(options ...Option) *Scheduler {
 	sc := &Scheduler{
 		tasks:    make(map[TaskID]*Task),
+		byEntry:  make(map[uint64]map[TaskID]*Task),
 		byServer: make(map[oleanderspool.InstanceID]*serverState),
 		avoided:  make(map[oleanderspool.InstanceID]avoidance),
 
@@ -108,7 +110,7 @@
 // Add adds a task, or replaces the one with the same ID.
 func (sc *Scheduler) Add(t Task) {
 	if old, found := sc.tasks[t.ID]; found {
-		if old.Server == t.Server {
+		if old.Server == t.Server && old.Entry == t.Entry {
 			*old = t
 			sc.state(t.Server).changed = true
 			return
@@ -118,6 +120,12 @@
 	st := sc.state(t.Server)
 	st.tasks, st.changed = append(st.tasks, &t), true
 	sc.tasks[t.ID] = &t
+	tasks := sc.byEntry[t.Entry]
+	if tasks == nil {
+		tasks = make(map[TaskID]*Task)
+		sc.byEntry[t.Entry] = tasks
+	}
+	tasks[t.ID] = &t
 }
 
 // state returns the state of a server.
@@ -130,13 +138,17 @@
 	return st
 }
 
-// detach removes a task from its server.
+// detach removes a task from its server and its entry.
 func (sc *Scheduler) detach(t *Task) {
 	st := sc.state(t.Server)
 	if i := slices.Index(st.tasks, t); i >= 0 {
 		st.tasks = slices.Delete(st.tasks, i, i+1)
 	}
 	st.changed = true
+	delete(sc.byEntry[t.Entry], t.ID)
+	if len(sc.byEntry[t.Entry]) == 0 {
+		delete(sc.byEntry, t.Entry)
+	}
 }
 
 // Task returns the task with the given ID.
@@ -168,8 +180,8 @@
 
 // Retain removes the tasks of an entry that are not in keep.
 func (sc *Scheduler) Retain(entry uint64, keep map[TaskID]bool) {
-	for id, t := range sc.tasks {
-		if t.Entry == entry && !keep[id] {
+	for id := range sc.byEntry[entry] {
+		if !keep[id] {
 			sc.Remove(id)
 		}
 	}
@@ -198,10 +210,8 @@
 // TasksOf returns the tasks of an entry, ordered by ID.
 func (sc *Scheduler) TasksOf(entry uint64) []Task {
 	var list []Task
-	for _, t := range sc.tasks {
-		if t.Entry == entry {
-			list = append(list, *t)
-		}
+	for _, t := range sc.byEntry[entry] {
+		list = append(list, *t)
 	}
 	slices.SortFunc(list, func(x, y Task) int { return cmp.Compare(x.ID, y.ID) })
 	return list
