--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -182,16 +182,15 @@
 func (sc *Scheduler) eligible(servers []directory.Server, e *directory.Engine, r Request, now oleanderspool.Millis) []*serverLoad {
 	sc.candidates, sc.avoidedCandidates = sc.candidates[:0], sc.avoidedCandidates[:0]
 	count := min(len(servers), sc.maxCandidates)
+	first := 0
 	if count < len(servers) {
-		sc.sampled = (sc.sampled + count) % len(servers)
-	} else {
-		sc.sampled = 0
+		first = sc.random.IntN(len(servers))
 	}
 	for i := range len(servers) {
 		if len(sc.candidates) >= count {
 			break
 		}
-		s := &servers[(sc.sampled+i)%len(servers)]
+		s := &servers[(first+i)%len(servers)]
 		switch {
 		case slices.Contains(r.Tried, s.Instance):
 		case sc.isAvoided(s.Instance, now):
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -12,6 +12,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -57,7 +58,7 @@
 	// maxCandidates and maxHelperCandidates bound the servers that a decision compares.
 	maxCandidates       int
 	maxHelperCandidates int
-	sampled             int // index of the first server of the next sample
+	random              *rand.Rand // draws the sample
 	// candidates and avoidedCandidates are reused by each decision.
 	candidates, avoidedCandidates []*serverLoad
 }
@@ -104,6 +105,7 @@
 	for _, o := range options {
 		o(sc)
 	}
+	sc.random = rand.New(rand.NewPCG(sc.tieBreakSeed, 0))
 	return sc
 }
 
