Release the locks of the gossip node by defer, bound its queues, guard its first messages

Cause: a panic under the node's lock was caught and left the lock taken; the messages before the first answer of another entry were not guarded; messages to pass on were collected without a bound while the sending goroutine stood still. Found by reading. No change of what is sent.

--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"net"
@@ -36,6 +37,9 @@
 	// maxDatagram is the maximum size of a datagram in bytes, so that it is rarely
 	// fragmented into more than a few packets.
 	maxDatagram = 16 << 10
+	// maxQueue is the maximum number of messages that wait to be passed on. A relay of
+	// the largest fleet collects some hundred in relayInterval.
+	maxQueue = 4096
 )
 
 // State is the state of the entry that the node sends and updates.
@@ -150,12 +154,9 @@
 func (n *Node) ConfirmConfiguration(at oleanderspool.Millis, next oleanderspool.Offset) {
 	now := n.clock.Now()
 	n.mu.Lock()
-	subscribed := n.roster.hasSubscribers(now)
-	if subscribed {
+	defer n.mu.Unlock()
+	if n.roster.hasSubscribers(now) {
 		n.confirmations, n.confirmedNext = n.roster.confirmationsFor(at, now), next
-	}
-	n.mu.Unlock()
-	if subscribed {
 		broadcast.Wake(n.relay)
 	}
 }
@@ -175,7 +176,7 @@
 	defer links.Stop()
 	delay := joinDelay
 	for start := time.Now(); ctx.Err() == nil; delay *= 2 {
-		n.sendOwn(true)
+		n.guard.Run("message", func() { n.sendOwn(true) })
 		if n.LivePeers() > 0 || time.Since(start) > joinPeriod {
 			break
 		}
@@ -202,72 +203,97 @@
 	}
 }
 
-// sendOwn sends a message of this entry: to its relay, or, if it is a relay itself,
-// to the other relays and its subscribers. A complete message is also sent to the
-// addresses at which no entry is known to be alive.
+// sendOwn sends the state of this entry, or its changes.
 func (n *Node) sendOwn(complete bool) {
-	m := n.state.Report(complete)
-	n.deliver(m)
+	n.deliver(n.state.Report(complete))
+}
+
+// delivery is a message of this entry and its way.
+type delivery struct {
+	data       []byte         // the encoded message
+	subscribed bool           // it goes to home, and otherwise is queued as a relay's own
+	home       netip.AddrPort // relay of this entry
+	vacant     []netip.AddrPort
+	relayed    bool // subscribers are sent to at intervals
 }
 
+// deliver sends a message of this entry: to its relay, or, if it is a relay itself, to
+// the other relays and its subscribers. A complete message of a relay is also sent to
+// the addresses at which no entry is known to be alive.
 func (n *Node) deliver(m Message) {
+	d := n.prepare(m)
+	switch {
+	case d.subscribed:
+		n.write(packet{sender: m.RunID, kind: kindSubscription, messages: [][]byte{d.data}}, d.home)
+	case d.relayed && !m.Leaving:
+		broadcast.Wake(n.relay)
+	default:
+		n.flush()
+	}
+	n.write(packet{sender: m.RunID, kind: kindHello, messages: [][]byte{d.data}}, d.vacant...)
+}
+
+// prepare numbers and encodes a message and decides its way.
+func (n *Node) prepare(m Message) delivery {
 	now := n.clock.Now()
-	m.SentAt = now
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	if n.roster.runID != m.RunID {
 		n.roster.runID = m.RunID
 		n.roster.assignRelays(now)
 	}
-	homeBefore := n.announcedHome
-	n.announcedHome = n.roster.home
+	if n.announcedHome != n.roster.home {
+		n.logger.Info("relay changed", "run", n.roster.home, "before", n.announcedHome, "members", len(n.roster.members))
+		n.announcedHome = n.roster.home
+	}
+	n.sequence++
+	m.Sequence, m.SentAt = n.sequence, now
 	if m.Complete {
 		m.Endpoint = n.roster.self
 	}
-	n.sequence++
-	m.Sequence = n.sequence
 	data := Encode(m)
 	if len(data) > maxDatagram {
 		m.Tasks, m.Complete = nil, false // the tasks were already sent as changes
 		data = Encode(m)
 	}
-	home, subscribed := n.roster.homeAddress()
-	var vacant []netip.AddrPort
-	if (m.Complete || m.Leaving) && !subscribed {
-		vacant = n.roster.vacant()
-	}
-	if !subscribed {
-		n.toRelays = append(n.toRelays, data)
-		n.toSubscribers = append(n.toSubscribers, data)
+	d := delivery{data: data, relayed: n.roster.hasSubscribers(now)}
+	if d.home, d.subscribed = n.roster.homeAddress(); d.subscribed {
+		return d
 	}
-	relayed, current, members := n.roster.hasSubscribers(now), n.announcedHome, len(n.roster.members)
-	n.mu.Unlock()
-	if current != homeBefore {
-		n.logger.Info("relay changed", "run", current, "before", homeBefore, "members", members)
+	n.toRelays = enqueue(n.toRelays, data)
+	n.toSubscribers = enqueue(n.toSubscribers, data)
+	if m.Complete || m.Leaving {
+		d.vacant = n.roster.vacant()
 	}
-	switch {
-	case subscribed:
-		n.write(packet{sender: m.RunID, kind: kindSubscription, messages: [][]byte{data}}, home)
-	case relayed && !m.Leaving:
-		broadcast.Wake(n.relay)
-	default:
-		n.flush()
+	return d
+}
+
+// enqueue adds an encoded message to a queue, unless the queue is full: the next
+// complete messages repeat what is lost.
+func enqueue(queue [][]byte, data []byte) [][]byte {
+	if len(queue) >= maxQueue {
+		return queue
 	}
-	n.write(packet{sender: m.RunID, kind: kindHello, messages: [][]byte{data}}, vacant...)
+	return append(queue, data)
 }
 
 // sendMembers tells the entries that depend on this relay, and the other relays,
 // which entries it knows.
 func (n *Node) sendMembers() {
+	if p, targets := n.memberList(); len(targets) > 0 {
+		n.write(p, targets...)
+	}
+}
+
+func (n *Node) memberList() (packet, []netip.AddrPort) {
 	now := n.clock.Now()
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	if !n.roster.isRelay() {
-		n.mu.Unlock()
-		return
+		return packet{}, nil
 	}
 	p := packet{sender: n.roster.runID, kind: kindReply, members: n.roster.listMembers(now)}
-	targets := addresses(n.roster.linkedRelays(now), n.roster.subscribers(now))
-	n.mu.Unlock()
-	n.write(p, targets...)
+	return p, addresses(n.roster.linkedRelays(now), n.roster.subscribers(now))
 }
 
 func addresses(lists ...[]*member) []netip.AddrPort {
@@ -293,25 +319,40 @@
 	}
 }
 
-// flush sends the messages and confirmations that are to be passed on.
-func (n *Node) flush() {
+// outgoing is what a relay passes on, and to whom.
+type outgoing struct {
+	sender                  uint64
+	relays, subscribers     []netip.AddrPort
+	toRelays, toSubscribers [][]byte
+	confirmations           []Confirmation
+	confirmedNext           oleanderspool.Offset
+}
+
+// takeOutgoing empties the queues.
+func (n *Node) takeOutgoing() outgoing {
 	now := n.clock.Now()
 	n.mu.Lock()
-	sender := n.roster.runID
-	relays, subscribers := addresses(n.roster.linkedRelays(now)), addresses(n.roster.subscribers(now))
-	toRelays, toSubscribers := n.toRelays, n.toSubscribers
-	confirmations, next := n.confirmations, n.confirmedNext
+	defer n.mu.Unlock()
+	o := outgoing{
+		sender: n.roster.runID, relays: addresses(n.roster.linkedRelays(now)), subscribers: addresses(n.roster.subscribers(now)),
+		toRelays: n.toRelays, toSubscribers: n.toSubscribers, confirmations: n.confirmations, confirmedNext: n.confirmedNext,
+	}
 	n.toRelays, n.toSubscribers, n.confirmations, n.confirmedNext = nil, nil, nil, 0
-	n.sentAsRelay = n.sentAsRelay || len(toRelays) > 0
-	n.mu.Unlock()
-	for _, part := range split(toRelays) {
-		n.write(packet{sender: sender, kind: kindRelay, messages: part}, relays...)
+	n.sentAsRelay = n.sentAsRelay || len(o.toRelays) > 0
+	return o
+}
+
+// flush sends the messages and confirmations that are to be passed on.
+func (n *Node) flush() {
+	o := n.takeOutgoing()
+	for _, part := range split(o.toRelays) {
+		n.write(packet{sender: o.sender, kind: kindRelay, messages: part}, o.relays...)
 	}
-	for _, part := range split(toSubscribers) {
-		n.write(packet{sender: sender, kind: kindForward, messages: part}, subscribers...)
+	for _, part := range split(o.toSubscribers) {
+		n.write(packet{sender: o.sender, kind: kindForward, messages: part}, o.subscribers...)
 	}
-	if next != 0 {
-		n.write(packet{sender: sender, kind: kindForward, confirmations: confirmations, confirmedNext: next}, subscribers...)
+	if o.confirmedNext != 0 {
+		n.write(packet{sender: o.sender, kind: kindForward, confirmations: o.confirmations, confirmedNext: o.confirmedNext}, o.subscribers...)
 	}
 }
 
@@ -526,11 +567,11 @@
 func (n *Node) queue(k kind, data []byte, now oleanderspool.Millis) {
 	queued := false
 	if n.roster.hasSubscribers(now) {
-		n.toSubscribers = append(n.toSubscribers, append([]byte(nil), data...))
+		n.toSubscribers = enqueue(n.toSubscribers, bytes.Clone(data))
 		queued = true
 	}
 	if k == kindHello || k == kindSubscription {
-		n.toRelays = append(n.toRelays, append([]byte(nil), data...))
+		n.toRelays = enqueue(n.toRelays, bytes.Clone(data))
 		queued = true
 	}
 	if queued {
@@ -558,36 +599,50 @@
 // expire removes the entries that have sent no message for too long.
 func (n *Node) expire() {
 	now := n.clock.Now()
-	n.mu.Lock()
-	unreachable := n.roster.expire(now)
-	n.mu.Unlock()
-	for _, e := range unreachable {
+	for _, e := range n.takeUnreachable(now) {
 		n.logger.Warn("entry unreachable", "instance", e.Instance, "address", e.address.String(), "silent_ms", int64(now-e.heardAt))
 		n.state.RemoveEntry(e.runID)
 	}
 }
 
+func (n *Node) takeUnreachable(now oleanderspool.Millis) []*member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.roster.expire(now)
+}
+
 // checkLinks replaces relays that are silent, and sends an empty datagram on each
 // link on which none was sent since the last check.
 func (n *Node) checkLinks() {
+	c := n.checkRoster()
+	n.write(packet{sender: c.self, kind: kindRelay}, c.idle...)
+	for _, e := range c.silent {
+		n.logger.Warn("relay silent", "instance", e.Instance, "address", e.address.String(), "missed", maxMissedIntervals, "pause_ms", int64(relayPause))
+	}
+	if c.announce {
+		n.sendOwn(true)
+	}
+}
+
+// linkCheck is the result of a check of the links.
+type linkCheck struct {
+	self     uint64
+	silent   []*member
+	idle     []netip.AddrPort // links without a datagram since the last check
+	announce bool             // the relay of this entry has changed
+}
+
+func (n *Node) checkRoster() linkCheck {
 	now := n.clock.Now()
 	n.mu.Lock()
-	silent := n.roster.checkLinks(now)
-	announce := n.announceLocked(false)
-	var targets []netip.AddrPort
+	defer n.mu.Unlock()
+	c := linkCheck{self: n.roster.runID, silent: n.roster.checkLinks(now)}
+	c.announce = n.announceLocked(false)
 	if !n.sentAsRelay && (n.roster.isRelay() || n.roster.hasSubscribers(now)) {
-		targets = addresses(n.roster.linkedRelays(now), n.roster.subscribers(now))
+		c.idle = addresses(n.roster.linkedRelays(now), n.roster.subscribers(now))
 	}
 	n.sentAsRelay = false
-	p := packet{sender: n.roster.runID, kind: kindRelay}
-	n.mu.Unlock()
-	n.write(p, targets...)
-	for _, e := range silent {
-		n.logger.Warn("relay silent", "instance", e.Instance, "address", e.address.String(), "missed", maxMissedIntervals, "pause_ms", int64(relayPause))
-	}
-	if announce {
-		n.sendOwn(true)
-	}
+	return c
 }
 
 // Leave announces to the other entries that this entry stops.
