Close the listener of a stopping entry only after checks that ran

Cause: an entry that lacks processor time woke late from the time for which it listens after SIGTERM, and judged by the last accepted connection before it had accepted those that waited. Closing the listener resets them.

Ruled out: requests that were read; they are refused at once.

Change: six checks in a row, 50 ms apart, without a new connection, counted from the wake-up. Test with a listener that accepts late: connection reset before, 503 after.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -36,10 +36,11 @@
 	// that late requests are refused with an answer instead of a connection
 	// error.
 	listenAfterStop = 3200 * oleanderspool.Millis(1)
-	// quietBeforeClose is how long no connection may have arrived before a stopping
-	// entry closes its listener: connections that wait to be accepted are reset then.
-	quietBeforeClose = 300 * oleanderspool.Millis(1)
-	// quietCheckInterval is the interval between two checks for that.
+	// quietChecks is the number of checks in a row, quietCheckInterval apart, in which
+	// no connection has arrived before a stopping entry closes its listener: connections
+	// that wait to be accepted are reset then. Checks are counted instead of time, since
+	// a process that lacks processor time accepts no connections either.
+	quietChecks        = 6
 	quietCheckInterval = 50 * oleanderspool.Millis(1)
 	// closeMargin is the part of the grace period before stopMargin in which the
 	// listener is closed also while connections arrive.
@@ -56,7 +57,7 @@
 	clock   oleanderspool.Clock
 	logger  *slog.Logger
 
-	acceptedAt atomic.Int64 // instant of the last new connection
+	accepted atomic.Int64 // number of connections so far
 
 	mu      sync.Mutex
 	waiting map[net.Conn]oleanderspool.Millis // connections without a request, and since when
@@ -78,7 +79,7 @@
 
 func (s *Server) track(conn net.Conn, state http.ConnState) {
 	if state == http.StateNew {
-		s.acceptedAt.Store(int64(s.clock.Now()))
+		s.accepted.Add(1)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -141,9 +142,7 @@
 	s.gateway.Stop()
 	s.logger.Info("stopping", "running", s.gateway.InFlight(), "grace_ms", int64(grace))
 	time.Sleep(min(listenAfterStop, grace/2).Duration())
-	for s.clock.Now() < startedAt+grace-stopMargin-closeMargin && s.clock.Now()-oleanderspool.Millis(s.acceptedAt.Load()) < quietBeforeClose {
-		time.Sleep(quietCheckInterval.Duration())
-	}
+	s.awaitQuiet(startedAt + grace - stopMargin - closeMargin)
 	left := max(0, grace-stopMargin-(s.clock.Now()-startedAt))
 	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
 	defer cancel()
@@ -154,3 +153,15 @@
 	}
 	return err
 }
+
+// awaitQuiet waits until no connection has arrived in several checks, or until an
+// instant.
+func (s *Server) awaitQuiet(until oleanderspool.Millis) {
+	for quiet := 0; quiet < quietChecks && s.clock.Now() < until; quiet++ {
+		before := s.accepted.Load()
+		time.Sleep(quietCheckInterval.Duration())
+		if s.accepted.Load() != before {
+			quiet = -1
+		}
+	}
+}
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/oleanderspool/oleanderspool/internal/forward"
 	"github.com/oleanderspool/oleanderspool/platform/platformtest"
 )
 
@@ -91,4 +93,41 @@
 		Expect(refused.Load()).To(BeNumerically(">", 0))
 		Eventually(h.stopped, "4s").Should(Receive(BeNil()))
 	})
+
+	// Guards against connections that wait to be accepted, because the process lacked
+	// processor time, and are reset when the listener is closed: on estacas-prod-large
+	// one had waited for 0.75 s at that moment.
+	It("answers a request that waits to be accepted at the end of the usual time", func() {
+		h := newHarness(1, 0)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		slow := &slowListener{Listener: listener, release: make(chan struct{})}
+		ctx, stop := context.WithCancel(context.Background())
+		stopped := make(chan error, 1)
+		go func() { stopped <- forward.NewServer(h.gateway).Serve(ctx, slow, grace) }()
+		stop()
+		time.Sleep(2900 * time.Millisecond)
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = conn.Write([]byte("GET /lookup/1 HTTP/1.1\r\nHost: " + host + "\r\n\r\n"))
+		Expect(err).NotTo(HaveOccurred())
+		time.AfterFunc(500*time.Millisecond, func() { close(slow.release) })
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Eventually(stopped, "4s").Should(Receive(BeNil()))
+	})
 })
+
+// slowListener accepts no connection before it is released.
+type slowListener struct {
+	net.Listener
+	release chan struct{}
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	<-l.release
+	return l.Listener.Accept()
+}
