--- a/exchange.go
+++ b/exchange.go
@@ -11,6 +11,9 @@
 	MaxAnswerTokens  int64  // limit of the answer's tokens
 	AnswerTokensHint int64  // the caller's estimate of the answer's tokens; 0 when it gives none
 	LastEventID      string // id of the event after which a stream resumes; empty for the whole stream
+	// SharedParts are the parts of the prompt that other requests may have too, in
+	// order: all but the last one.
+	SharedParts []PromptPart
 }
 
 // ForwardHeader is the content that an entry adds to the header of a request to
--- a/identity.go
+++ b/identity.go
@@ -41,6 +41,10 @@
 // route, and body.
 type Fingerprint uint64
 
+// PromptPart identifies the content of a part of a prompt. Equal parts of different
+// requests have the same identifier.
+type PromptPart string
+
 // Incarnation identifies one run of an agent process. A new process has a new
 // incarnation, so it does not accept messages addressed to the previous one.
 type Incarnation string
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -18,7 +18,6 @@
 	transaction *transaction
 	w           http.ResponseWriter
 	controller  *http.ResponseController
-	events      int
 	firstAt     oleanderspool.Millis
 }
 
@@ -54,7 +53,7 @@
 	if !o.transaction.committed {
 		return r
 	}
-	o.transaction.gateway.logger.Warn("stream to the caller aborted", "request_id", o.transaction.call.ID, "events", o.events, "last_event", o.transaction.lastEvent,
+	o.transaction.gateway.logger.Warn("stream to the caller aborted", "request_id", o.transaction.call.ID, "events", o.transaction.events, "last_event", o.transaction.lastEvent,
 		"reason", string(r.Reason), "sends", o.transaction.sends, "age_ms", int64(o.transaction.gateway.clock.Now()-o.transaction.receivedAt))
 	panic(http.ErrAbortHandler)
 }
@@ -81,17 +80,17 @@
 	switch {
 	case err == nil:
 		t.gateway.shared.recordAnswer(t.fingerprint, a.Server.Instance)
-		t.gateway.logger.Info("answered", "request_id", t.call.ID, "instance", a.Server.Instance, "events", out.events,
+		t.gateway.logger.Info("answered", "request_id", t.call.ID, "instance", a.Server.Instance, "events", t.events,
 			"first_ms", int64(out.firstAt-t.receivedAt), "predicted_ms", int64(a.TTFT), "helpers", len(a.Helpers),
 			"age_ms", int64(t.gateway.clock.Now()-t.receivedAt), "sends", t.sends)
 		return true
 	case errors.Is(err, errCallerClosed) || t.request.Context().Err() != nil:
-		t.gateway.logger.Info("caller closed the connection", "request_id", t.call.ID, "events", out.events, "age_ms", int64(t.gateway.clock.Now()-t.receivedAt))
+		t.gateway.logger.Info("caller closed the connection", "request_id", t.call.ID, "events", t.events, "age_ms", int64(t.gateway.clock.Now()-t.receivedAt))
 		return true
 	}
 	a.outcome = broken
 	if t.ctx.Err() == nil {
-		t.gateway.logger.Warn("stream from the backend server interrupted", "request_id", t.call.ID, "instance", a.Server.Instance, "events", out.events,
+		t.gateway.logger.Warn("stream from the backend server interrupted", "request_id", t.call.ID, "instance", a.Server.Instance, "events", t.events,
 			"last_event", t.lastEvent, "error", err.Error())
 		t.gateway.shared.recordFailure(a.Server.Instance)
 		t.checkForCrash(a.Server)
@@ -163,7 +162,7 @@
 		}
 		o.transaction.gateway.shared.recordFirstToken(a.assignment)
 	}
-	o.events++
+	o.transaction.events++
 	if _, err := o.w.Write(event); err != nil {
 		return errCallerClosed
 	}
--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -35,6 +35,7 @@
 	tried     []oleanderspool.InstanceID
 	lastEvent string // id of the last event that the caller received
 	committed bool   // the caller has received a part of the answer
+	events    int    // number of events that the caller received
 	// execution says whether the request may have run, over all attempts so
 	// far.
 	execution oleanderspool.Execution
@@ -276,7 +277,8 @@
 			return
 		}
 		n := t.gateway.shared.recordCrash(t.fingerprint, s.Instance)
-		t.gateway.logger.Warn("server crashed", "request_id", t.call.ID, "instance", s.Instance, "fingerprint", uint64(t.fingerprint), "crashes", n)
+		t.gateway.logger.Warn("server crashed", "request_id", t.call.ID, "instance", s.Instance, "fingerprint", uint64(t.fingerprint),
+			"parts", t.call.SharedParts, "events", t.events, "started", s.Started, "age_ms", int64(t.gateway.clock.Now()-t.receivedAt), "crashes", n)
 	})
 }
 
@@ -375,7 +377,7 @@
 	status := statusOf(r)
 	g.metrics.Refused(r)
 	g.logger.Info("refused", "request_id", t.call.ID, "reason", string(r.Reason), "execution", r.Execution.String(), "status", status,
-		"retry_after_ms", int64(r.RetryAfter), "route", t.route.Name, "sends", t.sends,
+		"retry_after_ms", int64(r.RetryAfter), "route", t.route.Name, "parts", t.call.SharedParts, "sends", t.sends,
 		"age_ms", int64(g.clock.Now()-t.receivedAt), "confirmed_ms", int64(t.confirmationAge))
 	for name, values := range g.format.EncodeRefusalHeader(t.call.ID, r.RetryAfter) {
 		w.Header()[name] = values
