Reproduce requests that crash servers by a part of their prompts

The count of events in the line 'server crashed' is now read before the check of the server begins; the race detector found it beside the stream's retry.

--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -72,7 +72,13 @@
 
 // newHarness starts an entry and a number of backend servers of each service.
 func newHarness(apps, engines int, options ...forward.Option) *harness {
-	h := &harness{store: platformtest.NewStore(2), clock: &jumpingClock{Boot: clock.NewBoot()}, view: directory.NewView(), stopped: make(chan error, 1)}
+	return startHarness(func(f func()) { DeferCleanup(f) }, apps, engines, options...)
+}
+
+// startHarness is newHarness outside of a spec; atEnd registers a function to run at
+// the end of the test.
+func startHarness(atEnd func(func()), apps, engines int, options ...forward.Option) *harness {
+	h := &harness{store: platformtest.NewStore(2)}
 	for i := range apps {
 		h.runners = append(h.runners, platformtest.NewRunner(h.store, fmt.Sprintf("app-%d", i), "app"))
 	}
@@ -80,6 +86,20 @@
 		h.runners = append(h.runners, platformtest.NewRunner(h.store, fmt.Sprintf("llm-%d", i), "llm"))
 	}
 	h.store.Configure(configuration)
+	atEnd(func() {
+		h.store.Close()
+		for _, r := range h.runners {
+			r.Close()
+		}
+	})
+	h.startEntry(atEnd, options...)
+	h.awaitServers(apps, engines)
+	return h
+}
+
+// startEntry starts an entry of the harness.
+func (h *harness) startEntry(atEnd func(func()), options ...forward.Option) {
+	h.clock, h.view, h.stopped = &jumpingClock{Boot: clock.NewBoot()}, directory.NewView(), make(chan error, 1)
 	store := platform.NewStoreClient(h.store.Address())
 	logger := slog.New(slog.NewTextHandler(GinkgoWriter, nil))
 	follower := directory.NewFollower(h.view, platform.NewConfigurationFeed(store), platform.NewServerFeed(store, h.clock), h.clock, logger)
@@ -96,18 +116,15 @@
 	background, end := context.WithCancel(context.Background())
 	go follower.RunConfigurations(background)
 	go follower.RunServers(background)
-	go func() { h.stopped <- forward.NewServer(h.gateway).Serve(ctx, listener, grace) }()
-	DeferCleanup(func() {
-		h.client.CloseIdleConnections()
+	stopped := h.stopped
+	server := forward.NewServer(h.gateway)
+	go func() { stopped <- server.Serve(ctx, listener, grace) }()
+	client := h.client
+	atEnd(func() {
+		client.CloseIdleConnections()
 		stop()
 		end()
-		h.store.Close()
-		for _, r := range h.runners {
-			r.Close()
-		}
 	})
-	h.awaitServers(apps, engines)
-	return h
 }
 
 func (h *harness) awaitServers(apps, engines int) {
@@ -141,6 +158,7 @@
 	deadline                int // ms; 0 for none
 	prompt                  int // tokens
 	lastEvent               string
+	parts                   []string // shared parts of the prompt
 	forged                  bool
 }
 
@@ -162,6 +180,24 @@
 }
 
 func (h *harness) open(ctx context.Context, q query) (*http.Response, error) {
+	return h.client.Do(h.newRequest(ctx, q))
+}
+
+// statusOf sends a request and returns the status of a complete answer, and 0 without
+// one.
+func (h *harness) statusOf(r *http.Request) int {
+	response, err := h.client.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+func (h *harness) newRequest(ctx context.Context, q query) *http.Request {
 	if q.method == "" {
 		q.method = http.MethodPost
 	}
@@ -174,9 +210,9 @@
 	h.lastID++
 	r.Header = platformtest.CallerHeader{
 		ID: fmt.Sprintf("request-%d", h.lastID), APIKey: q.key, DeadlineMs: q.deadline,
-		PromptTokens: q.prompt, LastEventID: q.lastEvent, Forged: q.forged,
+		PromptTokens: q.prompt, LastEventID: q.lastEvent, Parts: q.parts, Forged: q.forged,
 	}.Encode()
-	return h.client.Do(r)
+	return r
 }
 
 // events returns the ids of a stream's events.
--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -270,6 +270,7 @@
 // request in flight.
 func (t *transaction) checkForCrash(s directory.Server) {
 	t.gateway.pool.CloseIdle(s)
+	events := t.events
 	go t.gateway.guard.Run("crash check", func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), crashCheckTimeout.Duration())
 		defer cancel()
@@ -278,7 +279,7 @@
 		}
 		n := t.gateway.shared.recordCrash(t.fingerprint, s.Instance)
 		t.gateway.logger.Warn("server crashed", "request_id", t.call.ID, "instance", s.Instance, "fingerprint", uint64(t.fingerprint),
-			"parts", t.call.SharedParts, "events", t.events, "started", s.Started, "age_ms", int64(t.gateway.clock.Now()-t.receivedAt), "crashes", n)
+			"parts", t.call.SharedParts, "events", events, "started", s.Started, "age_ms", int64(t.gateway.clock.Now()-t.receivedAt), "crashes", n)
 	})
 }
 
