Refuse requests with a part of a prompt that crashes servers

Cause: an entry counted crashes by whole requests. Requests with the part differ in the rest, so each was new; and every request that was in flight beside the cause counted as much as the cause itself.

Fix: internal/quarantine blames parts of prompts. A part is refused everywhere after three separate crashes by different requests whose answers were beginning, on servers whose process has ended, if no request with it was answered meanwhile and others were; or after five when nearly all crashes have it. Its crashes no longer count against other requests. An answer to a request with the part, at any entry, ends the quarantine, and one entry lets a trial through after a minute, then ever more rarely, so that a wrong verdict heals. A request that had streamed for a second or more is refused after three crashes instead of two. Entries report a crash once and repeat it in complete messages only.

Ruled out: reports that arrive too late (the first three entries quarantined the part within 4 ms of each other).

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -168,14 +169,31 @@
 	delete(p.idle, poolKeyOf(s))
 }
 
-// Reachable reports whether a server accepts a connection.
-func (p *Pool) Reachable(ctx context.Context, s directory.Server) bool {
+// Probe is what an attempt to connect shows about a server.
+type Probe int
+
+// The results of a probe.
+const (
+	// Listening: the server accepts connections.
+	Listening Probe = iota
+	// NotListening: its machine answers that no process listens at its address.
+	NotListening
+	// Unreachable: nothing answers in time.
+	Unreachable
+)
+
+// Probe reports whether a server accepts a connection.
+func (p *Pool) Probe(ctx context.Context, s directory.Server) Probe {
 	conn, err := p.dialer.DialContext(ctx, "tcp", s.Address)
-	if err != nil {
-		return false
+	switch {
+	case err == nil:
+		_ = conn.Close() // nothing was sent
+		return Listening
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return NotListening
+	default:
+		return Unreachable
 	}
-	_ = conn.Close() // nothing was sent
-	return true
 }
 
 // closeExpiredInterval is the interval at which Run closes expired connections.
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -14,6 +14,7 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
+	"github.com/oleanderspool/oleanderspool/internal/quarantine"
 )
 
 const (
@@ -72,8 +73,11 @@
 		return t, refusal
 	}
 	t.chooseService(c)
-	if n := g.shared.crashCount(t.fingerprint); n >= maxCrashes {
+	switch g.shared.judge(t.subject) {
+	case quarantine.CrashingRequest:
 		return t, oleanderspool.Refuse(oleanderspool.RefusalCrashesServer, "the request crashed several backend servers").WithRetryAfter(blockDuration)
+	case quarantine.CrashingPart:
+		return t, oleanderspool.Refuse(oleanderspool.RefusalCrashesServer, "a part of the prompt crashed several backend servers").WithRetryAfter(blockDuration)
 	}
 	if t.remaining() <= 0 {
 		return t, t.timeLimitRefusal()
@@ -189,6 +193,10 @@
 	}
 	_, _ = h.Write(body)
 	t.fingerprint = oleanderspool.Fingerprint(h.Sum64())
+	t.subject = quarantine.Subject{Request: t.fingerprint}
+	for _, p := range t.call.SharedParts {
+		t.subject.Parts = append(t.subject.Parts, partFingerprint(p))
+	}
 	return nil
 }
 
--- a/internal/forward/answer_test.go
+++ b/internal/forward/answer_test.go
@@ -226,10 +226,13 @@
 		Eventually(reported, waitTimeout, pollInterval).Should(HaveLen(1))
 		crashes := reported()
 		h.behave(nil)
-		again := append([]gossip.Crash{{Fingerprint: crashes[0].Fingerprint, Server: "another", Age: 900}}, crashes...)
+		other := crashes[0]
+		other.Server.Instance, other.Age = "another", 900
+		again := append([]gossip.Crash{other}, crashes...)
 		Eventually(func() int { return h.send(query{path: "/reserve/1"}).status }, waitTimeout, pollInterval).Should(Equal(200))
 		m := h.gateway.State().Report(true)
-		Expect(m.Answered).To(ConsistOf(crashes[0].Fingerprint))
+		Expect(m.Answered).To(HaveLen(1))
+		Expect(m.Answered[0].Fingerprint).To(Equal(crashes[0].Request))
 		Expect(m.Crashes).To(BeEmpty())
 		time.Sleep(5 * time.Millisecond)
 		h.gateway.State().Apply(gossip.Message{RunID: 1, Crashes: again})
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -3,134 +3,141 @@
 import (
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/gossip"
+	"github.com/oleanderspool/oleanderspool/internal/quarantine"
 )
 
 const (
-	// maxCrashes is the number of backend servers that a request may crash
-	// before it is refused.
-	maxCrashes = 2
-	// blockDuration is how long a request is refused after its last crash.
+	// blockDuration is the delay after which the caller of a request that crashes
+	// servers may resend it.
 	blockDuration = oleanderspool.Minute
-	// crashReportDuration is how long a crash is repeated in the messages to
+	// beginningDuration is the time after the first event in which the beginning of an
+	// answer may crash its server.
+	beginningDuration = oleanderspool.Second
+	// crashReportDuration is how long a crash is repeated in the complete messages to
 	// the other entries.
 	crashReportDuration = 5 * oleanderspool.Second
-	// maxSuspects bounds the number of tracked requests.
-	maxSuspects = 5000
 	// maxReportedCrashes bounds the number of crashes in one message.
-	maxReportedCrashes = 40
+	maxReportedCrashes = 100
+	// answerReportInterval is the age of the answer that the other entries know above
+	// which they are told of a later one.
+	answerReportInterval = 10 * oleanderspool.Second
 )
 
-// crashTracker records which requests were in flight on backend servers that
-// crashed, as observed by this and the other entries. A request is identified
-// by its client account, method, path and body.
-type crashTracker struct {
-	suspects map[oleanderspool.Fingerprint]map[oleanderspool.InstanceID]oleanderspool.Millis
-	local    []gossip.Crash // observed by this entry; Age holds the instant of the crash
-	// cleared holds the instant at which a suspect was last answered, by this
-	// or another entry. The request did not cause the crashes before it.
-	cleared map[oleanderspool.Fingerprint]oleanderspool.Millis
-	// unreportedAnswers holds the suspects whose answer was not reported to
-	// the other entries yet.
-	unreportedAnswers []oleanderspool.Fingerprint
+// partFingerprint returns the fingerprint of a part of a prompt.
+func partFingerprint(p oleanderspool.PromptPart) oleanderspool.Fingerprint {
+	return oleanderspool.Fingerprint(xxhash.Sum64String("part\x00" + string(p)))
 }
 
-func newCrashTracker() *crashTracker {
-	return &crashTracker{
-		suspects: make(map[oleanderspool.Fingerprint]map[oleanderspool.InstanceID]oleanderspool.Millis),
-		cleared:  make(map[oleanderspool.Fingerprint]oleanderspool.Millis),
-	}
+// crashExchange holds what is known of crashes and what the other entries were not
+// told yet.
+type crashExchange struct {
+	tracker *quarantine.Tracker
+	// recent holds the crashes that this entry observed within crashReportDuration;
+	// those from unreported on were not reported yet.
+	recent     []quarantine.Crash
+	unreported int
+	answers    []quarantine.Answer
+	parts      []quarantine.Part
+	// known holds the instants of the answers that the other entries know of.
+	known map[oleanderspool.Fingerprint]oleanderspool.Millis
 }
 
-// add records a crash that this or another entry observed.
-func (c *crashTracker) add(f oleanderspool.Fingerprint, server oleanderspool.InstanceID, at oleanderspool.Millis) {
-	if cleared, found := c.cleared[f]; found && at <= cleared {
-		return
-	}
-	servers := c.suspects[f]
-	if servers == nil {
-		if len(c.suspects) >= maxSuspects {
-			return
-		}
-		servers = make(map[oleanderspool.InstanceID]oleanderspool.Millis)
-		c.suspects[f] = servers
-	}
-	servers[server] = max(at, servers[server])
+func newCrashExchange() *crashExchange {
+	return &crashExchange{tracker: quarantine.New(), known: make(map[oleanderspool.Fingerprint]oleanderspool.Millis)}
 }
 
-// recordLocal records a crash that this entry observed.
-func (c *crashTracker) recordLocal(f oleanderspool.Fingerprint, server oleanderspool.InstanceID, now oleanderspool.Millis) {
-	c.add(f, server, now)
-	c.local = append(c.local, gossip.Crash{Fingerprint: f, Server: server, Age: now})
+// recordLocal records a crash that this entry observed and returns the parts that are
+// quarantined from now on.
+func (c *crashExchange) recordLocal(crash quarantine.Crash) []quarantine.Part {
+	c.recent = append(c.recent, crash)
+	added := c.tracker.RecordCrash(crash, crash.At)
+	c.parts = append(c.parts, added...)
+	return added
 }
 
-// count returns the number of backend servers that crashed within
-// blockDuration with the request in flight.
-func (c *crashTracker) count(f oleanderspool.Fingerprint, now oleanderspool.Millis) int {
-	n := 0
-	for _, at := range c.suspects[f] {
-		if now-at < blockDuration {
-			n++
-		}
+// recordAnswer records a complete answer of this entry, and reports whether it is to
+// be reported to the others.
+func (c *crashExchange) recordAnswer(s quarantine.Subject, now oleanderspool.Millis) (news bool) {
+	answers := c.tracker.RecordAnswer(s, now)
+	for _, a := range answers {
+		c.report(a)
 	}
-	return n
-}
-
-// clear removes the crashes of a request that was answered after them.
-func (c *crashTracker) clear(f oleanderspool.Fingerprint, at oleanderspool.Millis) {
-	if _, suspected := c.suspects[f]; !suspected {
-		return
+	if len(answers) > 0 {
+		c.recent = slices.DeleteFunc(c.recent, func(e quarantine.Crash) bool { return e.Request == s.Request })
+		c.unreported = min(c.unreported, len(c.recent))
 	}
-	delete(c.suspects, f)
-	c.cleared[f] = max(at, c.cleared[f])
-	c.local = slices.DeleteFunc(c.local, func(e gossip.Crash) bool { return e.Fingerprint == f })
+	return len(answers) > 0
 }
 
-// recordAnswer clears a request that this entry answered, and queues it for
-// the report to the other entries.
-func (c *crashTracker) recordAnswer(f oleanderspool.Fingerprint, now oleanderspool.Millis) {
-	if _, suspected := c.suspects[f]; suspected {
-		c.clear(f, now)
-		c.unreportedAnswers = append(c.unreportedAnswers, f)
-	}
+func (c *crashExchange) report(a quarantine.Answer) {
+	c.answers = append(c.answers, a)
+	c.known[a.Fingerprint] = a.At
 }
 
-// takeUnreportedAnswers returns and resets unreportedAnswers.
-func (c *crashTracker) takeUnreportedAnswers() []oleanderspool.Fingerprint {
-	answered := c.unreportedAnswers
-	c.unreportedAnswers = nil
-	return answered
+// apply merges the crashes, answers and quarantined parts of a message. It returns the
+// parts that are quarantined from now on, and reports whether this entry has news for
+// the others.
+func (c *crashExchange) apply(m gossip.Message, now oleanderspool.Millis) (added []quarantine.Part, news bool) {
+	for _, a := range m.Answered {
+		c.tracker.Clear(quarantine.Answer{Fingerprint: a.Fingerprint, At: now - a.Age})
+		c.known[a.Fingerprint] = max(now-a.Age, c.known[a.Fingerprint])
+	}
+	for _, e := range m.Crashes {
+		e.At = now - e.Age
+		added = append(added, c.tracker.RecordCrash(e.Crash, now)...)
+		news = c.shareAnswers(e.Parts) || news
+	}
+	for _, q := range m.Quarantined {
+		p := quarantine.Part{Fingerprint: q.Fingerprint, Since: now - q.Age, RequestedAt: now - q.Idle}
+		if c.tracker.Merge(p, now) {
+			added = append(added, p)
+		}
+		news = c.shareAnswers([]oleanderspool.Fingerprint{q.Fingerprint}) || news
+	}
+	return added, news
 }
 
-// recentCrashes returns the crashes to report to the other entries and drops
-// those older than crashReportDuration.
-func (c *crashTracker) recentCrashes(now oleanderspool.Millis) []gossip.Crash {
-	kept := c.local[:0]
-	for _, e := range c.local {
-		if now-e.Age < crashReportDuration {
-			kept = append(kept, e)
+// shareAnswers reports the answers to requests with suspected parts that the other
+// entries may not know of.
+func (c *crashExchange) shareAnswers(parts []oleanderspool.Fingerprint) (news bool) {
+	for _, f := range parts {
+		if at, found := c.tracker.AnsweredAt(f); found && at > c.known[f]+answerReportInterval {
+			c.report(quarantine.Answer{Fingerprint: f, At: at})
+			news = true
 		}
 	}
-	c.local = kept
-	var list []gossip.Crash
-	for _, e := range kept[max(0, len(kept)-maxReportedCrashes):] {
-		e.Age = now - e.Age
-		list = append(list, e)
-	}
-	return list
+	return news
 }
 
-// expire removes suspects and answers older than blockDuration.
-func (c *crashTracker) expire(now oleanderspool.Millis) {
-	for f := range c.suspects {
-		if c.count(f, now) == 0 {
-			delete(c.suspects, f)
-		}
+// takeReport adds to a message what the others were not told yet, or, if it is
+// complete, all that they should know.
+func (c *crashExchange) takeReport(m *gossip.Message, now oleanderspool.Millis) {
+	parts := c.parts
+	if m.Complete {
+		c.tracker.Expire(now)
+		c.recent = slices.DeleteFunc(c.recent, func(e quarantine.Crash) bool { return now-e.At >= crashReportDuration })
+		c.unreported = 0
+		parts = c.tracker.Quarantined()
 	}
-	for f, at := range c.cleared {
-		if now-at >= blockDuration {
-			delete(c.cleared, f)
-		}
+	for _, e := range c.recent[max(c.unreported, len(c.recent)-maxReportedCrashes):] {
+		m.Crashes = append(m.Crashes, gossip.Crash{Crash: e, Age: now - e.At})
+	}
+	for _, a := range c.answers {
+		m.Answered = append(m.Answered, gossip.Answer{Fingerprint: a.Fingerprint, Age: now - a.At})
+	}
+	for _, p := range parts {
+		m.Quarantined = append(m.Quarantined, gossip.QuarantinedPart{Fingerprint: p.Fingerprint, Age: now - p.Since, Idle: now - p.RequestedAt})
+	}
+	c.unreported, c.answers, c.parts = len(c.recent), nil, nil
+	if len(c.known) > maxKnownAnswers {
+		clear(c.known)
 	}
 }
+
+// maxKnownAnswers bounds the answers of which it is known that others know them. More
+// are forgotten, and reported again.
+const maxKnownAnswers = 5000
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/oleanderspool/oleanderspool/internal/gossip"
 	"github.com/oleanderspool/oleanderspool/internal/observe"
 	"github.com/oleanderspool/oleanderspool/internal/placement"
+	"github.com/oleanderspool/oleanderspool/internal/quarantine"
 	"github.com/oleanderspool/oleanderspool/internal/retry"
 )
 
@@ -88,7 +89,7 @@
 		shared: &sharedState{
 			clock: clock, entry: entry, peers: noPeers{},
 			onRegistryUpdate: func(directory.RegistryUpdate) {}, onConfirmation: func(directory.Confirmation) {},
-			scheduler: placement.NewScheduler(placement.WithTieBreakSeed(entry)), crashes: newCrashTracker(), refusals: newRefusalTracker(),
+			scheduler: placement.NewScheduler(placement.WithTieBreakSeed(entry)), crashes: newCrashExchange(), refusals: newRefusalTracker(),
 			budgets: make(map[string]*retry.Budget), changed: make(map[placement.TaskID]bool),
 		},
 	}
@@ -96,6 +97,10 @@
 		o(g)
 	}
 	g.guard = observe.NewGuard(g.logger, g.metrics)
+	g.shared.onQuarantine = func(p quarantine.Part) {
+		g.metrics.StateChanged("prompt_part_quarantined")
+		g.logger.Warn("prompt part quarantined", "part_fingerprint", uint64(p.Fingerprint), "since_ms", int64(clock.Now()-p.Since))
+	}
 	return g
 }
 
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -10,6 +10,7 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
+	"github.com/oleanderspool/oleanderspool/internal/quarantine"
 )
 
 const (
@@ -95,7 +96,7 @@
 		a.outcome = broken
 		return false
 	}
-	t.gateway.shared.recordAnswer(t.fingerprint, a.Server.Instance)
+	t.gateway.shared.recordAnswer(t.answeredSubject(answer.Status), a.Server.Instance)
 	if complete {
 		t.writeAnswer(w, a, body)
 		return true
@@ -108,6 +109,15 @@
 	return true
 }
 
+// answeredSubject returns what an answer clears of suspicion. A failure does not show
+// that a server can answer a prompt with these parts.
+func (t *transaction) answeredSubject(status int) quarantine.Subject {
+	if status == http.StatusOK {
+		return t.subject
+	}
+	return quarantine.Subject{Request: t.fingerprint}
+}
+
 // readBuffered reads up to maxBuffered bytes of an answer and reports whether
 // that is all of it.
 func readBuffered(r io.Reader) (body []byte, complete bool, err error) {
@@ -127,7 +137,7 @@
 // server crashed.
 func (t *transaction) recordIncomplete(a *attempt, size int, err error) {
 	t.gateway.logger.Warn("answer incomplete", "request_id", t.call.ID, "instance", a.Server.Instance, "bytes", size, "error", err.Error())
-	t.checkForCrash(a.Server)
+	t.checkForCrash(*a)
 }
 
 // deliverable reports whether an answer may be passed to the caller. It must
--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -7,6 +7,7 @@
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/gossip"
 	"github.com/oleanderspool/oleanderspool/internal/placement"
+	"github.com/oleanderspool/oleanderspool/internal/quarantine"
 	"github.com/oleanderspool/oleanderspool/internal/retry"
 )
 
@@ -21,10 +22,12 @@
 	peers            Peers
 	onRegistryUpdate func(directory.RegistryUpdate)
 	onConfirmation   func(directory.Confirmation)
+	// onQuarantine receives the parts that are quarantined from now on.
+	onQuarantine func(quarantine.Part)
 
 	mu              sync.Mutex
 	scheduler       *placement.Scheduler
-	crashes         *crashTracker
+	crashes         *crashExchange
 	refusals        *refusalTracker
 	budgets         map[string]*retry.Budget
 	lastID          uint64
@@ -163,19 +166,37 @@
 	return b
 }
 
-func (s *sharedState) recordCrash(f oleanderspool.Fingerprint, server oleanderspool.InstanceID) int {
-	now := s.clock.Now()
+// recordCrash records a crash that this entry observed and returns the number of
+// crashes that count against the request.
+func (s *sharedState) recordCrash(c quarantine.Crash) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.crashes.recordLocal(f, server, now)
+	s.announce(s.crashes.recordLocal(c))
 	s.peers.Wake()
-	return s.crashes.count(f, now)
+	_, n := s.crashes.tracker.Crashes(c.Request, c.At)
+	return n
+}
+
+func (s *sharedState) announce(parts []quarantine.Part) {
+	for _, p := range parts {
+		s.onQuarantine(p)
+	}
+}
+
+// judge returns the verdict on a request that has just arrived. One entry of all may
+// let a trial of a quarantined part through.
+func (s *sharedState) judge(subject quarantine.Subject) quarantine.Verdict {
+	first := s.peers.Rank() == 0
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes.tracker.Judge(subject, first, s.clock.Now())
 }
 
-func (s *sharedState) crashCount(f oleanderspool.Fingerprint) int {
+// mayRetry reports whether a request whose attempt failed may be sent again.
+func (s *sharedState) mayRetry(subject quarantine.Subject) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.crashes.count(f, s.clock.Now())
+	return s.crashes.tracker.Judge(subject, false, s.clock.Now()) == quarantine.Allowed
 }
 
 // recordRefusal records that this entry refused a request and asked its caller
@@ -196,10 +217,12 @@
 }
 
 // recordAnswer records that a server answered a request.
-func (s *sharedState) recordAnswer(f oleanderspool.Fingerprint, server oleanderspool.InstanceID) {
+func (s *sharedState) recordAnswer(subject quarantine.Subject, server oleanderspool.InstanceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.crashes.recordAnswer(f, s.clock.Now())
+	if s.crashes.recordAnswer(subject, s.clock.Now()) {
+		s.peers.Wake()
+	}
 	s.scheduler.RecordSuccess(server)
 }
 
@@ -215,7 +238,6 @@
 	m := gossip.Message{RunID: s.entry, Complete: complete, EndedTasks: s.ended}
 	if complete {
 		s.scheduler.Expire(now)
-		s.crashes.expire(now)
 		s.refusals.expire(now)
 		for _, t := range s.scheduler.TasksOf(s.entry) {
 			m.Tasks = append(m.Tasks, taskWithAge(t, now))
@@ -227,9 +249,8 @@
 			}
 		}
 	}
-	m.Crashes = s.crashes.recentCrashes(now)
+	s.crashes.takeReport(&m, now)
 	m.Refused = s.refusals.takeUnreported()
-	m.Answered = s.crashes.takeUnreportedAnswers()
 	count := min(len(s.registryUpdates), maxMessageUpdates)
 	m.RegistryUpdates, s.registryUpdates = s.registryUpdates[:count:count], s.registryUpdates[count:]
 	if len(s.registryUpdates) > 0 {
@@ -340,11 +361,10 @@
 	if m.Complete {
 		s.scheduler.Retain(m.RunID, keep)
 	}
-	for _, c := range m.Crashes {
-		s.crashes.add(c.Fingerprint, c.Server, now-c.Age)
-	}
-	for _, f := range m.Answered {
-		s.crashes.clear(f, now)
+	added, news := s.crashes.apply(m, now)
+	s.announce(added)
+	if news {
+		s.peers.Wake()
 	}
 	for _, f := range m.Refused {
 		s.refusals.add(f, now)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -79,7 +79,7 @@
 	err := out.copyEvents(a)
 	switch {
 	case err == nil:
-		t.gateway.shared.recordAnswer(t.fingerprint, a.Server.Instance)
+		t.gateway.shared.recordAnswer(t.subject, a.Server.Instance)
 		t.gateway.logger.Info("answered", "request_id", t.call.ID, "instance", a.Server.Instance, "events", t.events,
 			"first_ms", int64(out.firstAt-t.receivedAt), "predicted_ms", int64(a.TTFT), "helpers", len(a.Helpers),
 			"age_ms", int64(t.gateway.clock.Now()-t.receivedAt), "sends", t.sends)
@@ -93,7 +93,7 @@
 		t.gateway.logger.Warn("stream from the backend server interrupted", "request_id", t.call.ID, "instance", a.Server.Instance, "events", t.events,
 			"last_event", t.lastEvent, "error", err.Error())
 		t.gateway.shared.recordFailure(a.Server.Instance)
-		t.checkForCrash(a.Server)
+		t.checkForCrash(*a)
 	}
 	return false
 }
@@ -156,7 +156,7 @@
 		o.transaction.gateway.metrics.ObservePredictionError(int(o.transaction.call.PromptTokens), a.TTFT, o.firstAt-a.placedAt)
 	}
 	if !a.decoding {
-		a.decoding = true
+		a.decoding, a.firstEventAt = true, o.transaction.gateway.clock.Now()
 		if a.memory != nil {
 			a.memory.markUsed()
 		}
--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -12,6 +12,7 @@
 	"github.com/oleanderspool/oleanderspool/internal/backend"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/placement"
+	"github.com/oleanderspool/oleanderspool/internal/quarantine"
 )
 
 // transaction is a request in progress, from its arrival until its answer.
@@ -26,6 +27,7 @@
 	account         directory.Account
 	body            []byte
 	fingerprint     oleanderspool.Fingerprint
+	subject         quarantine.Subject
 	receivedAt      oleanderspool.Millis
 	deadline        oleanderspool.Millis
 	confirmationAge oleanderspool.Millis
@@ -85,8 +87,10 @@
 	exchange *backend.Exchange // nil without an answer
 	outcome  outcome
 	timeout  attemptTimeout
-	decoding bool          // the first event of a stream has arrived
-	memory   *reservations // nil when none is reserved
+	decoding bool // the first event of a stream has arrived
+	// firstEventAt is the instant of the first event.
+	firstEventAt oleanderspool.Millis
+	memory       *reservations // nil when none is reserved
 }
 
 // close ends the exchange of an attempt and removes its tasks.
@@ -249,7 +253,7 @@
 	t.gateway.logger.Warn("attempt failed", "request_id", t.call.ID, "instance", a.Server.Instance, "outcome", a.outcome.String(),
 		"status", status, "error", text, "sends", t.sends, "age_ms", int64(t.gateway.clock.Now()-t.receivedAt))
 	if a.outcome == broken && ctx.Err() == nil {
-		t.checkForCrash(a.Server)
+		t.checkForCrash(a)
 	}
 }
 
@@ -268,18 +272,26 @@
 
 // checkForCrash checks in the background whether a server crashed with the
 // request in flight.
-func (t *transaction) checkForCrash(s directory.Server) {
+func (t *transaction) checkForCrash(a attempt) {
+	s := a.Server
 	t.gateway.pool.CloseIdle(s)
 	events := t.events
+	c := quarantine.Crash{Server: quarantine.ServerRun{Instance: s.Instance, Started: s.Started}, Subject: quarantine.Subject{Request: t.fingerprint}, At: t.gateway.clock.Now()}
+	c.Beginning = !a.decoding || c.At-a.firstEventAt < beginningDuration
 	go t.gateway.guard.Run("crash check", func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), crashCheckTimeout.Duration())
 		defer cancel()
-		if t.gateway.pool.Reachable(ctx, s) {
+		state := t.gateway.pool.Probe(ctx, s)
+		if state == backend.Listening {
 			return
 		}
-		n := t.gateway.shared.recordCrash(t.fingerprint, s.Instance)
+		if c.Beginning && state == backend.NotListening {
+			c.Parts = t.subject.Parts
+		}
+		n := t.gateway.shared.recordCrash(c)
 		t.gateway.logger.Warn("server crashed", "request_id", t.call.ID, "instance", s.Instance, "fingerprint", uint64(t.fingerprint),
-			"parts", t.call.SharedParts, "events", events, "started", s.Started, "age_ms", int64(t.gateway.clock.Now()-t.receivedAt), "crashes", n)
+			"parts", t.call.SharedParts, "beginning", c.Beginning, "refuses_connections", state == backend.NotListening, "events", events,
+			"started", s.Started, "age_ms", int64(t.gateway.clock.Now()-t.receivedAt), "crashes", n)
 	})
 }
 
@@ -290,7 +302,7 @@
 // claimRetry reports whether the request may be sent to another server after an
 // attempt, and draws a retry from the budget unless the attempt was not sent.
 func (t *transaction) claimRetry(a attempt) bool {
-	if t.ctx.Err() != nil || t.remaining() <= 0 || t.gateway.shared.crashCount(t.fingerprint) >= maxCrashes {
+	if t.ctx.Err() != nil || t.remaining() <= 0 || !t.gateway.shared.mayRetry(t.subject) {
 		return false
 	}
 	if a.outcome == notSent {
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -22,11 +22,13 @@
 	fieldSuspicion
 	_ // reserved: the addresses that earlier versions sent
 	fieldRefused
-	fieldAnswered
+	_ // reserved: the answered requests that earlier versions sent
 	fieldSentAt
 	fieldRegistryUpdate
 	fieldSequence
 	fieldEntry
+	fieldAnswer
+	fieldQuarantined
 )
 
 // Field numbers of an entry.
@@ -76,11 +78,15 @@
 	fieldChangeColdRemaining
 )
 
-// Field numbers of a crash and of a suspicion.
+// Field numbers of a crash, a suspicion, an answer and a quarantined part.
 const (
 	fieldEventServer protowire.Number = iota + 1
 	fieldEventFingerprint
 	fieldEventDuration
+	fieldEventStarted
+	fieldEventBeginning
+	fieldEventPart
+	fieldEventIdle
 )
 
 // encoder appends encoded fields. It omits numbers, times and flags that are zero.
@@ -150,9 +156,14 @@
 	}
 	for _, c := range m.Crashes {
 		e.nested(fieldCrash, func(e *encoder) {
-			e.text(fieldEventServer, string(c.Server))
-			e.fixed(fieldEventFingerprint, uint64(c.Fingerprint))
+			e.text(fieldEventServer, string(c.Server.Instance))
+			e.fixed(fieldEventFingerprint, uint64(c.Request))
 			e.millis(fieldEventDuration, c.Age)
+			e.number(fieldEventStarted, uint64(max(0, c.Server.Started)))
+			e.flag(fieldEventBeginning, c.Beginning)
+			for _, f := range c.Parts {
+				e.fixed(fieldEventPart, uint64(f))
+			}
 		})
 	}
 	for _, s := range m.Suspicions {
@@ -164,8 +175,18 @@
 	for _, f := range m.Refused {
 		e.fixed(fieldRefused, uint64(f))
 	}
-	for _, f := range m.Answered {
-		e.fixed(fieldAnswered, uint64(f))
+	for _, a := range m.Answered {
+		e.nested(fieldAnswer, func(e *encoder) {
+			e.fixed(fieldEventFingerprint, uint64(a.Fingerprint))
+			e.millis(fieldEventDuration, a.Age)
+		})
+	}
+	for _, q := range m.Quarantined {
+		e.nested(fieldQuarantined, func(e *encoder) {
+			e.fixed(fieldEventFingerprint, uint64(q.Fingerprint))
+			e.millis(fieldEventDuration, q.Age)
+			e.millis(fieldEventIdle, q.Idle)
+		})
 	}
 	e.millis(fieldSentAt, m.SentAt)
 	for _, u := range m.RegistryUpdates {
@@ -312,17 +333,23 @@
 		case fieldEndedTask:
 			m.EndedTasks = append(m.EndedTasks, placement.TaskID(v.number))
 		case fieldCrash:
-			server, fingerprint, duration, err := decodeServerEvent(v.bytes)
-			m.Crashes = append(m.Crashes, Crash{Fingerprint: fingerprint, Server: server, Age: duration})
+			c, _, err := decodeEvent(v.bytes)
+			m.Crashes = append(m.Crashes, c)
 			return err
 		case fieldSuspicion:
-			server, _, duration, err := decodeServerEvent(v.bytes)
-			m.Suspicions = append(m.Suspicions, Suspicion{Server: server, Remaining: duration})
+			c, _, err := decodeEvent(v.bytes)
+			m.Suspicions = append(m.Suspicions, Suspicion{Server: c.Server.Instance, Remaining: c.Age})
+			return err
+		case fieldAnswer:
+			c, _, err := decodeEvent(v.bytes)
+			m.Answered = append(m.Answered, Answer{Fingerprint: c.Request, Age: c.Age})
+			return err
+		case fieldQuarantined:
+			c, idle, err := decodeEvent(v.bytes)
+			m.Quarantined = append(m.Quarantined, QuarantinedPart{Fingerprint: c.Request, Age: c.Age, Idle: idle})
 			return err
 		case fieldRefused:
 			m.Refused = append(m.Refused, oleanderspool.Fingerprint(v.number))
-		case fieldAnswered:
-			m.Answered = append(m.Answered, oleanderspool.Fingerprint(v.number))
 		case fieldSentAt:
 			m.SentAt = oleanderspool.Millis(min(v.number, math.MaxInt64))
 		case fieldRegistryUpdate:
@@ -410,20 +437,29 @@
 	return c, err
 }
 
-// decodeServerEvent decodes a crash or a suspicion.
-func decodeServerEvent(data []byte) (server oleanderspool.InstanceID, fingerprint oleanderspool.Fingerprint, duration oleanderspool.Millis, err error) {
+// decodeEvent decodes a crash, or a suspicion, an answer or a quarantined part, which
+// have some of its fields.
+func decodeEvent(data []byte) (c Crash, idle oleanderspool.Millis, err error) {
 	err = fields(data, func(n protowire.Number, v value) error {
 		switch n {
 		case fieldEventServer:
-			server = v.instance()
+			c.Server.Instance = v.instance()
 		case fieldEventFingerprint:
-			fingerprint = oleanderspool.Fingerprint(v.number)
+			c.Request = oleanderspool.Fingerprint(v.number)
 		case fieldEventDuration:
-			duration = v.millis()
+			c.Age = v.millis()
+		case fieldEventStarted:
+			c.Server.Started = int64(min(v.number, math.MaxInt64))
+		case fieldEventBeginning:
+			c.Beginning = v.number == 1
+		case fieldEventPart:
+			c.Parts = append(c.Parts, oleanderspool.Fingerprint(v.number))
+		case fieldEventIdle:
+			idle = v.millis()
 		}
 		return nil
 	})
-	return server, fingerprint, duration, err
+	return c, idle, err
 }
 
 func decodeTask(data []byte) (Task, error) {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -17,6 +17,7 @@
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/gossip"
 	"github.com/oleanderspool/oleanderspool/internal/placement"
+	"github.com/oleanderspool/oleanderspool/internal/quarantine"
 )
 
 var fullMessage = gossip.Message{
@@ -26,11 +27,14 @@
 		Age:  40,
 	}},
 	EndedTasks: []placement.TaskID{1, 2},
-	Crashes:    []gossip.Crash{{Fingerprint: 11, Server: "s", Age: 12}},
-	Suspicions: []gossip.Suspicion{{Server: "s", Remaining: 13}},
-	Refused:    []oleanderspool.Fingerprint{14},
-	Answered:   []oleanderspool.Fingerprint{15},
-	SentAt:     16,
+	Crashes: []gossip.Crash{{Crash: quarantine.Crash{
+		Server: quarantine.ServerRun{Instance: "s", Started: 22}, Subject: quarantine.Subject{Request: 11, Parts: []oleanderspool.Fingerprint{23, 24}}, Beginning: true,
+	}, Age: 12}},
+	Suspicions:  []gossip.Suspicion{{Server: "s", Remaining: 13}},
+	Refused:     []oleanderspool.Fingerprint{14},
+	Answered:    []gossip.Answer{{Fingerprint: 15, Age: 25}},
+	Quarantined: []gossip.QuarantinedPart{{Fingerprint: 26, Age: 28, Idle: 27}},
+	SentAt:      16,
 	RegistryUpdates: []directory.RegistryUpdate{{From: 17, Next: 20, Age: 18, Changes: []directory.Change{
 		{Offset: 17, Instance: "gone", Removed: true},
 		{Offset: 19, Instance: "s", Server: &directory.Server{
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -14,6 +14,7 @@
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/placement"
+	"github.com/oleanderspool/oleanderspool/internal/quarantine"
 )
 
 // Message is the state, or the changes of the state, that an entry sends to the
@@ -34,7 +35,8 @@
 	Refused         []oleanderspool.Fingerprint // requests that were refused and that the client was asked to send again
 	SentAt          oleanderspool.Millis        // on the clock of the sender
 	RegistryUpdates []directory.RegistryUpdate  // results of reads of the backend server registry
-	Answered        []oleanderspool.Fingerprint // requests of reported crashes that a backend server has answered since
+	Answered        []Answer                    // answers to suspected requests
+	Quarantined     []QuarantinedPart
 }
 
 // Endpoint describes an entry to the others.
@@ -52,13 +54,26 @@
 	Age oleanderspool.Millis
 }
 
-// Crash reports that a request was in flight on a backend server when it crashed.
+// Crash is an observed crash, with the time since.
 type Crash struct {
+	quarantine.Crash
+	Age oleanderspool.Millis
+}
+
+// Answer reports a complete answer to a request with a fingerprint, of the whole or of
+// a part of its prompt.
+type Answer struct {
 	Fingerprint oleanderspool.Fingerprint
-	Server      oleanderspool.InstanceID
 	Age         oleanderspool.Millis
 }
 
+// QuarantinedPart is a part of prompts whose requests are refused.
+type QuarantinedPart struct {
+	Fingerprint oleanderspool.Fingerprint
+	Age         oleanderspool.Millis // time since the quarantine began
+	Idle        oleanderspool.Millis // time since the last request with the part
+}
+
 // Suspicion reports that a backend server failed and is avoided for a remaining time.
 type Suspicion struct {
 	Server    oleanderspool.InstanceID
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -594,6 +594,16 @@
 	for i := range m.Tasks {
 		m.Tasks[i].Age += delay
 	}
+	for i := range m.Crashes {
+		m.Crashes[i].Age += delay
+	}
+	for i := range m.Answered {
+		m.Answered[i].Age += delay
+	}
+	for i := range m.Quarantined {
+		m.Quarantined[i].Age += delay
+		m.Quarantined[i].Idle += delay
+	}
 }
 
 // expire removes the entries that have sent no message for too long.
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,368 @@
+// Package quarantine decides which requests are refused because they crash backend
+// servers: single requests that were in flight when several servers crashed, and all
+// requests with a part of a prompt that crashes each server that begins an answer to
+// it.
+//
+// A part is quarantined when servers crash one after the other, each with a request
+// that has the part and whose answer was beginning, and no request with the part was
+// answered meanwhile. Crashes that a quarantined part explains no longer count against
+// the other requests that were in flight. The package does no I/O and takes the time
+// as an argument; the entries exchange what they observe.
+package quarantine
+
+import (
+	"github.com/oleanderspool/oleanderspool"
+)
+
+const (
+	// maxBeginningCrashes is the number of crashes after which a request is refused
+	// whose answer was beginning each time.
+	maxBeginningCrashes = 2
+	// maxCrashes is the number of crashes after which a request is refused, whether
+	// its answer was beginning or not.
+	maxCrashes = 3
+	// requestRetention is how long a crash counts against a request.
+	requestRetention = oleanderspool.Minute
+	// minPartCrashes is the number of separate crashes, and of different requests,
+	// after which a part is quarantined with which no request was ever answered.
+	minPartCrashes = 3
+	// minAnsweredPartCrashes is that number for a part with which requests were
+	// answered before the crashes.
+	minAnsweredPartCrashes = 5
+	// minCommonCrashes is the number of crashes, separate or not, after which a part
+	// is quarantined that nearly all crashes have in common.
+	minCommonCrashes = 5
+	// commonFraction is the fraction of the crashes that counts as nearly all.
+	commonFraction = 0.9
+	// separation is the smallest time between separate crashes. Servers that crash at
+	// the same time have a common cause, such as a loss of power.
+	separation = 300 * oleanderspool.Millis(1)
+	// evidenceRetention is how long crashes and answers are kept.
+	evidenceRetention = 10 * oleanderspool.Minute
+	// partRetention is how long a part is quarantined after the last request with it.
+	partRetention = 10 * oleanderspool.Minute
+	// firstTrialDelay is the time after which one request with a quarantined part is
+	// let through, in case the part was blamed wrongly. It doubles with each trial.
+	firstTrialDelay = oleanderspool.Minute
+	// maxTrialDelay bounds the time between trials.
+	maxTrialDelay = oleanderspool.Hour
+
+	// maxTrackedCrashes and maxAnswered bound the memory of the tracker.
+	maxTrackedCrashes = 2000
+	maxAnswered       = 20000
+)
+
+// ServerRun identifies one run of a backend server.
+type ServerRun struct {
+	Instance oleanderspool.InstanceID
+	Started  int64 // start time as registered; 0 when unknown
+}
+
+// Subject is what a request may be refused for: the request itself and the shared
+// parts of its prompt, in order.
+type Subject struct {
+	Request oleanderspool.Fingerprint
+	Parts   []oleanderspool.Fingerprint
+}
+
+// Crash reports that a request was in flight when a backend server crashed. Parts is
+// set only if the answer was beginning and the process of the server is known to have
+// ended.
+type Crash struct {
+	Server ServerRun
+	Subject
+	Beginning bool // no event of the answer, or only the first ones, had arrived
+	At        oleanderspool.Millis
+}
+
+// Answer reports that a request with a fingerprint, of the whole or of a part, was
+// answered completely.
+type Answer struct {
+	Fingerprint oleanderspool.Fingerprint
+	At          oleanderspool.Millis
+}
+
+// Part is a quarantined part.
+type Part struct {
+	Fingerprint oleanderspool.Fingerprint
+	Since       oleanderspool.Millis
+	RequestedAt oleanderspool.Millis // arrival of the last request with it
+}
+
+// observedCrash is a crash with all requests that are known to have been in flight.
+type observedCrash struct {
+	at        oleanderspool.Millis
+	explained bool // a request with a quarantined part was beginning
+}
+
+// occurrence is a part in a request that was in flight at a crash.
+type occurrence struct {
+	request  oleanderspool.Fingerprint
+	position int // of the part in the prompt
+}
+
+// quarantinedPart is a part of which all requests but trials are refused.
+type quarantinedPart struct {
+	Part
+	trials      int // number of requests that were let through
+	nextTrialAt oleanderspool.Millis
+}
+
+// Tracker holds what is known of crashes. It is not safe for concurrent use.
+type Tracker struct {
+	crashes map[ServerRun]*observedCrash
+	// requests holds the crashes of each request, and whether its answer was
+	// beginning.
+	requests map[oleanderspool.Fingerprint]map[*observedCrash]bool
+	// parts holds the crashes of each part in a request whose answer was beginning.
+	parts map[oleanderspool.Fingerprint]map[*observedCrash]occurrence
+	// answered holds the instant of the last answer to a request, or to one with a
+	// part. The crashes up to it were not caused by them.
+	answered     map[oleanderspool.Fingerprint]oleanderspool.Millis
+	lastAnswerAt oleanderspool.Millis // of any request with a prompt, at this entry
+	quarantined  map[oleanderspool.Fingerprint]*quarantinedPart
+}
+
+// New returns a tracker that knows of no crash.
+func New() *Tracker {
+	return &Tracker{
+		crashes:     make(map[ServerRun]*observedCrash),
+		requests:    make(map[oleanderspool.Fingerprint]map[*observedCrash]bool),
+		parts:       make(map[oleanderspool.Fingerprint]map[*observedCrash]occurrence),
+		answered:    make(map[oleanderspool.Fingerprint]oleanderspool.Millis),
+		quarantined: make(map[oleanderspool.Fingerprint]*quarantinedPart),
+	}
+}
+
+// RecordCrash records a crash that this or another entry observed. It returns the
+// parts that are quarantined from now on.
+func (t *Tracker) RecordCrash(c Crash, now oleanderspool.Millis) []Part {
+	o := t.observe(c)
+	if o == nil {
+		return nil
+	}
+	if c.At > t.lastAnswer(c.Request) {
+		if t.requests[c.Request] == nil {
+			t.requests[c.Request] = make(map[*observedCrash]bool)
+		}
+		t.requests[c.Request][o] = c.Beginning || t.requests[c.Request][o]
+	}
+	for i, f := range c.Parts {
+		if t.quarantined[f] != nil {
+			o.explained = true
+		}
+		if c.At <= t.lastAnswer(f) {
+			continue
+		}
+		if t.parts[f] == nil {
+			t.parts[f] = make(map[*observedCrash]occurrence)
+		}
+		t.parts[f][o] = occurrence{request: c.Request, position: i}
+	}
+	return t.quarantineParts(c.Parts, now)
+}
+
+// observe returns the crash of a server's run, and nil if too many are tracked.
+func (t *Tracker) observe(c Crash) *observedCrash {
+	o := t.crashes[c.Server]
+	if o == nil {
+		if len(t.crashes) >= maxTrackedCrashes {
+			return nil
+		}
+		o = &observedCrash{at: c.At}
+		t.crashes[c.Server] = o
+	}
+	o.at = min(o.at, c.At)
+	return o
+}
+
+// lastAnswer returns the instant of the last answer; before all others for none.
+func (t *Tracker) lastAnswer(f oleanderspool.Fingerprint) oleanderspool.Millis {
+	if at, found := t.answered[f]; found {
+		return at
+	}
+	return -evidenceRetention
+}
+
+// quarantineParts quarantines those of the parts that explain enough crashes, the
+// most likely one first.
+func (t *Tracker) quarantineParts(parts []oleanderspool.Fingerprint, now oleanderspool.Millis) []Part {
+	var added []Part
+	for {
+		best, found := evidence{}, false
+		for _, f := range parts {
+			e := t.evidenceOf(f, now)
+			if t.quarantined[f] == nil && t.suffices(e) && (!found || e.exceeds(best)) {
+				best, found = e, true
+			}
+		}
+		if !found {
+			return added
+		}
+		p := Part{Fingerprint: best.part, Since: now, RequestedAt: now}
+		t.add(p)
+		added = append(added, p)
+	}
+}
+
+// add quarantines a part, which explains its crashes.
+func (t *Tracker) add(p Part) {
+	t.quarantined[p.Fingerprint] = &quarantinedPart{Part: p, nextTrialAt: p.Since + firstTrialDelay}
+	for o := range t.parts[p.Fingerprint] {
+		o.explained = true
+	}
+}
+
+// Merge adopts the quarantine of a part by another entry, unless a request with the
+// part was answered since. It reports whether the part is new.
+func (t *Tracker) Merge(p Part, now oleanderspool.Millis) bool {
+	if t.lastAnswer(p.Fingerprint) >= p.Since || now-p.RequestedAt >= partRetention {
+		return false
+	}
+	q := t.quarantined[p.Fingerprint]
+	if q == nil {
+		t.add(p)
+		return true
+	}
+	q.RequestedAt = max(q.RequestedAt, p.RequestedAt)
+	return false
+}
+
+// Verdict says what is done with a request.
+type Verdict int
+
+// The verdicts.
+const (
+	// Allowed: the request may be sent to a backend server.
+	Allowed Verdict = iota
+	// CrashingRequest: the request itself crashed servers.
+	CrashingRequest
+	// CrashingPart: a part of its prompt is quarantined.
+	CrashingPart
+)
+
+// Judge returns the verdict on a request. mayTry says that this entry may let a trial
+// of a quarantined part through.
+func (t *Tracker) Judge(s Subject, mayTry bool, now oleanderspool.Millis) Verdict {
+	for _, f := range s.Parts {
+		q := t.quarantined[f]
+		if q == nil {
+			continue
+		}
+		q.RequestedAt = now
+		if !mayTry || now < q.nextTrialAt {
+			return CrashingPart
+		}
+		q.trials++
+		q.nextTrialAt = now + min(maxTrialDelay, firstTrialDelay<<min(q.trials, 6))
+	}
+	if beginning, all := t.Crashes(s.Request, now); beginning >= maxBeginningCrashes || all >= maxCrashes {
+		return CrashingRequest
+	}
+	return Allowed
+}
+
+// Crashes returns the number of crashes that count against a request: those with
+// its answer beginning, and all.
+func (t *Tracker) Crashes(f oleanderspool.Fingerprint, now oleanderspool.Millis) (beginning, all int) {
+	for o, first := range t.requests[f] {
+		if o.explained || now-o.at >= requestRetention {
+			continue
+		}
+		all++
+		if first {
+			beginning++
+		}
+	}
+	return beginning, all
+}
+
+// RecordAnswer records a complete answer of this entry. It returns the answers that
+// the other entries should know of, since they disprove a suspicion.
+func (t *Tracker) RecordAnswer(s Subject, at oleanderspool.Millis) []Answer {
+	t.lastAnswerAt = max(t.lastAnswerAt, at)
+	var news []Answer
+	if t.suspected(s.Request) {
+		news = append(news, Answer{s.Request, at})
+		t.Clear(news[0])
+	}
+	for _, f := range s.Parts {
+		a := Answer{f, at}
+		if t.suspected(f) {
+			news = append(news, a)
+		}
+		t.Clear(a)
+	}
+	return news
+}
+
+func (t *Tracker) suspected(f oleanderspool.Fingerprint) bool {
+	return t.requests[f] != nil || t.parts[f] != nil || t.quarantined[f] != nil
+}
+
+// Clear removes the suspicions that an answer disproves. It reports whether a part is
+// no longer quarantined.
+func (t *Tracker) Clear(a Answer) (released bool) {
+	if _, known := t.answered[a.Fingerprint]; known || len(t.answered) < maxAnswered || t.suspected(a.Fingerprint) {
+		t.answered[a.Fingerprint] = max(a.At, t.lastAnswer(a.Fingerprint))
+	}
+	prune(t.requests, a.Fingerprint, a.At)
+	prune(t.parts, a.Fingerprint, a.At)
+	if q := t.quarantined[a.Fingerprint]; q != nil && a.At > q.Since {
+		delete(t.quarantined, a.Fingerprint)
+		return true
+	}
+	return false
+}
+
+// prune removes the crashes of a fingerprint up to an instant.
+func prune[V any](m map[oleanderspool.Fingerprint]map[*observedCrash]V, f oleanderspool.Fingerprint, until oleanderspool.Millis) {
+	for o := range m[f] {
+		if o.at <= until {
+			delete(m[f], o)
+		}
+	}
+	if len(m[f]) == 0 {
+		delete(m, f)
+	}
+}
+
+// AnsweredAt returns the instant of the last answer with a fingerprint.
+func (t *Tracker) AnsweredAt(f oleanderspool.Fingerprint) (at oleanderspool.Millis, found bool) {
+	at, found = t.answered[f]
+	return at, found
+}
+
+// Quarantined returns the quarantined parts.
+func (t *Tracker) Quarantined() []Part {
+	var list []Part
+	for _, q := range t.quarantined {
+		list = append(list, q.Part)
+	}
+	return list
+}
+
+// Expire forgets old crashes and answers, and parts that nobody requests any longer.
+func (t *Tracker) Expire(now oleanderspool.Millis) {
+	for run, o := range t.crashes {
+		if now-o.at >= evidenceRetention {
+			delete(t.crashes, run)
+		}
+	}
+	for f := range t.requests {
+		prune(t.requests, f, now-requestRetention)
+	}
+	for f := range t.parts {
+		prune(t.parts, f, now-evidenceRetention)
+	}
+	for f, at := range t.answered {
+		if now-at >= evidenceRetention {
+			delete(t.answered, f)
+		}
+	}
+	for f, q := range t.quarantined {
+		if now-q.RequestedAt >= partRetention {
+			delete(t.quarantined, f)
+		}
+	}
+}
