Keep quarantined parts of prompts in the store

Cause: what was quarantined lived in the entries only; gossip does not survive the loss of all. Fix: two entries save each quarantined part in a topic of our own (keyed.quarantine), each entry loads it at its start, and whoever sees an answer, or the end of the requests, removes it. A call that fails is repeated.

--- a/internal/command/forward.go
+++ b/internal/command/forward.go
@@ -65,8 +65,9 @@
 		options = append(options, forward.WithMemoryIdleTimeout(s.MemoryIdleTimeout))
 	}
 	guard := observe.NewGuard(logger, metrics)
-	gateway := forward.New(view, platform.Headers{}, clock, options...)
 	store := platform.NewStoreClient(s.StoreAddress)
+	options = append(options, forward.WithQuarantineStore(platform.NewQuarantineLog(store)))
+	gateway := forward.New(view, platform.Headers{}, clock, options...)
 	follower := directory.NewFollower(view, platform.NewConfigurationFeed(store), platform.NewServerFeed(store, clock), clock, logger,
 		directory.WithMaxDrainDelay(s.MaxDrainDelay), directory.WithConfirmationTTL(gateway.EffectiveMaxKeyAge()), directory.WithCoordinator(gateway.Coordinator()),
 		directory.WithGuard(guard))
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -59,10 +59,10 @@
 	return added
 }
 
-// recordAnswer records a complete answer of this entry, and reports whether it is to
-// be reported to the others.
-func (c *crashExchange) recordAnswer(s quarantine.Subject, now oleanderspool.Millis) (news bool) {
-	answers := c.tracker.RecordAnswer(s, now)
+// recordAnswer records a complete answer of this entry. It reports whether it is to be
+// reported to the others, and returns the parts that are no longer quarantined.
+func (c *crashExchange) recordAnswer(s quarantine.Subject, now oleanderspool.Millis) (news bool, released []oleanderspool.Fingerprint) {
+	answers, released := c.tracker.RecordAnswer(s, now)
 	for _, a := range answers {
 		c.report(a)
 	}
@@ -70,7 +70,7 @@
 		c.recent = slices.DeleteFunc(c.recent, func(e quarantine.Crash) bool { return e.Request == s.Request })
 		c.unreported = min(c.unreported, len(c.recent))
 	}
-	return len(answers) > 0
+	return len(answers) > 0, released
 }
 
 func (c *crashExchange) report(a quarantine.Answer) {
@@ -78,27 +78,35 @@
 	c.known[a.Fingerprint] = a.At
 }
 
-// apply merges the crashes, answers and quarantined parts of a message. It returns the
-// parts that are quarantined from now on, and reports whether this entry has news for
-// the others.
-func (c *crashExchange) apply(m gossip.Message, now oleanderspool.Millis) (added []quarantine.Part, news bool) {
+// applied is the effect of a message of another entry.
+type applied struct {
+	added    []quarantine.Part           // quarantined from now on
+	released []oleanderspool.Fingerprint // no longer quarantined
+	news     bool                        // this entry has news for the others
+}
+
+// apply merges the crashes, answers and quarantined parts of a message.
+func (c *crashExchange) apply(m gossip.Message, now oleanderspool.Millis) applied {
+	var r applied
 	for _, a := range m.Answered {
-		c.tracker.Clear(quarantine.Answer{Fingerprint: a.Fingerprint, At: now - a.Age})
+		if c.tracker.Clear(quarantine.Answer{Fingerprint: a.Fingerprint, At: now - a.Age}) {
+			r.released = append(r.released, a.Fingerprint)
+		}
 		c.known[a.Fingerprint] = max(now-a.Age, c.known[a.Fingerprint])
 	}
 	for _, e := range m.Crashes {
 		e.At = now - e.Age
-		added = append(added, c.tracker.RecordCrash(e.Crash, now)...)
-		news = c.shareAnswers(e.Parts) || news
+		r.added = append(r.added, c.tracker.RecordCrash(e.Crash, now)...)
+		r.news = c.shareAnswers(e.Parts) || r.news
 	}
 	for _, q := range m.Quarantined {
 		p := quarantine.Part{Fingerprint: q.Fingerprint, Since: now - q.Age, RequestedAt: now - q.Idle}
 		if c.tracker.Merge(p, now) {
-			added = append(added, p)
+			r.added = append(r.added, p)
 		}
-		news = c.shareAnswers([]oleanderspool.Fingerprint{q.Fingerprint}) || news
+		r.news = c.shareAnswers([]oleanderspool.Fingerprint{q.Fingerprint}) || r.news
 	}
-	return added, news
+	return r
 }
 
 // shareAnswers reports the answers to requests with suspected parts that the other
@@ -118,7 +126,6 @@
 func (c *crashExchange) takeReport(m *gossip.Message, now oleanderspool.Millis) {
 	parts := c.parts
 	if m.Complete {
-		c.tracker.Expire(now)
 		c.recent = slices.DeleteFunc(c.recent, func(e quarantine.Crash) bool { return now-e.At >= crashReportDuration })
 		c.unreported = 0
 		parts = c.tracker.Quarantined()
@@ -130,7 +137,7 @@
 		m.Answered = append(m.Answered, gossip.Answer{Fingerprint: a.Fingerprint, Age: now - a.At})
 	}
 	for _, p := range parts {
-		m.Quarantined = append(m.Quarantined, gossip.QuarantinedPart{Fingerprint: p.Fingerprint, Age: now - p.Since, Idle: now - p.RequestedAt})
+		m.Quarantined = append(m.Quarantined, oleanderspool.QuarantinedPart{Fingerprint: p.Fingerprint, Age: now - p.Since, Idle: now - p.RequestedAt})
 	}
 	c.unreported, c.answers, c.parts = len(c.recent), nil, nil
 	if len(c.known) > maxKnownAnswers {
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -16,7 +16,6 @@
 	"github.com/oleanderspool/oleanderspool/internal/gossip"
 	"github.com/oleanderspool/oleanderspool/internal/observe"
 	"github.com/oleanderspool/oleanderspool/internal/placement"
-	"github.com/oleanderspool/oleanderspool/internal/quarantine"
 	"github.com/oleanderspool/oleanderspool/internal/retry"
 )
 
@@ -73,6 +72,7 @@
 	dataCentre        oleanderspool.DataCentreID
 	maxKeyAge         oleanderspool.Millis
 	memoryIdleTimeout oleanderspool.Millis
+	quarantineStore   oleanderspool.QuarantineStore // nil for none
 	shared            *sharedState
 	startedAt         oleanderspool.Millis
 	stoppingAt        atomic.Int64 // instant of Stop; 0 before it
@@ -91,16 +91,14 @@
 			onRegistryUpdate: func(directory.RegistryUpdate) {}, onConfirmation: func(directory.Confirmation) {},
 			scheduler: placement.NewScheduler(placement.WithTieBreakSeed(entry)), crashes: newCrashExchange(), refusals: newRefusalTracker(),
 			budgets: make(map[string]*retry.Budget), changed: make(map[placement.TaskID]bool),
+			changedQuarantine: make(chan struct{}, 1), unsaved: make(map[oleanderspool.Fingerprint]bool),
 		},
 	}
 	for _, o := range options {
 		o(g)
 	}
 	g.guard = observe.NewGuard(g.logger, g.metrics)
-	g.shared.onQuarantine = func(p quarantine.Part) {
-		g.metrics.StateChanged("prompt_part_quarantined")
-		g.logger.Warn("prompt part quarantined", "part_fingerprint", uint64(p.Fingerprint), "since_ms", int64(clock.Now()-p.Since))
-	}
+	g.shared.onQuarantine = g.reportQuarantine
 	return g
 }
 
@@ -154,8 +152,10 @@
 	g.shared.peers, g.shared.onRegistryUpdate, g.shared.onConfirmation = peers, onRegistryUpdate, onConfirmation
 }
 
-// Run maintains the connections to backend servers until ctx ends.
+// Run maintains the connections to backend servers and the quarantined parts until ctx
+// ends.
 func (g *Gateway) Run(ctx context.Context) {
+	go g.runQuarantineStore(ctx)
 	g.pool.Run(ctx)
 }
 
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -79,6 +79,12 @@
 // the end of the test.
 func startHarness(atEnd func(func()), apps, engines int, options ...forward.Option) *harness {
 	h := &harness{store: platformtest.NewStore(2)}
+	h.startWorld(atEnd, apps, engines, options...)
+	return h
+}
+
+// startWorld starts backend servers of each service and an entry.
+func (h *harness) startWorld(atEnd func(func()), apps, engines int, options ...forward.Option) {
 	for i := range apps {
 		h.runners = append(h.runners, platformtest.NewRunner(h.store, fmt.Sprintf("app-%d", i), "app"))
 	}
@@ -94,7 +100,6 @@
 	})
 	h.startEntry(atEnd, options...)
 	h.awaitServers(apps, engines)
-	return h
 }
 
 // startEntry starts an entry of the harness.
@@ -116,6 +121,7 @@
 	background, end := context.WithCancel(context.Background())
 	go follower.RunConfigurations(background)
 	go follower.RunServers(background)
+	go h.gateway.Run(background)
 	stopped := h.stopped
 	server := forward.NewServer(h.gateway)
 	go func() { stopped <- server.Serve(ctx, listener, grace) }()
--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -22,8 +22,10 @@
 	peers            Peers
 	onRegistryUpdate func(directory.RegistryUpdate)
 	onConfirmation   func(directory.Confirmation)
-	// onQuarantine receives the parts that are quarantined from now on.
-	onQuarantine func(quarantine.Part)
+	// onQuarantine is called when the quarantine of a part begins or ends.
+	onQuarantine func(part oleanderspool.Fingerprint, begins bool, cause string)
+	// changedQuarantine signals that unsaved has a new change.
+	changedQuarantine chan struct{}
 
 	mu              sync.Mutex
 	scheduler       *placement.Scheduler
@@ -35,6 +37,8 @@
 	ended           []placement.TaskID
 	avoidances      []gossip.Suspicion         // servers to avoid; Remaining holds the instant at which the suspicion ends
 	registryUpdates []directory.RegistryUpdate // not sent to the other entries yet
+	// unsaved holds the parts whose quarantine began or ended and was not saved yet.
+	unsaved map[oleanderspool.Fingerprint]bool
 }
 
 var (
@@ -171,18 +175,12 @@
 func (s *sharedState) recordCrash(c quarantine.Crash) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.announce(s.crashes.recordLocal(c))
+	s.announceQuarantined(s.crashes.recordLocal(c))
 	s.peers.Wake()
 	_, n := s.crashes.tracker.Crashes(c.Request, c.At)
 	return n
 }
 
-func (s *sharedState) announce(parts []quarantine.Part) {
-	for _, p := range parts {
-		s.onQuarantine(p)
-	}
-}
-
 // judge returns the verdict on a request that has just arrived. One entry of all may
 // let a trial of a quarantined part through.
 func (s *sharedState) judge(subject quarantine.Subject) quarantine.Verdict {
@@ -220,7 +218,9 @@
 func (s *sharedState) recordAnswer(subject quarantine.Subject, server oleanderspool.InstanceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.crashes.recordAnswer(subject, s.clock.Now()) {
+	news, released := s.crashes.recordAnswer(subject, s.clock.Now())
+	s.announceReleased(released, true, "answer")
+	if news {
 		s.peers.Wake()
 	}
 	s.scheduler.RecordSuccess(server)
@@ -239,6 +239,7 @@
 	if complete {
 		s.scheduler.Expire(now)
 		s.refusals.expire(now)
+		s.announceReleased(s.crashes.tracker.Expire(now), s.peers.Rank() < savingEntries, "no requests")
 		for _, t := range s.scheduler.TasksOf(s.entry) {
 			m.Tasks = append(m.Tasks, taskWithAge(t, now))
 		}
@@ -361,9 +362,10 @@
 	if m.Complete {
 		s.scheduler.Retain(m.RunID, keep)
 	}
-	added, news := s.crashes.apply(m, now)
-	s.announce(added)
-	if news {
+	effect := s.crashes.apply(m, now)
+	s.announceQuarantined(effect.added)
+	s.announceReleased(effect.released, false, "answer at another entry")
+	if effect.news {
 		s.peers.Wake()
 	}
 	for _, f := range m.Refused {
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -346,7 +346,7 @@
 			return err
 		case fieldQuarantined:
 			c, idle, err := decodeEvent(v.bytes)
-			m.Quarantined = append(m.Quarantined, QuarantinedPart{Fingerprint: c.Request, Age: c.Age, Idle: idle})
+			m.Quarantined = append(m.Quarantined, oleanderspool.QuarantinedPart{Fingerprint: c.Request, Age: c.Age, Idle: idle})
 			return err
 		case fieldRefused:
 			m.Refused = append(m.Refused, oleanderspool.Fingerprint(v.number))
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -33,7 +33,7 @@
 	Suspicions:  []gossip.Suspicion{{Server: "s", Remaining: 13}},
 	Refused:     []oleanderspool.Fingerprint{14},
 	Answered:    []gossip.Answer{{Fingerprint: 15, Age: 25}},
-	Quarantined: []gossip.QuarantinedPart{{Fingerprint: 26, Age: 28, Idle: 27}},
+	Quarantined: []oleanderspool.QuarantinedPart{{Fingerprint: 26, Age: 28, Idle: 27}},
 	SentAt:      16,
 	RegistryUpdates: []directory.RegistryUpdate{{From: 17, Next: 20, Age: 18, Changes: []directory.Change{
 		{Offset: 17, Instance: "gone", Removed: true},
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -36,7 +36,7 @@
 	SentAt          oleanderspool.Millis        // on the clock of the sender
 	RegistryUpdates []directory.RegistryUpdate  // results of reads of the backend server registry
 	Answered        []Answer                    // answers to suspected requests
-	Quarantined     []QuarantinedPart
+	Quarantined     []oleanderspool.QuarantinedPart
 }
 
 // Endpoint describes an entry to the others.
@@ -67,13 +67,6 @@
 	Age         oleanderspool.Millis
 }
 
-// QuarantinedPart is a part of prompts whose requests are refused.
-type QuarantinedPart struct {
-	Fingerprint oleanderspool.Fingerprint
-	Age         oleanderspool.Millis // time since the quarantine began
-	Idle        oleanderspool.Millis // time since the last request with the part
-}
-
 // Suspicion reports that a backend server failed and is avoided for a remaining time.
 type Suspicion struct {
 	Server    oleanderspool.InstanceID
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -278,10 +278,10 @@
 }
 
 // RecordAnswer records a complete answer of this entry. It returns the answers that
-// the other entries should know of, since they disprove a suspicion.
-func (t *Tracker) RecordAnswer(s Subject, at oleanderspool.Millis) []Answer {
+// the other entries should know of, since they disprove a suspicion, and the parts that
+// are no longer quarantined.
+func (t *Tracker) RecordAnswer(s Subject, at oleanderspool.Millis) (news []Answer, released []oleanderspool.Fingerprint) {
 	t.lastAnswerAt = max(t.lastAnswerAt, at)
-	var news []Answer
 	if t.suspected(s.Request) {
 		news = append(news, Answer{s.Request, at})
 		t.Clear(news[0])
@@ -291,9 +291,11 @@
 		if t.suspected(f) {
 			news = append(news, a)
 		}
-		t.Clear(a)
+		if t.Clear(a) {
+			released = append(released, f)
+		}
 	}
-	return news
+	return news, released
 }
 
 func (t *Tracker) suspected(f oleanderspool.Fingerprint) bool {
@@ -308,7 +310,7 @@
 	}
 	prune(t.requests, a.Fingerprint, a.At)
 	prune(t.parts, a.Fingerprint, a.At)
-	if q := t.quarantined[a.Fingerprint]; q != nil && a.At > q.Since {
+	if q := t.quarantined[a.Fingerprint]; q != nil && a.At >= q.Since {
 		delete(t.quarantined, a.Fingerprint)
 		return true
 	}
@@ -342,8 +344,9 @@
 	return list
 }
 
-// Expire forgets old crashes and answers, and parts that nobody requests any longer.
-func (t *Tracker) Expire(now oleanderspool.Millis) {
+// Expire forgets old crashes and answers. It ends the quarantine of parts that nobody
+// requests any longer and returns them.
+func (t *Tracker) Expire(now oleanderspool.Millis) (ended []oleanderspool.Fingerprint) {
 	for run, o := range t.crashes {
 		if now-o.at >= evidenceRetention {
 			delete(t.crashes, run)
@@ -363,6 +366,8 @@
 	for f, q := range t.quarantined {
 		if now-q.RequestedAt >= partRetention {
 			delete(t.quarantined, f)
+			ended = append(ended, f)
 		}
 	}
+	return ended
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -52,8 +52,11 @@
 		expected []oleanderspool.Fingerprint
 	}{
 		{"three separate crashes by different requests", []step{
-			{0, "a", 10, parts(common, dead), false}, answer, {1000, "", 91, parts(common), false},
-			{1100, "b", 11, parts(common, dead), false}, {2000, "c", 12, parts(common, dead), false},
+			{0, "a", 10, parts(common, dead), false},
+			answer,
+			{1000, "", 91, parts(common), false},
+			{1100, "b", 11, parts(common, dead), false},
+			{2000, "c", 12, parts(common, dead), false},
 		}, parts(dead)},
 		{"nothing else was answered meanwhile", []step{
 			{0, "a", 10, parts(dead), false}, {1100, "b", 11, parts(dead), false}, {2000, "c", 12, parts(dead), false},
@@ -71,8 +74,13 @@
 			{0, "", 14, parts(rare), false}, {10, "a", 10, parts(rare), false}, answer, {1100, "b", 11, parts(rare), false}, {2000, "c", 12, parts(rare), false}, {3000, "d", 13, parts(rare), false},
 		}, nil},
 		{"a part that was answered before and crashes five servers", []step{
-			{0, "", 14, parts(rare), false}, {10, "a", 10, parts(rare), false}, answer, {1100, "b", 11, parts(rare), false}, {2000, "c", 12, parts(rare), false},
-			{3000, "d", 13, parts(rare), false}, {4000, "e", 15, parts(rare), false},
+			{0, "", 14, parts(rare), false},
+			{10, "a", 10, parts(rare), false},
+			answer,
+			{1100, "b", 11, parts(rare), false},
+			{2000, "c", 12, parts(rare), false},
+			{3000, "d", 13, parts(rare), false},
+			{4000, "e", 15, parts(rare), false},
 		}, parts(rare)},
 		{"requests that had streamed for long", []step{
 			{0, "a", 10, parts(rare), true}, answer, {1100, "b", 11, parts(rare), true}, {2000, "c", 12, parts(rare), true},
@@ -106,8 +114,12 @@
 func quarantined() *quarantine.Tracker {
 	tracker := quarantine.New()
 	for _, s := range []step{
-		{0, "a", 10, parts(dead), false}, {0, "a", 20, parts(rare), false}, {50, "", 90, parts(sound), false},
-		{1100, "b", 11, parts(dead), false}, {1100, "b", 20, parts(rare), false}, {2000, "c", 12, parts(dead), false},
+		{0, "a", 10, parts(dead), false},
+		{0, "a", 20, parts(rare), false},
+		{50, "", 90, parts(sound), false},
+		{1100, "b", 11, parts(dead), false},
+		{1100, "b", 20, parts(rare), false},
+		{2000, "c", 12, parts(dead), false},
 	} {
 		s.apply(tracker)
 	}
