Let a retry wait for the check whether the server crashed

A request that crashed a server was sent to the next one while the crash was still being checked, so the crash that quarantined its part came too late for it (seen in the log of the regression test).

--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -38,6 +39,9 @@
 	lastEvent string // id of the last event that the caller received
 	committed bool   // the caller has received a part of the answer
 	events    int    // number of events that the caller received
+	// crashCheck is closed when the check of the last server that broke an attempt has
+	// ended; nil for none.
+	crashCheck <-chan struct{}
 	// execution says whether the request may have run, over all attempts so
 	// far.
 	execution oleanderspool.Execution
@@ -278,7 +282,10 @@
 	events := t.events
 	c := quarantine.Crash{Server: quarantine.ServerRun{Instance: s.Instance, Started: s.Started}, Subject: quarantine.Subject{Request: t.fingerprint}, At: t.gateway.clock.Now()}
 	c.Beginning = !a.decoding || c.At-a.firstEventAt < beginningDuration
+	done := make(chan struct{})
+	t.crashCheck = done
 	go t.gateway.guard.Run("crash check", func() {
+		defer close(done)
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), crashCheckTimeout.Duration())
 		defer cancel()
 		state := t.gateway.pool.Probe(ctx, s)
@@ -295,13 +302,35 @@
 	})
 }
 
-// crashCheckTimeout bounds the check whether a server still accepts
-// connections.
-const crashCheckTimeout = 500 * oleanderspool.Millis(1)
+const (
+	// crashCheckTimeout bounds the check whether a server still accepts
+	// connections.
+	crashCheckTimeout = 500 * oleanderspool.Millis(1)
+	// crashCheckWait is how long a retry waits for the check, so that a request that
+	// crashes servers is not sent to another one. A machine answers within one round
+	// trip that no process listens.
+	crashCheckWait = 30 * oleanderspool.Millis(1)
+)
+
+// awaitCrashCheck waits for the check that follows a broken attempt.
+func (t *transaction) awaitCrashCheck() {
+	if t.crashCheck == nil {
+		return
+	}
+	timer := time.NewTimer(crashCheckWait.Duration())
+	defer timer.Stop()
+	select {
+	case <-t.crashCheck:
+	case <-timer.C:
+	case <-t.ctx.Done():
+	}
+	t.crashCheck = nil
+}
 
 // claimRetry reports whether the request may be sent to another server after an
 // attempt, and draws a retry from the budget unless the attempt was not sent.
 func (t *transaction) claimRetry(a attempt) bool {
+	t.awaitCrashCheck()
 	if t.ctx.Err() != nil || t.remaining() <= 0 || !t.gateway.shared.mayRetry(t.subject) {
 		return false
 	}
