--- a/internal/forward/configuration_test.go
+++ b/internal/forward/configuration_test.go
@@ -225,3 +225,38 @@
 		Expect(h.runs()).To(Equal(1))
 	})
 })
+
+var _ = Describe("An odd entry among those of the servers", func() {
+	// Guards against an entry of another writer that ends the process, or after which
+	// the registry is no longer followed (reported by another operator).
+	const valid = `{"service":"app","address":"127.0.0.1:9","zone":"z","slots":16,"state":"ready"`
+	cases := []struct{ name, value string }{
+		{"that is nested very deeply", strings.Repeat("[", 200_000)},
+		{"with a field that is nested very deeply", valid + `,"more":` + strings.Repeat(`{"a":`, 9_000) + "1" + strings.Repeat("}", 9_000) + "}"},
+		{"with a number of slots that is too large", `{"service":"app","address":"127.0.0.1:9","zone":"z","slots":1e999,"state":"ready"}`},
+		{"with a huge number of slots", `{"service":"app","address":"127.0.0.1:9","zone":"z","slots":1e300,"state":"ready"}`},
+		{"with no slots", `{"service":"app","address":"127.0.0.1:9","zone":"z","slots":0,"state":"ready"}`},
+		{"with a start time that is too large", valid + `,"born":123456789012345678901234567890}`},
+		{"with a cold time that is too large", valid + `,"coldLeftMs":1e999}`},
+		{"with a port out of range", `{"service":"app","address":"127.0.0.1:70000","zone":"z","slots":16,"state":"ready"}`},
+		{"with port 0", `{"service":"app","address":"127.0.0.1:0","zone":"z","slots":16,"state":"ready"}`},
+		{"with an address of all machines", `{"service":"app","address":"0.0.0.0:9","zone":"z","slots":16,"state":"ready"}`},
+		{"with an address of a zone", `{"service":"app","address":"[fe80::1%` + strings.Repeat("z", 100_000) + `]:9","zone":"z","slots":16,"state":"ready"}`},
+		{"with a service name without end", `{"service":"` + strings.Repeat("s", 200_000) + `","address":"127.0.0.1:9","zone":"z","slots":16,"state":"ready"}`},
+		{"with a zone without end", `{"service":"app","address":"127.0.0.1:9","zone":"` + strings.Repeat("z", 200_000) + `","slots":16,"state":"ready"}`},
+		{"that is empty", "null"},
+	}
+	for _, c := range cases {
+		It(c.name+" names no server, and the others are followed", func() {
+			h := newHarness(1, 0)
+			h.store.PutServer("odd", []byte(c.value))
+			h.runners = append(h.runners, platformtest.NewRunner(h.store, "later", "app"))
+			h.awaitServers(2, 0)
+			// An entry that starts reads the newest record of each key.
+			next := &harness{store: h.store}
+			next.startEntry(func(f func()) { DeferCleanup(f) })
+			next.awaitServers(2, 0)
+			Expect(next.send(query{path: "/reserve/1"}).status).To(Equal(200))
+		})
+	}
+})
