Trust no refusal that an earlier answer on the connection may be a copy of

Copies with another ID were skipped before. Two ways were open: a second request with the same ID on the same connection (a caller that uses an ID again), and a request without an ID. A connection is no longer used for an ID that was rejected on it, nor after 16 rejections, and a refusal without an ID counts only as the first answer of a connection.

--- a/internal/backend/bounds_test.go
+++ b/internal/backend/bounds_test.go
@@ -83,6 +83,8 @@
 		{"of a request is skipped by an order", "one", "", "HTTP/1.1 200 OK\r\n" + one + "Content-Length: 4\r\n\r\ncopy", "ok"},
 		{"of a request is skipped by a request", "one", "two", "HTTP/1.1 200 OK\r\n" + one + "Content-Length: 4\r\n\r\ncopy", "ok"},
 		{"of a stream is skipped by a request", "one", "two", "HTTP/1.1 200 OK\r\n" + one + "Transfer-Encoding: chunked\r\n\r\n4\r\ncopy\r\n0\r\n\r\n", "ok"},
+		{"of a refusal is skipped by a request", "one", "two", "HTTP/1.1 503 Service Unavailable\r\n" + platformtest.AnswerHeader("one", true) + "Content-Length: 4\r\n\r\ncopy", "ok"},
+		{"of a refusal without an ID does not say that another one without an ID was not run", "", "", "HTTP/1.1 503 Service Unavailable\r\n" + notRun + "Content-Length: 4\r\n\r\ncopy", ""},
 		{"of a rejected order does not say that a request was not run", "", "two", "HTTP/1.1 503 Service Unavailable\r\n" + notRun + "Content-Length: 4\r\n\r\ncopy", ""},
 	}
 	for _, c := range cases {
@@ -126,3 +128,38 @@
 		})
 	}
 })
+
+var _ = Describe("A refusal that is repeated on a kept connection", func() {
+	// Guards against a request that runs although its caller is told that it did not,
+	// and against its second run (reported by another operator): the copy of a refusal
+	// is taken for the answer to a later request with the same ID.
+	It("does not answer a later request with the same ID", func() {
+		refusal := "HTTP/1.1 503 Service Unavailable\r\n" + platformtest.AnswerHeader("one", true) + "Content-Length: 4\r\n\r\nbusy"
+		s := serve(func(conn net.Conn, r *bufio.Reader) {
+			if !readRequest(r) {
+				return
+			}
+			write(conn, refusal)
+			for readRequest(r) {
+				write(conn, refusal)
+				time.Sleep(20 * time.Millisecond)
+				write(conn, completeAnswer)
+			}
+		})
+		pool := backend.NewPool(clock.NewBoot())
+		refused := 0
+		for range 2 {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			e, err := pool.Do(ctx, s.Server, backend.Request{Method: http.MethodPost, Target: "/", Host: "h", ID: "one"}, platform.Headers{})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(e.Discard()).To(Succeed())
+			e.Close()
+			cancel()
+			if e.Answer.NotRun {
+				refused++
+			}
+		}
+		Expect(refused).To(Equal(2))
+		Expect(s.accepted.Load()).To(Equal(int64(2)), "each refusal is the first answer on its connection")
+	})
+})
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -25,8 +25,15 @@
 	lastUsedAt       oleanderspool.Millis
 	expiresAt        oleanderspool.Millis
 	keepAliveTimeout oleanderspool.Millis // keep-alive timeout that the server announced; 0 for none
+	// rejected holds the IDs of the requests that the server did not run. A faulty
+	// server may repeat such an answer.
+	rejected []oleanderspool.RequestID
 }
 
+// maxRejected is the number of rejected requests after which a connection is not
+// reused.
+const maxRejected = 16
+
 func newConnection(conn net.Conn, key poolKey) *connection {
 	input := &boundedReader{conn: conn}
 	return &connection{conn: conn, input: input, reader: bufio.NewReaderSize(input, readBuffer), key: key}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -66,7 +66,7 @@
 	if r.NonIdempotent {
 		maxIdle = nonIdempotentIdleTimeout
 	}
-	c, err := p.connect(ctx, s, maxIdle)
+	c, err := p.connect(ctx, s, maxIdle, r.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -130,6 +130,10 @@
 		answer := format.DecodeAnswerHeader(response.StatusCode, response.Header)
 		reusable := e.connection.recordKeepAlive(response)
 		if e.answers(r, answer) {
+			if answer.NotRun {
+				e.connection.rejected = append(e.connection.rejected, r.ID)
+				reusable = reusable && len(e.connection.rejected) < maxRejected
+			}
 			e.Answer, e.Header, e.response, e.reusable = answer, response.Header, response, reusable
 			return nil
 		}
@@ -153,14 +157,13 @@
 
 // answers reports whether an answer belongs to a request. A server repeats the ID
 // of a request, so an answer with another ID is a late copy, also when the request
-// has no ID. An answer without an ID may be a copy of the answer to an earlier
-// request without one: on a connection that carried one it is not trusted to say
-// that the request did not run.
+// has no ID. An answer without an ID may be a copy of an earlier answer: on a
+// connection that carried one it is not trusted to say that the request did not run.
 func (e *Exchange) answers(r Request, answer oleanderspool.AnswerHeader) bool {
 	if answer.ID != "" {
 		return answer.ID == r.ID
 	}
-	return r.ID == "" || !e.connection.reused || !answer.NotRun
+	return !e.connection.reused || !answer.NotRun
 }
 
 // skip reads a body that nobody needs, so that the connection can be reused.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 
@@ -85,10 +86,10 @@
 	}
 }
 
-// connect returns an idle connection that has been unused for less than maxIdle,
-// or else a new one.
-func (p *Pool) connect(ctx context.Context, s directory.Server, maxIdle oleanderspool.Millis) (*connection, error) {
-	if c := p.takeIdle(poolKeyOf(s), maxIdle); c != nil {
+// connect returns an idle connection that has been unused for less than maxIdle and
+// on which no request with the given ID was rejected, or else a new one.
+func (p *Pool) connect(ctx context.Context, s directory.Server, maxIdle oleanderspool.Millis, id oleanderspool.RequestID) (*connection, error) {
+	if c := p.takeIdle(poolKeyOf(s), maxIdle, id); c != nil {
 		return c, nil
 	}
 	conn, err := p.dialer.DialContext(ctx, "tcp", s.Address)
@@ -98,7 +99,7 @@
 	return newConnection(conn, poolKeyOf(s)), nil
 }
 
-func (p *Pool) takeIdle(key poolKey, maxIdle oleanderspool.Millis) *connection {
+func (p *Pool) takeIdle(key poolKey, maxIdle oleanderspool.Millis, id oleanderspool.RequestID) *connection {
 	now := p.clock.Now()
 	for {
 		p.mu.Lock()
@@ -110,7 +111,7 @@
 		c := list[len(list)-1]
 		p.idle[key] = list[:len(list)-1]
 		p.mu.Unlock()
-		if now < c.expiresAt && now-c.lastUsedAt < maxIdle && c.reusable() {
+		if now < c.expiresAt && now-c.lastUsedAt < maxIdle && !slices.Contains(c.rejected, id) && c.reusable() {
 			return c
 		}
 		c.close()
