Continue a stream only with an answer of the same media type

Of twelve answers of a next server, and a reset of an answer without a length, one got through: a signed success of another media type whose text ends with an empty line. Such an answer now counts as a failed attempt. Answers with neither a length nor chunks were handled: whole ones are passed on, and those that end within an event or with a reset are not complete.

Evidence: 'by a success that is no stream' failed before; the others pass on the code before this change too.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -19,6 +19,7 @@
 	w           http.ResponseWriter
 	controller  *http.ResponseController
 	firstAt     oleanderspool.Millis
+	contentType string // of the answer that the caller receives
 }
 
 // errCallerClosed means that the caller closed its connection.
@@ -72,7 +73,7 @@
 		}
 		return t.deliverPlain(out.w, a)
 	}
-	if answer.Signature == "" {
+	if answer.Signature == "" || !out.continuedBy(a.exchange.Header) {
 		a.outcome = broken
 		return false
 	}
@@ -98,6 +99,13 @@
 	return false
 }
 
+// continuedBy reports whether an answer may continue the stream: it has the media type
+// of the part that the caller has, unless one of them states none.
+func (o *streamOutput) continuedBy(header http.Header) bool {
+	contentType := header.Get("Content-Type")
+	return contentType == "" || o.contentType == "" || contentType == o.contentType
+}
+
 // copyEvents passes the events of an answer on as they arrive, each as a
 // whole. It returns nil after the end of a complete answer.
 func (o *streamOutput) copyEvents(a *attempt) error {
@@ -150,7 +158,7 @@
 	if !o.transaction.committed {
 		o.transaction.copyHeader(o.w, a.exchange.Header)
 		o.w.WriteHeader(a.exchange.Answer.Status)
-		o.transaction.committed = true
+		o.transaction.committed, o.contentType = true, a.exchange.Header.Get("Content-Type")
 		o.firstAt = o.transaction.gateway.clock.Now()
 		o.transaction.gateway.metrics.ObserveFirstToken(int(o.transaction.call.PromptTokens), o.firstAt-o.transaction.receivedAt)
 		o.transaction.gateway.metrics.ObservePredictionError(int(o.transaction.call.PromptTokens), a.TTFT, o.firstAt-a.placedAt)
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -215,3 +215,72 @@
 		Consistently(orders, "1500ms", pollInterval).Should(Equal(sent))
 	})
 })
+
+var _ = Describe("A stream that broke off", func() {
+	const gap = 2 * time.Millisecond
+	text := func(status int, contentType, body string) platformtest.Behaviour {
+		return func(r *platformtest.Runner, w http.ResponseWriter, q *http.Request) bool {
+			r.Sign(w, q)
+			w.Header().Set("Content-Type", contentType)
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(body))
+			return true
+		}
+	}
+	raw := func(signed bool, fields, body string) platformtest.Behaviour {
+		return platformtest.RawAnswer(func(c net.Conn, id string) { platformtest.WriteRaw(c, id, signed, fields, body) })
+	}
+	events4 := "id: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n"
+
+	// Guards against an error of the server that should continue the stream, or its
+	// header, in the middle of the caller's stream, and against a stream that ends as
+	// if it were complete (reported by another operator).
+	cases := []struct {
+		name   string
+		next   platformtest.Behaviour // of the server that should continue the stream
+		events []string
+		whole  bool
+	}{
+		{"by a failure", text(http.StatusInternalServerError, "text/plain", "data: failed\n\n"), ids(3), false},
+		{"by a failure in the format of events", text(http.StatusBadGateway, "text/event-stream", "id: 4\ndata: failed\n\n"), ids(3), false},
+		{"by a rejection", platformtest.Reject, ids(3), false},
+		{"by a refusal of the request", text(http.StatusBadRequest, "application/json", "{}\n\n"), ids(3), false},
+		{"by an answer without content", text(http.StatusNoContent, "text/event-stream", ""), ids(3), false},
+		{"by a success that is no stream", text(http.StatusOK, "application/json", "{\"error\":\"busy\"}\n\n"), ids(3), false},
+		{"by an answer without a signature", raw(false, "", events4), ids(3), false},
+		{"by a header that breaks off", raw(true, "X-A: ", ""), ids(3), false},
+		{"by another header in place of events", raw(true, "Content-Type: text/event-stream\r\n", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n"), ids(3), false},
+		{"by bytes that are no answer", platformtest.RawAnswer(func(c net.Conn, _ string) { _, _ = c.Write([]byte("busy\r\n\r\n")) }), ids(3), false},
+		{"by events without a length that end with their connection", raw(true, "Content-Type: text/event-stream\r\n", events4), ids(5), true},
+		{"by events without a length that end within an event", raw(true, "Content-Type: text/event-stream\r\n", events4+"id: 6\nda"), ids(5), false},
+	}
+	for _, c := range cases {
+		It("is not mixed with the answer when it is continued "+c.name, func() {
+			h := newHarness(0, 2)
+			answers := make(chan platformtest.Behaviour, 2)
+			answers <- platformtest.Stream(5, 3, gap)
+			answers <- c.next
+			h.behave(func(r *platformtest.Runner, rw http.ResponseWriter, q *http.Request) bool {
+				return (<-answers)(r, rw, q)
+			})
+			r := h.send(query{path: "/ask/1", prompt: 1460})
+			Expect(r.status).To(Equal(http.StatusOK))
+			Expect(events(r.body)).To(Equal(c.events))
+			Expect(r.body).NotTo(Or(ContainSubstring("failed"), ContainSubstring("busy"), ContainSubstring("HTTP"), ContainSubstring("{")))
+			Expect(r.err == nil).To(Equal(c.whole), "%v", r.err)
+		})
+	}
+
+	// Guards against an answer without a length whose reset looks like its end.
+	It("is not complete when the connection of an answer without a length is reset", func() {
+		h := newHarness(0, 1)
+		h.behave(platformtest.RawAnswer(func(c net.Conn, id string) {
+			platformtest.WriteRaw(c, id, true, "Content-Type: text/event-stream\r\n", events4)
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}))
+		r := h.send(query{path: "/ask/1", prompt: 1460})
+		Expect(events(r.body)).To(Equal([]string{"4", "5"}))
+		Expect(r.err).To(HaveOccurred())
+	})
+})
