Send nothing to servers that say that they leave or ask for time

Running work goes on.

Weighed: telling the other entries. A pause is asked of one caller, and a server that leaves says so in its answer to each entry; a lie would spread.

--- a/exchange.go
+++ b/exchange.go
@@ -44,6 +44,14 @@
 	// FaultyServer is the backend server to which the answer attributes the
 	// failure; empty for the sender of the answer.
 	FaultyServer string
+	// Leaving reports that the backend server is about to stop and wants no further
+	// requests.
+	Leaving bool
+	// RetryAfter is the time for which a backend server that turned the request away
+	// wants no requests from this entry; 0 for none.
+	RetryAfter Millis
+	// Invalid names the header fields that cannot be decoded and count as absent.
+	Invalid []string
 }
 
 // ExchangeFormat encodes and decodes the headers of forwarded requests and their
--- a/internal/backend/bounds_test.go
+++ b/internal/backend/bounds_test.go
@@ -16,6 +16,7 @@
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/backend"
 	"github.com/oleanderspool/oleanderspool/internal/clock"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/platform"
 	"github.com/oleanderspool/oleanderspool/platform/platformtest"
 )
@@ -163,3 +164,26 @@
 		Expect(s.accepted.Load()).To(Equal(int64(2)), "each refusal is the first answer on its connection")
 	})
 })
+
+var _ = Describe("The observer of a pool", func() {
+	// Guards against a server that says that it leaves in an answer which nobody reads.
+	It("receives the header of each answer, also of a skipped one", func() {
+		s := serve(func(conn net.Conn, r *bufio.Reader) {
+			if readRequest(r) {
+				write(conn, "HTTP/1.1 200 OK\r\n"+other+"Server-Leaving: 1\r\nContent-Length: 2\r\n\r\nok")
+				write(conn, completeAnswer)
+			}
+		})
+		var leaving []bool
+		pool := backend.NewPool(clock.NewBoot(), backend.WithObserver(func(_ directory.Server, id oleanderspool.RequestID, a oleanderspool.AnswerHeader) {
+			Expect(id).To(Equal(oleanderspool.RequestID("one")))
+			leaving = append(leaving, a.Leaving)
+		}))
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		e, err := pool.Do(ctx, s.Server, backend.Request{Method: http.MethodPost, Target: "/", Host: "h", ID: "one"}, platform.Headers{})
+		Expect(err).NotTo(HaveOccurred())
+		e.Close()
+		Expect(leaving).To(Equal([]bool{true, false}))
+	})
+})
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
 )
 
 // readBuffer is the size of a connection's read buffer in bytes.
@@ -20,7 +21,7 @@
 	conn             net.Conn
 	input            *boundedReader
 	reader           *bufio.Reader // reads from input
-	key              poolKey
+	key              directory.ServerRun
 	reused           bool // it carried an earlier request
 	lastUsedAt       oleanderspool.Millis
 	expiresAt        oleanderspool.Millis
@@ -34,7 +35,7 @@
 // reused.
 const maxRejected = 16
 
-func newConnection(conn net.Conn, key poolKey) *connection {
+func newConnection(conn net.Conn, key directory.ServerRun) *connection {
 	input := &boundedReader{conn: conn}
 	return &connection{conn: conn, input: input, reader: bufio.NewReaderSize(input, readBuffer), key: key}
 }
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -48,6 +48,7 @@
 	Answer oleanderspool.AnswerHeader
 	Header http.Header
 
+	server     directory.Server
 	pool       *Pool
 	connection *connection
 	response   *http.Response
@@ -74,7 +75,7 @@
 		p.put(c)
 		return nil, oleanderspool.ErrNotSent.Wrap(ctx.Err(), "request to %s ended before it was sent", s.Instance)
 	}
-	e := &Exchange{pool: p, connection: c, stop: context.AfterFunc(ctx, c.close)}
+	e := &Exchange{server: s, pool: p, connection: c, stop: context.AfterFunc(ctx, c.close)}
 	if err := e.send(r); err != nil {
 		e.abort()
 		return nil, oleanderspool.ErrUncertain.Wrap(err, "cannot send the request to %s", s.Instance)
@@ -128,6 +129,7 @@
 			continue
 		}
 		answer := format.DecodeAnswerHeader(response.StatusCode, response.Header)
+		e.pool.observe(e.server, r.ID, answer)
 		reusable := e.connection.recordKeepAlive(response)
 		if e.answers(r, answer) {
 			if answer.NotRun {
--- a/internal/backend/fuzz_test.go
+++ b/internal/backend/fuzz_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/oleanderspool/oleanderspool/internal/clock"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/platform"
 	"github.com/oleanderspool/oleanderspool/platform/platformtest"
 )
@@ -20,6 +22,8 @@
 		"HTTP/1.1 200 OK\r\n" + two + "Content-Length: 2\r\n\r\nokHTTP/1.1 503 X\r\n" + notRun + "\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775807\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\nKeep-Alive: timeout=99999999999999999999\r\n\r\n",
+		"HTTP/1.1 503 X\r\n" + one + "Server-Leaving: 1\r\nRetry-After: 1e308\r\n\r\n",
+		"HTTP/1.1 503 X\r\n" + one + "Server-Leaving: \r\nRetry-After: NaN\r\nRetry-After: -1\r\n\r\n",
 		"\x00\r\n\r\n",
 	} {
 		f.Add([]byte(text))
@@ -33,7 +37,7 @@
 		if err := client.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
 			t.Fatal(err)
 		}
-		e := &Exchange{connection: newConnection(client, poolKey{}), stop: func() bool { return false }}
+		e := &Exchange{pool: NewPool(clock.NewBoot()), connection: newConnection(client, directory.ServerRun{}), stop: func() bool { return false }}
 		defer e.abort()
 		if err := e.receive(Request{Method: "POST", ID: "one"}, platform.Headers{}); err != nil {
 			return
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -49,24 +49,24 @@
 	clock  oleanderspool.Clock
 	dialer net.Dialer
 	mu     sync.Mutex
-	idle   map[poolKey][]*connection
+	// idle holds the connections to each run of a server: one to an earlier process at
+	// the same address is not used for requests to a later one.
+	idle    map[directory.ServerRun][]*connection
+	observe func(directory.Server, oleanderspool.RequestID, oleanderspool.AnswerHeader)
 }
 
-// poolKey identifies a process of a server: a connection to an earlier process at
-// the same address is not used for requests to a later one.
-type poolKey struct {
-	instance oleanderspool.InstanceID
-	address  string
-	started  int64
-}
+// Option configures a [Pool].
+type Option func(*Pool)
 
-func poolKeyOf(s directory.Server) poolKey {
-	return poolKey{instance: s.Instance, address: s.Address, started: s.Started}
+// WithObserver sets a function that receives the header of each answer of a server to
+// a request with the given ID, also of answers that belong to another request.
+func WithObserver(observe func(s directory.Server, id oleanderspool.RequestID, answer oleanderspool.AnswerHeader)) Option {
+	return func(p *Pool) { p.observe = observe }
 }
 
 // NewPool returns a pool without connections.
-func NewPool(clock oleanderspool.Clock) *Pool {
-	return &Pool{
+func NewPool(clock oleanderspool.Clock, options ...Option) *Pool {
+	p := &Pool{
 		clock: clock,
 		dialer: net.Dialer{
 			Timeout:         dialTimeout.Duration(),
@@ -82,24 +82,29 @@
 				return err
 			},
 		},
-		idle: make(map[poolKey][]*connection),
+		idle:    make(map[directory.ServerRun][]*connection),
+		observe: func(directory.Server, oleanderspool.RequestID, oleanderspool.AnswerHeader) {},
+	}
+	for _, o := range options {
+		o(p)
 	}
+	return p
 }
 
 // connect returns an idle connection that has been unused for less than maxIdle and
 // on which no request with the given ID was rejected, or else a new one.
 func (p *Pool) connect(ctx context.Context, s directory.Server, maxIdle oleanderspool.Millis, id oleanderspool.RequestID) (*connection, error) {
-	if c := p.takeIdle(poolKeyOf(s), maxIdle, id); c != nil {
+	if c := p.takeIdle(s.Run(), maxIdle, id); c != nil {
 		return c, nil
 	}
 	conn, err := p.dialer.DialContext(ctx, "tcp", s.Address)
 	if err != nil {
 		return nil, oleanderspool.ErrNotSent.Wrap(err, "cannot connect to %s", s.Instance)
 	}
-	return newConnection(conn, poolKeyOf(s)), nil
+	return newConnection(conn, s.Run()), nil
 }
 
-func (p *Pool) takeIdle(key poolKey, maxIdle oleanderspool.Millis, id oleanderspool.RequestID) *connection {
+func (p *Pool) takeIdle(key directory.ServerRun, maxIdle oleanderspool.Millis, id oleanderspool.RequestID) *connection {
 	now := p.clock.Now()
 	for {
 		p.mu.Lock()
@@ -164,10 +169,10 @@
 func (p *Pool) CloseIdle(s directory.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.idle[poolKeyOf(s)] {
+	for _, c := range p.idle[s.Run()] {
 		c.close()
 	}
-	delete(p.idle, poolKeyOf(s))
+	delete(p.idle, s.Run())
 }
 
 // Probe is what an attempt to connect shows about a server.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -188,7 +188,20 @@
 	ColdUntil oleanderspool.Millis
 }
 
+// ServerRun identifies one run of a server: a server that starts again, or another one
+// at the same address, is another run.
+type ServerRun struct {
+	Instance oleanderspool.InstanceID
+	Address  string
+	Started  int64
+}
+
+// Run returns the run of the server that the record describes.
+func (s Server) Run() ServerRun {
+	return ServerRun{Instance: s.Instance, Address: s.Address, Started: s.Started}
+}
+
 // SameRun reports whether two records describe the same process of a server.
 func (s Server) SameRun(other Server) bool {
-	return s.Instance == other.Instance && s.Started == other.Started && s.Address == other.Address
+	return s.Run() == other.Run()
 }
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -83,13 +83,13 @@
 func New(view *directory.View, format oleanderspool.ExchangeFormat, clock oleanderspool.Clock, options ...Option) *Gateway {
 	entry := rand.Uint64() | 1 // 0 means no entry
 	g := &Gateway{
-		view: view, pool: backend.NewPool(clock), format: format, clock: clock,
+		view: view, format: format, clock: clock,
 		logger: slog.New(slog.DiscardHandler), metrics: observe.NewMetrics(), memoryIdleTimeout: defaultMemoryIdleTimeout,
 		startedAt: clock.Now(),
 		shared: &sharedState{
 			clock: clock, entry: entry, peers: noPeers{},
 			onRegistryUpdate: func(directory.RegistryUpdate) {}, onConfirmation: func(directory.Confirmation) {},
-			scheduler: placement.NewScheduler(placement.WithTieBreakSeed(entry)), crashes: newCrashExchange(), refusals: newRefusalTracker(),
+			scheduler: placement.NewScheduler(placement.WithTieBreakSeed(entry)), exclusions: placement.NewExclusions(), crashes: newCrashExchange(), refusals: newRefusalTracker(),
 			budgets: make(map[string]*retry.Budget), changed: make(map[placement.TaskID]bool),
 			changedQuarantine: make(chan struct{}, 1), unsaved: make(map[oleanderspool.Fingerprint]bool),
 		},
@@ -99,9 +99,28 @@
 	}
 	g.guard = observe.NewGuard(g.logger, g.metrics)
 	g.shared.onQuarantine = g.reportQuarantine
+	g.pool = backend.NewPool(clock, backend.WithObserver(g.observeAnswer))
 	return g
 }
 
+// observeAnswer records what a server says of itself in the header of an answer. It
+// applies at once, also to requests that were placed before, and to this entry only:
+// each entry gets answers of its own.
+func (g *Gateway) observeAnswer(s directory.Server, id oleanderspool.RequestID, answer oleanderspool.AnswerHeader) {
+	for _, name := range answer.Invalid {
+		g.metrics.StateChanged("invalid_answer_header")
+		g.logger.Warn("invalid header of an answer ignored", "request_id", id, "instance", s.Instance, "started", s.Started, "header", name)
+	}
+	if answer.Leaving && g.shared.recordLeaving(s.Run()) {
+		g.metrics.StateChanged("server_leaving")
+		g.logger.Info("server leaving", "request_id", id, "instance", s.Instance, "started", s.Started, "cause", "answer")
+	}
+	if answer.RetryAfter > 0 && g.shared.recordPause(s.Run(), answer.RetryAfter) {
+		g.metrics.StateChanged("server_paused")
+		g.logger.Info("server asked for time", "request_id", id, "instance", s.Instance, "started", s.Started, "retry_after_ms", int64(answer.RetryAfter))
+	}
+}
+
 // State returns the state that the entry exchanges with the other entries.
 func (g *Gateway) State() gossip.State {
 	return g.shared
--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -29,6 +29,7 @@
 
 	mu              sync.Mutex
 	scheduler       *placement.Scheduler
+	exclusions      *placement.Exclusions
 	crashes         *crashExchange
 	refusals        *refusalTracker
 	budgets         map[string]*retry.Budget
@@ -51,6 +52,9 @@
 	placement.Decision
 	ids      []placement.TaskID
 	placedAt oleanderspool.Millis
+	// availableIn is the time until one of the servers may be used, if all of them
+	// asked for time; 0 otherwise.
+	availableIn oleanderspool.Millis
 }
 
 // reserves reports whether a helper has to reserve memory.
@@ -77,9 +81,10 @@
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d, found := s.scheduler.Choose(servers, e, r, now)
+	d, found := s.scheduler.Choose(s.exclusions.Filter(servers, now), e, r, now)
 	if !found || d.Refuse {
-		return assignment{Decision: d}, false
+		wait, _ := s.exclusions.AvailableIn(servers, now)
+		return assignment{Decision: d, availableIn: wait}, false
 	}
 	as := assignment{Decision: d, placedAt: now}
 	for _, t := range placement.Tasks(d, e, r, now) {
@@ -138,6 +143,28 @@
 	s.peers.Wake()
 }
 
+// recordLeaving records that a server leaves, and reports whether that is new.
+func (s *sharedState) recordLeaving(run directory.ServerRun) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.exclusions.RecordLeaving(run, s.clock.Now())
+}
+
+// recordPause records that a server wants no requests for a duration, and reports
+// whether that prolongs its pause.
+func (s *sharedState) recordPause(run directory.ServerRun, duration oleanderspool.Millis) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.exclusions.RecordPause(run, duration, s.clock.Now())
+}
+
+// excluded reports whether a server wants no requests.
+func (s *sharedState) excluded(run directory.ServerRun) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.exclusions.Excluded(run, s.clock.Now())
+}
+
 // recordAdmission adds a request to the retry budget of its service.
 func (s *sharedState) recordAdmission(service string) {
 	s.mu.Lock()
@@ -238,6 +265,7 @@
 	m := gossip.Message{RunID: s.entry, Complete: complete, EndedTasks: s.ended}
 	if complete {
 		s.scheduler.Expire(now)
+		s.exclusions.Expire(now)
 		s.refusals.expire(now)
 		s.announceReleased(s.crashes.tracker.Expire(now), s.peers.Rank() < savingEntries, "no requests")
 		for _, t := range s.scheduler.TasksOf(s.entry) {
--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -176,6 +177,13 @@
 		}
 		a.memory, t.open.memory = memory, memory
 	}
+	if t.gateway.shared.excluded(as.Server.Run()) {
+		// The server has said so since it was chosen, for example while memory was reserved.
+		a.outcome = notSent
+		t.tried = append(t.tried, as.Server.Instance)
+		t.gateway.logger.Info("attempt not sent", "request_id", t.call.ID, "instance", as.Server.Instance, "sends", t.sends)
+		return a, true
+	}
 	exchange, err := t.gateway.pool.Do(ctx, as.Server, backend.Request{
 		Method: t.request.Method, Target: t.request.RequestURI, Host: t.request.Host,
 		Header: t.gateway.format.EncodeForwardHeader(t.request.Header, forwarded),
@@ -361,6 +369,10 @@
 	if a.Refuse {
 		return t.overloadRefusal(a.assignment)
 	}
+	if a.availableIn > 0 && t.execution == oleanderspool.NotRun {
+		t.gateway.shared.recordRefusal(t.fingerprint)
+		return oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "each backend server asked for time").WithRetryAfter(a.availableIn + rand.N(meanRetryAfter))
+	}
 	return t.failureRefusal()
 }
 
