--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -46,6 +46,9 @@
 	firstTrialDelay = oleanderspool.Minute
 	// maxTrialDelay bounds the time between trials.
 	maxTrialDelay = oleanderspool.Hour
+	// maxFailedTrials is the number of trials that crash their server after which no
+	// other follows.
+	maxFailedTrials = 3
 
 	// maxTrackedCrashes and maxAnswered bound the memory of the tracker.
 	maxTrackedCrashes = 2000
@@ -104,7 +107,8 @@
 // quarantinedPart is a part of which all requests but trials are refused.
 type quarantinedPart struct {
 	Part
-	trials      int // number of requests that were let through
+	trials      int // number of requests that were let through by this entry
+	failed      int // number of crashes by trials of all entries
 	nextTrialAt oleanderspool.Millis
 }
 
@@ -148,7 +152,10 @@
 		t.requests[c.Request][o] = c.Beginning || t.requests[c.Request][o]
 	}
 	for i, f := range c.Parts {
-		if t.quarantined[f] != nil {
+		if q := t.quarantined[f]; q != nil {
+			if !o.explained && o.at >= q.Since+firstTrialDelay {
+				q.failed++
+			}
 			o.explained = true
 		}
 		if c.At <= t.lastAnswer(f) {
@@ -250,7 +257,7 @@
 			continue
 		}
 		q.RequestedAt = now
-		if !mayTry || now < q.nextTrialAt {
+		if !mayTry || now < q.nextTrialAt || q.failed >= maxFailedTrials {
 			return CrashingPart
 		}
 		q.trials++
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -144,6 +144,16 @@
 		{"a trial", nil, withPart, true, 63000, quarantine.Allowed},
 		{"a trial at another entry", nil, withPart, false, 63000, quarantine.CrashingPart},
 		{"after a trial", func(tr *quarantine.Tracker) { tr.Judge(withPart, true, 63000) }, withPart, true, 63001, quarantine.CrashingPart},
+		{"after three trials that crashed servers", func(tr *quarantine.Tracker) {
+			for i, at := range []oleanderspool.Millis{63000, 190000, 440000} {
+				step{at, fmt.Sprint("trial", i), oleanderspool.Fingerprint(30 + i), parts(dead), false}.apply(tr)
+			}
+		}, withPart, true, 540000, quarantine.CrashingPart},
+		{"after two trials that crashed servers", func(tr *quarantine.Tracker) {
+			for i, at := range []oleanderspool.Millis{63000, 190000} {
+				step{at, fmt.Sprint("trial", i), oleanderspool.Fingerprint(30 + i), parts(dead), false}.apply(tr)
+			}
+		}, withPart, true, 540000, quarantine.Allowed},
 		{"after an answer", func(tr *quarantine.Tracker) { tr.Clear(quarantine.Answer{Fingerprint: dead, At: 2500}) }, withPart, false, 2600, quarantine.Allowed},
 		{"after an answer to an earlier request", func(tr *quarantine.Tracker) { tr.Clear(quarantine.Answer{Fingerprint: dead, At: 1500}) }, withPart, false, 2600, quarantine.CrashingPart},
 		{"when another entry repeats what an answer disproved", func(tr *quarantine.Tracker) {
