Draw the server of a short prompt among the best ones

Cause: all entries prefer the same packed servers and learn of each other's placements 10 to 25 ms later. The spread that was tried then had a fixed size, which costs worth where few placements are unknown.

Now an entry estimates the number of placements that it does not know of yet from the delays with which others arrive, and draws among one server and two more for each of them, near the best and with free slots.

--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -382,6 +382,9 @@
 		t := g.Task
 		t.Entry, t.PlacedAt = m.RunID, now-g.Age
 		keep[t.ID] = true
+		if _, known := s.scheduler.Task(t.ID); !known && t.OutputTokens > 0 {
+			s.scheduler.ObserveDelay(g.Age, now)
+		}
 		s.scheduler.Add(t)
 	}
 	for _, id := range m.EndedTasks {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -115,7 +115,7 @@
 	if prefillMillis(e, r.PromptTokens) >= longPrefill {
 		tieBreak = longTieBreakCost
 	}
-	best := chooseWhole(loads, e, r, tieBreak, now)
+	best := sc.chooseWhole(loads, e, r, tieBreak, now)
 	maxShards := 1 + min(e.MaxExtraServers, int(r.PromptTokens/minShardTokens)-1)
 	if maxShards = min(maxShards, len(loads)); maxShards > 1 {
 		if d := sc.chooseSharded(loads, e, r, maxShards, tieBreak, now); d.Cost < best.Cost {
@@ -205,12 +205,20 @@
 	return sc.candidates
 }
 
-// chooseWhole returns the best placement of a prompt that one server prefills.
-func chooseWhole(loads []*serverLoad, e *directory.Engine, r Request, tieBreak float64, now oleanderspool.Millis) Decision {
+// chooseWhole returns a placement of a prompt that one server prefills: the best one,
+// or for a short prompt one of several that are nearly as good.
+func (sc *Scheduler) chooseWhole(loads []*serverLoad, e *directory.Engine, r Request, tieBreak float64, now oleanderspool.Millis) Decision {
 	prefill := prefillMillis(e, r.PromptTokens)
 	maxPass := maxPassPrefillMillis(e, r.PromptTokens, prefill)
-	var best *serverLoad
-	bestCost, bestTTFT := math.Inf(1), 0.0
+	count, margin := 1, 0.0
+	if prefill < longPrefill {
+		count = sc.alternatives(now)
+	}
+	if count > 1 {
+		margin = alternativeMargin
+	}
+	sc.wholeCandidates = sc.wholeCandidates[:0]
+	bestCost := math.Inf(1)
 	for _, s := range loads {
 		start := max(s.backlog, s.slotWait(e))
 		cost := s.memoryCost(e, r, s.missingTokens(e, r))
@@ -219,17 +227,20 @@
 		}
 		ttft := start + prefill + s.passDelay(start) + deliveryDelay
 		cost += s.secondaryCost(e, r, tieBreak) + r.ttftLoss(ttft)
-		if cost >= bestCost {
+		if cost >= bestCost+margin {
 			continue // the cost to others is not negative
 		}
-		if cost += s.costToOthers(e, prefill, maxPass, false, now); cost < bestCost {
-			best, bestCost, bestTTFT = s, cost, ttft
+		cost += s.costToOthers(e, prefill, maxPass, false, now)
+		bestCost = min(bestCost, cost)
+		if cost <= bestCost+margin {
+			sc.wholeCandidates = append(sc.wholeCandidates, wholeCandidate{serverLoad: s, cost: cost, ttft: ttft})
 		}
 	}
-	if best == nil {
+	if len(sc.wholeCandidates) == 0 {
 		return Decision{Cost: bestCost}
 	}
-	return best.decision(bestCost, bestTTFT)
+	c := sc.draw(sc.wholeCandidates, e, count)
+	return c.decision(c.cost, c.ttft)
 }
 
 // decision returns a decision for the server without helpers.
--- a/internal/placement/collision_test.go
+++ b/internal/placement/collision_test.go
@@ -39,6 +39,7 @@
 			for i, sc := range schedulers {
 				if uint64(i+1) != pending[0].task.Entry {
 					sc.Add(pending[0].task)
+					sc.ObserveDelay(delay, now)
 				}
 			}
 			pending = pending[1:]
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -61,6 +61,8 @@
 	random              *rand.Rand // draws the sample
 	// candidates and avoidedCandidates are reused by each decision.
 	candidates, avoidedCandidates []*serverLoad
+	wholeCandidates               []wholeCandidate
+	unknown                       unknownPlacements
 }
 
 // serverState holds the tasks on a server and the load that they cause. It stays
