Keep unreported crashes apart and use one type for the run of a server

Found by reading the change: after an answer had cleared a crash that was reported before, a later one could count as reported and wait up to a second for the next complete message. quarantine.ServerRun stood beside directory.ServerRun; crashes now carry the address too. 20,000 crashes are tracked instead of 2,000, so that a large fleet in trouble is not blind.

--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -36,12 +36,11 @@
 // told yet.
 type crashExchange struct {
 	tracker *quarantine.Tracker
-	// recent holds the crashes that this entry observed within crashReportDuration;
-	// those from unreported on were not reported yet.
-	recent     []quarantine.Crash
-	unreported int
-	answers    []quarantine.Answer
-	parts      []quarantine.Part
+	// recent holds the crashes that this entry observed within crashReportDuration,
+	// and unreported those of them that were not reported yet.
+	recent, unreported []quarantine.Crash
+	answers            []quarantine.Answer
+	parts              []quarantine.Part
 	// known holds the instants of the answers that the other entries know of.
 	known map[oleanderspool.Fingerprint]oleanderspool.Millis
 }
@@ -53,7 +52,7 @@
 // recordLocal records a crash that this entry observed and returns the parts that are
 // quarantined from now on.
 func (c *crashExchange) recordLocal(crash quarantine.Crash) []quarantine.Part {
-	c.recent = append(c.recent, crash)
+	c.recent, c.unreported = append(c.recent, crash), append(c.unreported, crash)
 	added := c.tracker.RecordCrash(crash, crash.At)
 	c.parts = append(c.parts, added...)
 	return added
@@ -67,8 +66,8 @@
 		c.report(a)
 	}
 	if len(answers) > 0 {
-		c.recent = slices.DeleteFunc(c.recent, func(e quarantine.Crash) bool { return e.Request == s.Request })
-		c.unreported = min(c.unreported, len(c.recent))
+		disproved := func(e quarantine.Crash) bool { return e.Request == s.Request }
+		c.recent, c.unreported = slices.DeleteFunc(c.recent, disproved), slices.DeleteFunc(c.unreported, disproved)
 	}
 	return len(answers) > 0, released
 }
@@ -124,13 +123,12 @@
 // takeReport adds to a message what the others were not told yet, or, if it is
 // complete, all that they should know.
 func (c *crashExchange) takeReport(m *gossip.Message, now oleanderspool.Millis) {
-	parts := c.parts
+	crashes, parts := c.unreported, c.parts
 	if m.Complete {
 		c.recent = slices.DeleteFunc(c.recent, func(e quarantine.Crash) bool { return now-e.At >= crashReportDuration })
-		c.unreported = 0
-		parts = c.tracker.Quarantined()
+		crashes, parts = c.recent, c.tracker.Quarantined()
 	}
-	for _, e := range c.recent[max(c.unreported, len(c.recent)-maxReportedCrashes):] {
+	for _, e := range crashes[max(0, len(crashes)-maxReportedCrashes):] {
 		m.Crashes = append(m.Crashes, gossip.Crash{Crash: e, Age: now - e.At})
 	}
 	for _, a := range c.answers {
@@ -139,7 +137,7 @@
 	for _, p := range parts {
 		m.Quarantined = append(m.Quarantined, oleanderspool.QuarantinedPart{Fingerprint: p.Fingerprint, Age: now - p.Since, Idle: now - p.RequestedAt})
 	}
-	c.unreported, c.answers, c.parts = len(c.recent), nil, nil
+	c.unreported, c.answers, c.parts = nil, nil, nil
 	if len(c.known) > maxKnownAnswers {
 		clear(c.known)
 	}
--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -288,7 +288,7 @@
 	s := a.Server
 	t.gateway.pool.CloseIdle(s)
 	events := t.events
-	c := quarantine.Crash{Server: quarantine.ServerRun{Instance: s.Instance, Started: s.Started}, Subject: quarantine.Subject{Request: t.fingerprint}, At: t.gateway.clock.Now()}
+	c := quarantine.Crash{Server: s.Run(), Subject: quarantine.Subject{Request: t.fingerprint}, At: t.gateway.clock.Now()}
 	c.Beginning = !a.decoding || c.At-a.firstEventAt < beginningDuration
 	done := make(chan struct{})
 	t.crashCheck = done
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -87,6 +87,7 @@
 	fieldEventBeginning
 	fieldEventPart
 	fieldEventIdle
+	fieldEventAddress
 )
 
 // encoder appends encoded fields. It omits numbers, times and flags that are zero.
@@ -159,6 +160,7 @@
 			e.text(fieldEventServer, string(c.Server.Instance))
 			e.fixed(fieldEventFingerprint, uint64(c.Request))
 			e.millis(fieldEventDuration, c.Age)
+			e.text(fieldEventAddress, c.Server.Address)
 			e.number(fieldEventStarted, uint64(max(0, c.Server.Started)))
 			e.flag(fieldEventBeginning, c.Beginning)
 			for _, f := range c.Parts {
@@ -448,6 +450,8 @@
 			c.Request = oleanderspool.Fingerprint(v.number)
 		case fieldEventDuration:
 			c.Age = v.millis()
+		case fieldEventAddress:
+			c.Server.Address = string(v.bytes)
 		case fieldEventStarted:
 			c.Server.Started = int64(min(v.number, math.MaxInt64))
 		case fieldEventBeginning:
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -28,7 +28,7 @@
 	}},
 	EndedTasks: []placement.TaskID{1, 2},
 	Crashes: []gossip.Crash{{Crash: quarantine.Crash{
-		Server: quarantine.ServerRun{Instance: "s", Started: 22}, Subject: quarantine.Subject{Request: 11, Parts: []oleanderspool.Fingerprint{23, 24}}, Beginning: true,
+		Server: directory.ServerRun{Instance: "s", Address: "10.0.0.1:80", Started: 22}, Subject: quarantine.Subject{Request: 11, Parts: []oleanderspool.Fingerprint{23, 24}}, Beginning: true,
 	}, Age: 12}},
 	Suspicions:  []gossip.Suspicion{{Server: "s", Remaining: 13}},
 	Refused:     []oleanderspool.Fingerprint{14},
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -12,6 +12,7 @@
 
 import (
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
 )
 
 const (
@@ -51,16 +52,10 @@
 	maxFailedTrials = 3
 
 	// maxTrackedCrashes and maxAnswered bound the memory of the tracker.
-	maxTrackedCrashes = 2000
+	maxTrackedCrashes = 20000
 	maxAnswered       = 20000
 )
 
-// ServerRun identifies one run of a backend server.
-type ServerRun struct {
-	Instance oleanderspool.InstanceID
-	Started  int64 // start time as registered; 0 when unknown
-}
-
 // Subject is what a request may be refused for: the request itself and the shared
 // parts of its prompt, in order.
 type Subject struct {
@@ -72,7 +67,7 @@
 // set only if the answer was beginning and the process of the server is known to have
 // ended.
 type Crash struct {
-	Server ServerRun
+	Server directory.ServerRun
 	Subject
 	Beginning bool // no event of the answer, or only the first ones, had arrived
 	At        oleanderspool.Millis
@@ -114,7 +109,7 @@
 
 // Tracker holds what is known of crashes. It is not safe for concurrent use.
 type Tracker struct {
-	crashes map[ServerRun]*observedCrash
+	crashes map[directory.ServerRun]*observedCrash
 	// requests holds the crashes of each request, and whether its answer was
 	// beginning.
 	requests map[oleanderspool.Fingerprint]map[*observedCrash]bool
@@ -130,7 +125,7 @@
 // New returns a tracker that knows of no crash.
 func New() *Tracker {
 	return &Tracker{
-		crashes:     make(map[ServerRun]*observedCrash),
+		crashes:     make(map[directory.ServerRun]*observedCrash),
 		requests:    make(map[oleanderspool.Fingerprint]map[*observedCrash]bool),
 		parts:       make(map[oleanderspool.Fingerprint]map[*observedCrash]occurrence),
 		answered:    make(map[oleanderspool.Fingerprint]oleanderspool.Millis),
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/quarantine"
 )
 
@@ -35,7 +36,7 @@
 	if s.streamed {
 		subject.Parts = nil
 	}
-	t.RecordCrash(quarantine.Crash{Server: quarantine.ServerRun{Instance: oleanderspool.InstanceID(s.server)}, Subject: subject, Beginning: !s.streamed, At: s.at}, s.at)
+	t.RecordCrash(quarantine.Crash{Server: directory.ServerRun{Instance: oleanderspool.InstanceID(s.server)}, Subject: subject, Beginning: !s.streamed, At: s.at}, s.at)
 }
 
 func parts(list ...oleanderspool.Fingerprint) []oleanderspool.Fingerprint {
