--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -193,8 +193,10 @@
 	for {
 		best, found := evidence{}, false
 		for _, f := range parts {
-			e := t.evidenceOf(f, now)
-			if t.quarantined[f] == nil && t.suffices(e) && (!found || e.exceeds(best)) {
+			if t.quarantined[f] != nil {
+				continue
+			}
+			if e := t.evidenceOf(f, now); t.suffices(e) && (!found || e.exceeds(best)) {
 				best, found = e, true
 			}
 		}
