--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -83,6 +83,15 @@
 			{3000, "d", 13, parts(rare), false},
 			{4000, "e", 15, parts(rare), false},
 		}, parts(rare)},
+		{"a part that was answered between many crashes", []step{
+			{0, "", 14, parts(rare), false},
+			{10, "a", 10, parts(rare), false},
+			{1100, "b", 11, parts(rare), false},
+			{2000, "c", 12, parts(rare), false},
+			{3000, "d", 13, parts(rare), false},
+			{3500, "", 14, parts(rare), false},
+			{4000, "e", 15, parts(rare), false},
+		}, nil},
 		{"requests that had streamed for long", []step{
 			{0, "a", 10, parts(rare), true}, answer, {1100, "b", 11, parts(rare), true}, {2000, "c", 12, parts(rare), true},
 		}, nil},
