Wait for the first confirmation before a spec takes the store away

Cause, from their log: all requests were refused with log_unavailable and confirmed_ms=, so the outage began before the entry's first read that confirms its configuration. The specs now wait for it; their checks are unchanged.

--- a/internal/forward/exclusion_test.go
+++ b/internal/forward/exclusion_test.go
@@ -66,6 +66,8 @@
 		}{{"in touch with the store", platformtest.NoOutage}, {"without the store", platformtest.Unresponsive}} {
 			It("gets no more requests after it said so "+c.name+", "+outage.name, func() {
 				h := newHarness(c.apps, c.engines)
+				// Before its first confirmation an entry accepts no keys while the store is away.
+				Eventually(h.view.ConfirmedAt, waitTimeout, pollInterval).ShouldNot(BeZero())
 				h.store.SetOutage(outage.kind)
 				usual := platformtest.Behaviour(platformtest.Complete)
 				if c.engines > 0 {
