Send all crash reports and forget the oldest crash instead of raising limits

Cause: with 40 crashes a message the older unreported ones were dropped, and with 2,000 tracked crashes a new one was ignored; the limits had been raised to 100 and 20,000, which moves the fault to a larger fleet. Now what does not fit into a message follows in the next one, and the oldest tracked crash makes room. The limits are 40 and 2,000 again. The load of quarantined parts runs under the guard: a panic in it ended the process.

--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -21,9 +21,9 @@
 	// the other entries.
 	crashReportDuration = 5 * oleanderspool.Second
 	// maxReportedCrashes bounds the number of crashes in one message.
-	maxReportedCrashes = 100
-	// answerReportInterval is the age of the answer that the other entries know above
-	// which they are told of a later one.
+	maxReportedCrashes = 40
+	// answerReportInterval is the smallest time between two answers to requests with a
+	// suspected part that are reported to the other entries.
 	answerReportInterval = 10 * oleanderspool.Second
 )
 
@@ -32,12 +32,12 @@
 	return oleanderspool.Fingerprint(xxhash.Sum64String("part\x00" + string(p)))
 }
 
-// crashExchange holds what is known of crashes and what the other entries were not
-// told yet.
+// crashExchange holds what is known of crashes and what was not reported to the other
+// entries yet.
 type crashExchange struct {
 	tracker *quarantine.Tracker
 	// recent holds the crashes that this entry observed within crashReportDuration,
-	// and unreported those of them that were not reported yet.
+	// and unreported those of them that the next messages contain.
 	recent, unreported []quarantine.Crash
 	answers            []quarantine.Answer
 	parts              []quarantine.Part
@@ -58,9 +58,9 @@
 	return added
 }
 
-// recordAnswer records a complete answer of this entry. It reports whether it is to be
-// reported to the others, and returns the parts that are no longer quarantined.
-func (c *crashExchange) recordAnswer(s quarantine.Subject, now oleanderspool.Millis) (news bool, released []oleanderspool.Fingerprint) {
+// recordAnswer records a complete answer of this entry. It reports whether the
+// other entries have to receive it, and returns the parts that are no longer quarantined.
+func (c *crashExchange) recordAnswer(s quarantine.Subject, now oleanderspool.Millis) (reportable bool, released []oleanderspool.Fingerprint) {
 	answers, released := c.tracker.RecordAnswer(s, now)
 	for _, a := range answers {
 		c.report(a)
@@ -81,7 +81,8 @@
 type applied struct {
 	added    []quarantine.Part           // quarantined from now on
 	released []oleanderspool.Fingerprint // no longer quarantined
-	news     bool                        // this entry has news for the others
+	// reportable says that this entry has answers that the others may not know of.
+	reportable bool
 }
 
 // apply merges the crashes, answers and quarantined parts of a message.
@@ -96,51 +97,54 @@
 	for _, e := range m.Crashes {
 		e.At = now - e.Age
 		r.added = append(r.added, c.tracker.RecordCrash(e.Crash, now)...)
-		r.news = c.shareAnswers(e.Parts) || r.news
+		r.reportable = c.shareAnswers(e.Parts) || r.reportable
 	}
 	for _, q := range m.Quarantined {
 		p := quarantine.Part{Fingerprint: q.Fingerprint, Since: now - q.Age, RequestedAt: now - q.Idle}
 		if c.tracker.Merge(p, now) {
 			r.added = append(r.added, p)
 		}
-		r.news = c.shareAnswers([]oleanderspool.Fingerprint{q.Fingerprint}) || r.news
+		r.reportable = c.shareAnswers([]oleanderspool.Fingerprint{q.Fingerprint}) || r.reportable
 	}
 	return r
 }
 
-// shareAnswers reports the answers to requests with suspected parts that the other
-// entries may not know of.
-func (c *crashExchange) shareAnswers(parts []oleanderspool.Fingerprint) (news bool) {
+// shareAnswers queues the answers to requests with suspected parts that the other
+// entries may not know of, and reports whether there are any.
+func (c *crashExchange) shareAnswers(parts []oleanderspool.Fingerprint) (found bool) {
 	for _, f := range parts {
-		if at, found := c.tracker.AnsweredAt(f); found && at > c.known[f]+answerReportInterval {
+		if at, answered := c.tracker.AnsweredAt(f); answered && at > c.known[f]+answerReportInterval {
 			c.report(quarantine.Answer{Fingerprint: f, At: at})
-			news = true
+			found = true
 		}
 	}
-	return news
+	return found
 }
 
-// takeReport adds to a message what the others were not told yet, or, if it is
-// complete, all that they should know.
-func (c *crashExchange) takeReport(m *gossip.Message, now oleanderspool.Millis) {
-	crashes, parts := c.unreported, c.parts
+// takeReport adds to a message what was not reported yet, and to a complete one also
+// what is repeated. It reports whether crashes are left for the next message.
+func (c *crashExchange) takeReport(m *gossip.Message, now oleanderspool.Millis) (more bool) {
+	parts := c.parts
 	if m.Complete {
 		c.recent = slices.DeleteFunc(c.recent, func(e quarantine.Crash) bool { return now-e.At >= crashReportDuration })
-		crashes, parts = c.recent, c.tracker.Quarantined()
+		c.unreported, parts = slices.Clone(c.recent), c.tracker.Quarantined()
 	}
-	for _, e := range crashes[max(0, len(crashes)-maxReportedCrashes):] {
+	count := min(len(c.unreported), maxReportedCrashes)
+	for _, e := range c.unreported[:count] {
 		m.Crashes = append(m.Crashes, gossip.Crash{Crash: e, Age: now - e.At})
 	}
+	c.unreported = c.unreported[count:]
 	for _, a := range c.answers {
 		m.Answered = append(m.Answered, gossip.Answer{Fingerprint: a.Fingerprint, Age: now - a.At})
 	}
 	for _, p := range parts {
 		m.Quarantined = append(m.Quarantined, oleanderspool.QuarantinedPart{Fingerprint: p.Fingerprint, Age: now - p.Since, Idle: now - p.RequestedAt})
 	}
-	c.unreported, c.answers, c.parts = nil, nil, nil
+	c.answers, c.parts = nil, nil
 	if len(c.known) > maxKnownAnswers {
 		clear(c.known)
 	}
+	return len(c.unreported) > 0
 }
 
 // maxKnownAnswers bounds the answers of which it is known that others know them. More
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -30,8 +30,12 @@
 	if g.quarantineStore == nil {
 		return
 	}
-	for ctx.Err() == nil && !g.loadQuarantine(ctx) {
-		clock.Sleep(ctx, saveInterval)
+	loaded := false
+	for ctx.Err() == nil && !loaded {
+		g.guard.Run("quarantine", func() { loaded = g.loadQuarantine(ctx) })
+		if !loaded {
+			clock.Sleep(ctx, saveInterval)
+		}
 	}
 	clock.Every(ctx, saveInterval, g.shared.changedQuarantine, func() {
 		g.guard.Run("quarantine", func() { g.saveQuarantine(ctx) })
--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -245,9 +245,9 @@
 func (s *sharedState) recordAnswer(subject quarantine.Subject, server oleanderspool.InstanceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	news, released := s.crashes.recordAnswer(subject, s.clock.Now())
+	reportable, released := s.crashes.recordAnswer(subject, s.clock.Now())
 	s.announceReleased(released, true, "answer")
-	if news {
+	if reportable {
 		s.peers.Wake()
 	}
 	s.scheduler.RecordSuccess(server)
@@ -278,7 +278,9 @@
 			}
 		}
 	}
-	s.crashes.takeReport(&m, now)
+	if s.crashes.takeReport(&m, now) {
+		s.peers.Wake()
+	}
 	m.Refused = s.refusals.takeUnreported()
 	count := min(len(s.registryUpdates), maxMessageUpdates)
 	m.RegistryUpdates, s.registryUpdates = s.registryUpdates[:count:count], s.registryUpdates[count:]
@@ -396,7 +398,7 @@
 	effect := s.crashes.apply(m, now)
 	s.announceQuarantined(effect.added)
 	s.announceReleased(effect.released, false, "answer at another entry")
-	if effect.news {
+	if effect.reportable {
 		s.peers.Wake()
 	}
 	for _, f := range m.Refused {
--- a/internal/placement/alternatives.go
+++ b/internal/placement/alternatives.go
@@ -18,9 +18,6 @@
 	// for each placement that this entry does not know of yet, so that few of these
 	// meet on one server.
 	alternativesPerUnknown = 2
-	// minFreeSlots is the number of free slots, for this request and for unknown ones,
-	// without which a server is drawn only when no other is near the best.
-	minFreeSlots = 4
 	// maxAlternatives bounds the number of servers that are drawn from.
 	maxAlternatives = 64
 	// delayWindow is the time over which delays are averaged.
@@ -66,7 +63,8 @@
 }
 
 // draw returns one of a number of candidates with the lowest costs, all of them within
-// alternativeMargin of the best, by chance. It changes their order.
+// alternativeMargin of the best and not above packedFraction with the request, by
+// chance. Without one it returns the best. It changes their order.
 func (sc *Scheduler) draw(candidates []wholeCandidate, e *directory.Engine, count int) wholeCandidate {
 	byCost := func(x, y wholeCandidate) int { return cmp.Compare(x.cost, y.cost) }
 	best := slices.MinFunc(candidates, byCost)
@@ -74,7 +72,7 @@
 		return best
 	}
 	near := slices.DeleteFunc(candidates, func(c wholeCandidate) bool {
-		return c.cost > best.cost+alternativeMargin || e.Slots-c.slotsUsed < minFreeSlots
+		return c.cost > best.cost+alternativeMargin || float64(c.slotsUsed+1) > packedFraction*float64(e.Slots)
 	})
 	if len(near) == 0 {
 		return best
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -11,6 +11,8 @@
 package quarantine
 
 import (
+	"math"
+
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 )
@@ -51,9 +53,11 @@
 	// other follows.
 	maxFailedTrials = 3
 
-	// maxTrackedCrashes and maxAnswered bound the memory of the tracker.
-	maxTrackedCrashes = 20000
-	maxAnswered       = 20000
+	// maxTrackedCrashes bounds the crashes that are tracked; the oldest are forgotten
+	// first.
+	maxTrackedCrashes = 2000
+	// maxAnswered bounds the answers that are kept in addition to those of suspects.
+	maxAnswered = 20000
 )
 
 // Subject is what a request may be refused for: the request itself and the shared
@@ -102,9 +106,9 @@
 // quarantinedPart is a part of which all requests but trials are refused.
 type quarantinedPart struct {
 	Part
-	trials      int // number of requests that were let through by this entry
 	failed      int // number of crashes by trials of all entries
 	nextTrialAt oleanderspool.Millis
+	trialDelay  oleanderspool.Millis // between the last trial of this entry and the next one
 }
 
 // Tracker holds what is known of crashes. It is not safe for concurrent use.
@@ -137,9 +141,6 @@
 // parts that are quarantined from now on.
 func (t *Tracker) RecordCrash(c Crash, now oleanderspool.Millis) []Part {
 	o := t.observe(c)
-	if o == nil {
-		return nil
-	}
 	if c.At > t.lastAnswer(c.Request) {
 		if t.requests[c.Request] == nil {
 			t.requests[c.Request] = make(map[*observedCrash]bool)
@@ -164,12 +165,12 @@
 	return t.quarantineParts(c.Parts, now)
 }
 
-// observe returns the crash of a server's run, and nil if too many are tracked.
+// observe returns the crash of a server's run.
 func (t *Tracker) observe(c Crash) *observedCrash {
 	o := t.crashes[c.Server]
 	if o == nil {
 		if len(t.crashes) >= maxTrackedCrashes {
-			return nil
+			t.forgetOldest()
 		}
 		o = &observedCrash{at: c.At}
 		t.crashes[c.Server] = o
@@ -178,6 +179,20 @@
 	return o
 }
 
+// forgetOldest removes the oldest crash. What refers to it no longer counts it and is
+// removed by the next [Tracker.Expire].
+func (t *Tracker) forgetOldest() {
+	var oldest directory.ServerRun
+	at := oleanderspool.Millis(math.MaxInt64)
+	for run, o := range t.crashes {
+		if o.at < at {
+			oldest, at = run, o.at
+		}
+	}
+	t.crashes[oldest].at = -evidenceRetention
+	delete(t.crashes, oldest)
+}
+
 // lastAnswer returns the instant of the last answer; before all others for none.
 func (t *Tracker) lastAnswer(f oleanderspool.Fingerprint) oleanderspool.Millis {
 	if at, found := t.answered[f]; found {
@@ -211,7 +226,7 @@
 
 // add quarantines a part, which explains its crashes.
 func (t *Tracker) add(p Part) {
-	t.quarantined[p.Fingerprint] = &quarantinedPart{Part: p, nextTrialAt: p.Since + firstTrialDelay}
+	t.quarantined[p.Fingerprint] = &quarantinedPart{Part: p, nextTrialAt: p.Since + firstTrialDelay, trialDelay: firstTrialDelay}
 	for o := range t.parts[p.Fingerprint] {
 		o.explained = true
 	}
@@ -257,8 +272,8 @@
 		if !mayTry || now < q.nextTrialAt || q.failed >= maxFailedTrials {
 			return CrashingPart
 		}
-		q.trials++
-		q.nextTrialAt = now + min(maxTrialDelay, firstTrialDelay<<min(q.trials, 6))
+		q.trialDelay = min(maxTrialDelay, 2*q.trialDelay)
+		q.nextTrialAt = now + q.trialDelay
 	}
 	if beginning, all := t.Crashes(s.Request, now); beginning >= maxBeginningCrashes || all >= maxCrashes {
 		return CrashingRequest
@@ -282,24 +297,24 @@
 }
 
 // RecordAnswer records a complete answer of this entry. It returns the answers that
-// the other entries should know of, since they disprove a suspicion, and the parts that
-// are no longer quarantined.
-func (t *Tracker) RecordAnswer(s Subject, at oleanderspool.Millis) (news []Answer, released []oleanderspool.Fingerprint) {
+// disprove a suspicion of the other entries, and the parts that are no longer
+// quarantined.
+func (t *Tracker) RecordAnswer(s Subject, at oleanderspool.Millis) (disproving []Answer, released []oleanderspool.Fingerprint) {
 	t.lastAnswerAt = max(t.lastAnswerAt, at)
 	if t.suspected(s.Request) {
-		news = append(news, Answer{s.Request, at})
-		t.Clear(news[0])
+		disproving = append(disproving, Answer{s.Request, at})
+		t.Clear(disproving[0])
 	}
 	for _, f := range s.Parts {
 		a := Answer{f, at}
 		if t.suspected(f) {
-			news = append(news, a)
+			disproving = append(disproving, a)
 		}
 		if t.Clear(a) {
 			released = append(released, f)
 		}
 	}
-	return news, released
+	return disproving, released
 }
 
 func (t *Tracker) suspected(f oleanderspool.Fingerprint) bool {
