--- a/internal/backend/bounds_test.go
+++ b/internal/backend/bounds_test.go
@@ -131,9 +131,8 @@
 })
 
 var _ = Describe("A refusal that is repeated on a kept connection", func() {
-	// Guards against a request that runs although its caller is told that it did not,
-	// and against its second run (reported by another operator): the copy of a refusal
-	// is taken for the answer to a later request with the same ID.
+	// Guards against a false refusal as not run, and a second run after it: the copy of
+	// a refusal is taken for the answer to a later request with the same ID.
 	It("does not answer a later request with the same ID", func() {
 		refusal := "HTTP/1.1 503 Service Unavailable\r\n" + platformtest.AnswerHeader("one", true) + "Content-Length: 4\r\n\r\nbusy"
 		s := serve(func(conn net.Conn, r *bufio.Reader) {
--- a/internal/forward/exclusion_test.go
+++ b/internal/forward/exclusion_test.go
@@ -164,7 +164,7 @@
 		Expect(h.send(query{path: "/lookup/1"}).status).To(Equal(http.StatusOK))
 	})
 
-	// Guards against callers that are told a time at which all servers still want none.
+	// Guards against a Retry-After that ends before that of each server.
 	It("makes its callers come back after that time when no other server is left", func() {
 		h := newHarness(2, 0)
 		h.behave(platformtest.Pause("2"))
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -46,8 +46,7 @@
 		Expect(r.body).To(ContainSubstring("a part of the prompt"))
 	}
 
-	// Guards against entries that have to lose servers again after all were restarted
-	// (seen on versaria-cordel, own day with all entries killed).
+	// Guards against servers that crash anew after all entries were restarted.
 	It("is refused by an entry that starts after all others were lost", func() {
 		store := func(h *harness) forward.Option {
 			return forward.WithQuarantineStore(platform.NewQuarantineLog(platform.NewStoreClient(h.store.Address())))
