--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -211,6 +211,22 @@
 	}
 }
 
+// Guards against new crashes that are ignored once many are tracked.
+func TestOldCrashesMakeRoom(t *testing.T) {
+	tracker := quarantine.New()
+	for i := range 2500 {
+		step{0, fmt.Sprint("old", i), oleanderspool.Fingerprint(100 + i), nil, false}.apply(tracker)
+	}
+	for _, s := range []step{
+		{100, "a", 10, parts(dead), false}, {150, "", 90, parts(sound), false}, {1100, "b", 11, parts(dead), false}, {2000, "c", 12, parts(dead), false},
+	} {
+		s.apply(tracker)
+	}
+	if got := tracker.Judge(quarantine.Subject{Request: 13, Parts: parts(dead)}, false, 2001); got != quarantine.CrashingPart {
+		t.Errorf("verdict %v", got)
+	}
+}
+
 // Guards against parts of answered requests that stay quarantined while servers crash
 // for other reasons: after an answer all requests with its parts are allowed again,
 // whatever was reported in which order before.
