--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -192,8 +192,7 @@
 		_, _ = h.WriteString(part) // hashing does not fail
 	}
 	_, _ = h.Write(body)
-	t.fingerprint = oleanderspool.Fingerprint(h.Sum64())
-	t.subject = quarantine.Subject{Request: t.fingerprint}
+	t.subject = quarantine.Subject{Request: oleanderspool.Fingerprint(h.Sum64())}
 	for _, p := range t.call.SharedParts {
 		t.subject.Parts = append(t.subject.Parts, partFingerprint(p))
 	}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -115,7 +115,7 @@
 	if status == http.StatusOK {
 		return t.subject
 	}
-	return quarantine.Subject{Request: t.fingerprint}
+	return quarantine.Subject{Request: t.subject.Request}
 }
 
 // readBuffered reads up to maxBuffered bytes of an answer and reports whether
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -5,6 +5,7 @@
 	"maps"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/broadcast"
 	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/quarantine"
 )
@@ -117,10 +118,7 @@
 		return
 	}
 	s.unsaved[f] = quarantined
-	select {
-	case s.changedQuarantine <- struct{}{}:
-	default:
-	}
+	broadcast.Wake(s.changedQuarantine)
 }
 
 func (s *sharedState) unsavedParts() map[oleanderspool.Fingerprint]bool {
--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -28,7 +28,6 @@
 	service         directory.Service
 	account         directory.Account
 	body            []byte
-	fingerprint     oleanderspool.Fingerprint
 	subject         quarantine.Subject
 	receivedAt      oleanderspool.Millis
 	deadline        oleanderspool.Millis
@@ -89,13 +88,12 @@
 // attempt is one placement of a request.
 type attempt struct {
 	assignment
-	exchange *backend.Exchange // nil without an answer
-	outcome  outcome
-	timeout  attemptTimeout
-	decoding bool // the first event of a stream has arrived
-	// firstEventAt is the instant of the first event.
-	firstEventAt oleanderspool.Millis
-	memory       *reservations // nil when none is reserved
+	exchange     *backend.Exchange // nil without an answer
+	outcome      outcome
+	timeout      attemptTimeout
+	decoding     bool                 // the first event of a stream has arrived
+	firstEventAt oleanderspool.Millis // 0 before the first event
+	memory       *reservations        // nil when none is reserved
 }
 
 // close ends the exchange of an attempt and removes its tasks.
@@ -137,7 +135,7 @@
 	return placement.Request{
 		PromptTokens: t.call.PromptTokens, OutputTokens: answer, TTFTGoal: t.route.TTFTGoal, InterTokenGoal: t.route.InterTokenGoal,
 		CallerTimeout: t.remaining(), DataCentre: t.gateway.dataCentre, Tried: t.tried,
-		Resubmitted: t.gateway.shared.wasRefused(t.fingerprint), Started: t.execution != oleanderspool.NotRun,
+		Resubmitted: t.gateway.shared.wasRefused(t.subject.Request), Started: t.execution != oleanderspool.NotRun,
 	}
 }
 
@@ -288,7 +286,7 @@
 	s := a.Server
 	t.gateway.pool.CloseIdle(s)
 	events := t.events
-	c := quarantine.Crash{Server: s.Run(), Subject: quarantine.Subject{Request: t.fingerprint}, At: t.gateway.clock.Now()}
+	c := quarantine.Crash{Server: s.Run(), Subject: quarantine.Subject{Request: t.subject.Request}, At: t.gateway.clock.Now()}
 	c.Beginning = !a.decoding || c.At-a.firstEventAt < beginningDuration
 	done := make(chan struct{})
 	t.crashCheck = done
@@ -304,7 +302,7 @@
 			c.Parts = t.subject.Parts
 		}
 		n := t.gateway.shared.recordCrash(c)
-		t.gateway.logger.Warn("server crashed", "request_id", t.call.ID, "instance", s.Instance, "fingerprint", uint64(t.fingerprint),
+		t.gateway.logger.Warn("server crashed", "request_id", t.call.ID, "instance", s.Instance, "fingerprint", uint64(t.subject.Request),
 			"parts", t.call.SharedParts, "beginning", c.Beginning, "refuses_connections", state == backend.NotListening, "events", events,
 			"started", s.Started, "age_ms", int64(t.gateway.clock.Now()-t.receivedAt), "crashes", n)
 	})
@@ -370,7 +368,7 @@
 		return t.overloadRefusal(a.assignment)
 	}
 	if a.availableIn > 0 && t.execution == oleanderspool.NotRun {
-		t.gateway.shared.recordRefusal(t.fingerprint)
+		t.gateway.shared.recordRefusal(t.subject.Request)
 		return oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "each backend server asked for time").WithRetryAfter(a.availableIn + rand.N(meanRetryAfter))
 	}
 	return t.failureRefusal()
@@ -380,7 +378,7 @@
 // no capacity in time.
 func (t *transaction) overloadRefusal(as assignment) *oleanderspool.Refusal {
 	t.gateway.logger.Info("not placed", "request_id", t.call.ID, "prompt", t.call.PromptTokens, "cost", as.Cost, "load_ms", int64(as.MeanBacklog), "predicted_ms", int64(as.TTFT))
-	t.gateway.shared.recordRefusal(t.fingerprint)
+	t.gateway.shared.recordRefusal(t.subject.Request)
 	retryAfter := jitter(max(meanRetryAfter, min(as.MeanBacklog, t.remaining()/retryAfterDivisor)))
 	return oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "the backend servers are busy").WithRetryAfter(retryAfter)
 }
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -22,7 +22,7 @@
 	fieldSuspicion
 	_ // reserved: the addresses that earlier versions sent
 	fieldRefused
-	_ // reserved: the answered requests that earlier versions sent
+	fieldAnsweredRequest // sent by earlier versions, without the time since the answer
 	fieldSentAt
 	fieldRegistryUpdate
 	fieldSequence
@@ -342,6 +342,8 @@
 			c, _, err := decodeEvent(v.bytes)
 			m.Suspicions = append(m.Suspicions, Suspicion{Server: c.Server.Instance, Remaining: c.Age})
 			return err
+		case fieldAnsweredRequest:
+			m.Answered = append(m.Answered, Answer{Fingerprint: oleanderspool.Fingerprint(v.number)})
 		case fieldAnswer:
 			c, _, err := decodeEvent(v.bytes)
 			m.Answered = append(m.Answered, Answer{Fingerprint: c.Request, Age: c.Age})
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -18,25 +18,23 @@
 )
 
 const (
-	// maxBeginningCrashes is the number of crashes after which a request is refused
-	// whose answer was beginning each time.
+	// maxBeginningCrashes is the number of servers that a request may crash as its
+	// answer begins. After them it is refused.
 	maxBeginningCrashes = 2
-	// maxCrashes is the number of crashes after which a request is refused, whether
-	// its answer was beginning or not.
+	// maxCrashes is the number of servers that may crash while the request is in flight
+	// there, at any point of its answer.
 	maxCrashes = 3
 	// requestRetention is how long a crash counts against a request.
 	requestRetention = oleanderspool.Minute
-	// minPartCrashes is the number of separate crashes, and of different requests,
-	// after which a part is quarantined with which no request was ever answered.
-	minPartCrashes = 3
-	// minAnsweredPartCrashes is that number for a part with which requests were
-	// answered before the crashes.
+	// A part is quarantined after minPartCrashes separate crashes by as many different
+	// requests. If requests with the part were answered before the crashes, it takes
+	// minAnsweredPartCrashes.
+	minPartCrashes         = 3
 	minAnsweredPartCrashes = 5
-	// minCommonCrashes is the number of crashes, separate or not, after which a part
-	// is quarantined that nearly all crashes have in common.
+	// minCommonCrashes crashes are enough, separate or not, if they are the
+	// commonFraction of all crashes since the first of them.
 	minCommonCrashes = 5
-	// commonFraction is the fraction of the crashes that counts as nearly all.
-	commonFraction = 0.9
+	commonFraction   = 0.9
 	// separation is the smallest time between separate crashes. Servers that crash at
 	// the same time have a common cause, such as a loss of power.
 	separation = 300 * oleanderspool.Millis(1)
