review: case 1, SIGHUP ends a process that is stopping

Cause: logReloads ends with the context that SIGTERM ends, and its deferred signal.Stop gives SIGHUP back to its default, while requests are still served for up to 7.5 s. It is also the cause of the open entry "A stopping entry killed before its grace ends" of docs/incidents.md: the platform sends SIGHUP when machines come and go.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -10,6 +10,7 @@
 	"silent-config": silentConfig,
 	"silent-drain":  silentDrain,
 	"late-body":     lateBody,
+	"stop-signal":   stopSignal,
 }
 
 const (
@@ -165,16 +166,16 @@
 	var all []answer
 	var wait sync.WaitGroup
 	until := time.Now().Add(26 * time.Second)
-	const clients = 6 // per entry
+	const clients = 12 // per entry
 	for _, e := range d.entries {
 		for i := range clients {
 			wait.Add(1)
 			go func() {
 				defer wait.Done()
-				time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+				time.Sleep(time.Duration(i) * 35 * time.Millisecond)
 				for time.Now().Before(until) {
-					next := time.Now().Add(clients * 50 * time.Millisecond)
-					a := sendChunks(e, "/puxa403/2f", 3, 200, 60*time.Millisecond, 2500*time.Millisecond)
+					next := time.Now().Add(clients * 35 * time.Millisecond)
+					a := sendChunks(e, "/puxa403/2f", 3, 200, 100*time.Millisecond, 2500*time.Millisecond)
 					mu.Lock()
 					all = append(all, a)
 					mu.Unlock()
@@ -212,3 +213,61 @@
 	}
 	verdict(unsigned > 0, "%d of %d successes had no signature of a runner; %d of these reservations never ran", unsigned, served, neverRun)
 }
+
+// stopSignal: a front machine is stopped, and its settings change a second later.
+func stopSignal(trouble bool) {
+	d := newDeployment()
+	questions := route{name: "r-3", prefix: "/lohu930/", kind: "stream", service: engineService, timeoutMs: 10000, goalMs: 300, attempts: 2}
+	d.store.configure([]string{engineService}, keys, questions)
+	for i := range 6 {
+		d.startRunner(engineService, frontZones[1+i%3], 100*time.Millisecond)
+	}
+	d.startEntries()
+	d.awaitReady()
+	time.Sleep(10 * time.Second)
+	var mu sync.Mutex
+	var all []answer
+	var wait sync.WaitGroup
+	stopped := d.entries[0]
+	stopAt := time.Now().Add(4 * time.Second)
+	// The balancer opens no connections to the stopping machine after two misses, 2 s later.
+	for begin := time.Now(); time.Since(begin) < 8*time.Second; time.Sleep(100 * time.Millisecond) {
+		for _, e := range d.entries {
+			if e == stopped && time.Since(stopAt) > 2*time.Second {
+				continue
+			}
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				c := newClient(e, key)
+				c.header = map[string]string{"X-Model": "m", "X-Token-Count": "4960,1610", "X-Prompt-Prefix": "5c1e07a2:40,91bd3f06:4920"}
+				a := c.send("POST", "/lohu930/2f", make([]byte, 1200), 10*time.Second)
+				c.http.CloseIdleConnections()
+				mu.Lock()
+				all = append(all, a)
+				mu.Unlock()
+			}()
+		}
+		if time.Now().After(stopAt) && !d.stopping {
+			d.stopping = true
+			note("%s gets SIGTERM", stopped.name)
+			_ = stopped.command.Process.Signal(syscall.SIGTERM)
+			if trouble {
+				time.AfterFunc(time.Second, func() {
+					note("%s gets SIGHUP", stopped.name)
+					_ = stopped.command.Process.Signal(syscall.SIGHUP)
+				})
+			}
+		}
+	}
+	wait.Wait()
+	lost := 0
+	for _, a := range all {
+		if a.entry != stopped || a.err == nil || len(d.runs(a.id)) == 0 {
+			continue
+		}
+		lost++
+		noteAt(a.sentAt, "BROKEN: %s was passed on to a runner, and its connection ended without a complete answer: status %d, %d bytes, %v", a.id, a.status, a.size, a.err)
+	}
+	verdict(lost > 0, "%d of %d requests were read and passed on by the stopping process and ended without a complete answer", lost, len(all))
+}
--- a/review/standin/machines.go
+++ b/review/standin/machines.go
@@ -44,6 +44,7 @@
 	links     []*link
 	runnersMu sync.Mutex
 	runners   []*runner
+	stopping  bool // a machine was told to stop
 	ranMu     sync.Mutex
 	ran       map[string][]run
 }
@@ -229,6 +230,10 @@
 	d.ran[id] = append(d.ran[id], run{at, r, ip})
 	d.ranMu.Unlock()
 	note("runner %s of %s runs %s %s (%d bytes)", r.id, r.service, id, q.URL.Path, len(body))
+	if r.service == engineService {
+		r.stream(w, q)
+		return
+	}
 	select {
 	case <-time.After(r.work):
 	case <-q.Context().Done():
@@ -238,6 +243,29 @@
 	_, _ = w.Write([]byte("done by " + r.id + " for " + id))
 }
 
+// streamEvents is the number of events of a stream.
+const streamEvents = 25
+
+// stream writes a stream of events, from the one after Last-Event-Id on.
+func (r *runner) stream(w http.ResponseWriter, q *http.Request) {
+	w.Header().Set("X-Runner-Signature", "3e1b.07."+r.id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	for i := last + 1; i <= streamEvents; i++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", i, i); err != nil {
+			return
+		}
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
+		select {
+		case <-time.After(r.work):
+		case <-q.Context().Done():
+			return
+		}
+	}
+}
+
 func (d *deployment) runs(id string) []run {
 	d.ranMu.Lock()
 	defer d.ranMu.Unlock()
@@ -260,9 +288,10 @@
 
 // client keeps a connection and sends one request after the other.
 type client struct {
-	http  *http.Client
-	entry *entry
-	key   string
+	http   *http.Client
+	entry  *entry
+	key    string
+	header map[string]string // added to each request
 }
 
 func newClient(e *entry, key string) *client {
@@ -282,6 +311,9 @@
 	q.Header.Set("X-Request-Id", a.id)
 	q.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	q.Header.Set("Authorization", "Bearer "+c.key)
+	for name, value := range c.header {
+		q.Header.Set(name, value)
+	}
 	a.sentAt = time.Now()
 	r, err := c.http.Do(q)
 	if err == nil {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -168,6 +168,15 @@
 
 const host = "ficu95.example"
 
+// engineService is the service whose runners have an engine, that of the sheet.
+const engineService = "dele69a"
+
+var engine = map[string]any{
+	"slots": 16, "kvCapacity": 450000, "kvTokenBytes": 327680, "linkMbps": 400000.0, "stride": 46, "models": []any{map[string]any{"name": "m"}},
+	"step_ms": 0.925, "per_seq_ms": 0.00483, "context_per_k": 0.00254, "read_per_s": 256000.0, "pairs_per_m": 0.0917, "chunk": 2048,
+	"report_lag_ms": 200.0, "loadsPerS": 0.0, "loads_at_once": 8, "usual": map[string]any{"prompt": 13199, "answer": 1541}, "hopMs": 0.1,
+}
+
 // configure writes a configuration with the next version and returns the time of its
 // acknowledgement.
 func (s *store) configure(services []string, keys map[string][]string, routes ...route) (version int, ack time.Time) {
@@ -184,7 +193,11 @@
 		list = append(list, m)
 	}
 	for _, name := range services {
-		svc = append(svc, map[string]any{"name": name, "healthPath": "/health", "maxConns": 100, "protocol": "h1", "tls": false})
+		m := map[string]any{"name": name, "healthPath": "/health", "maxConns": 100, "protocol": "h1", "tls": false}
+		if name == engineService {
+			m["maxConns"], m["engine"] = 364, engine
+		}
+		svc = append(svc, m)
 	}
 	for name, k := range keys {
 		tenants = append(tenants, map[string]any{"name": name, "apiKeys": k, "priority": 1})
