--- a/review/standin/main.go
+++ b/review/main.go
@@ -1,4 +1,4 @@
-// Command standin plays one case of the review: it starts the program under review
+// Command review plays one case of the review: it starts the program under review
 // with the command of the deploy file, stands in for the platform, the runners and the
 // clients, and judges by what these see. It exits with 0 if the rule held, 1 if it was
 // broken and 2 if the case could not run.
@@ -50,7 +50,7 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		cannotRun("usage: standin CASE RECORD")
+		cannotRun("usage: review-standin CASE RECORD")
 	}
 	f, err := os.Create(os.Args[2])
 	if err != nil {
