Receive SIGHUP until the process exits

Cause: logReloads returned when SIGTERM ended its context, and its signal.Stop restored the default action of SIGHUP, which ends the process, while the callers' server went on for up to 7.5 s. The platform sends SIGHUP when settings change, for example when another machine is removed. Entries and agents of the product's own deployment never received SIGHUP at all.

Ruled out: SIGKILL by the platform (the script sends only SIGTERM and SIGHUP, the process ends with "signal: hangup"); a panic or an early end of the shutdown (no log line, no exit code; with TROUBLE=0 nothing is cut).

Why this works: the signal is received from the first statement of the program until it exits, so its default action is never in force while there is work. Roles read their settings again; other subcommands stop.

The soak now sends SIGHUP and SIGTERM each 0.2 s to an entry that stops; it left them out there before.

--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 
 	"golang.org/x/sync/errgroup"
@@ -38,6 +39,10 @@
 	return runAgent(env, s, l)
 }
 
+func (c *agentCommand) reload(logger *slog.Logger) {
+	reloadSettings(c.Settings, settings.ParseAgent, logger)
+}
+
 // agentListeners are the open addresses of an agent.
 type agentListeners struct {
 	peers net.Listener
@@ -78,6 +83,7 @@
 
 	after, stop := context.WithCancel(context.WithoutCancel(env.ctx))
 	group, after := errgroup.WithContext(after)
+	group.Go(func() error { return env.runReloads(after, logger) })
 	group.Go(func() error {
 		defer stop()
 		return a.Run(env.ctx, l.peers)
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -49,11 +50,13 @@
 	return &exitError{code: code, cause: err}
 }
 
-// environment is what a subcommand writes to and is stopped by.
+// environment is what a subcommand writes to and is controlled by.
 type environment struct {
-	ctx    context.Context
-	stdout io.Writer
-	stderr io.Writer
+	ctx     context.Context
+	stdout  io.Writer
+	stderr  io.Writer
+	hangups <-chan os.Signal   // SIGHUP; nil for none
+	reload  func(*slog.Logger) // called on each SIGHUP; nil for none
 }
 
 // subcommand is one subcommand with its flags.
@@ -61,6 +64,14 @@
 	run(env environment, args []string) error
 }
 
+// role is a subcommand that runs an instance of the system. SIGHUP asks it to read its
+// settings again, and asks any other subcommand to stop.
+type role interface {
+	subcommand
+	// reload reads the settings again and logs what it finds.
+	reload(logger *slog.Logger)
+}
+
 type registration struct {
 	name  string
 	short string
@@ -69,11 +80,15 @@
 }
 
 // Run runs the program with the given arguments and returns its exit code. It
-// returns when the subcommand ends; SIGTERM and SIGINT ask it to stop.
+// returns when the subcommand ends; SIGTERM and SIGINT ask it to stop. SIGHUP is
+// received until the process exits, since its default action would end a process that
+// is stopping.
 func Run(args []string, stdout, stderr io.Writer) int {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return run(environment{ctx: ctx, stdout: stdout, stderr: stderr}, args)
+	return run(environment{ctx: ctx, stdout: stdout, stderr: stderr, hangups: hangups}, args)
 }
 
 func run(env environment, args []string) int {
@@ -106,7 +121,28 @@
 		parser.WriteHelp(env.stderr)
 		return ExitUsage
 	}
-	return report(env, values[parser.Active.Name].run(env, rest))
+	active := values[parser.Active.Name]
+	if r, ok := active.(role); ok {
+		env.reload = r.reload
+	} else {
+		var stop context.CancelFunc
+		env.ctx, stop = signal.NotifyContext(env.ctx, syscall.SIGHUP)
+		defer stop()
+		env.hangups = nil
+	}
+	return report(env, active.run(env, rest))
+}
+
+// runReloads reads the settings again on each SIGHUP until ctx ends.
+func (e environment) runReloads(ctx context.Context, logger *slog.Logger) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-e.hangups:
+			e.reload(logger)
+		}
+	}
 }
 
 func reportFlags(env environment, err error) int {
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/netip"
 
@@ -32,6 +33,10 @@
 	return runEntry(env, s, listeners)
 }
 
+func (c *entryCommand) reload(logger *slog.Logger) {
+	reloadSettings(c.Settings, settings.ParseEntry, logger)
+}
+
 // entryListeners are the open addresses of an entry.
 type entryListeners struct {
 	callers net.Listener
@@ -80,6 +85,7 @@
 	// The entry and the admin address stop only after the callers' server.
 	after, stop := context.WithCancel(context.WithoutCancel(env.ctx))
 	group, after := errgroup.WithContext(after)
+	group.Go(func() error { return env.runReloads(after, logger) })
 	group.Go(func() error {
 		defer stop()
 		return e.Run(env.ctx, l.peers)
--- a/internal/command/forward.go
+++ b/internal/command/forward.go
@@ -6,9 +6,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"golang.org/x/sync/errgroup"
 
@@ -45,10 +43,20 @@
 	}
 	logger.Info("start", "instance", s.Instance, "data_centre", s.DataCentre, "listen", s.Listen.String(), "version", Version, "process", os.Getpid())
 	defer logger.Info("stop", "instance", s.Instance)
-	go logReloads(env.ctx, s, logger)
 	return runForward(env, s, logger)
 }
 
+// reload reads the settings again. All that can change while an instance runs comes
+// from the store.
+func (c *forwardCommand) reload(logger *slog.Logger) {
+	s, err := platform.ReadSettings()
+	if err != nil {
+		logger.Error("reload", "error", err.Error())
+		return
+	}
+	logger.Info("reload", "instance", s.Instance, "listen", s.Listen.String())
+}
+
 // runForward runs an entry until the environment's context ends.
 func runForward(env environment, s platform.Settings, logger *slog.Logger) error {
 	clock := clock.NewBoot()
@@ -95,6 +103,7 @@
 	run(follower.RunServers)
 	run(gateway.Run)
 	run(node.Run)
+	group.Go(func() error { return env.runReloads(after, logger) })
 	group.Go(func() error { return serveHTTP(after, listeners.ready, readyHandler(gateway), logger) })
 	if listeners.admin != nil {
 		group.Go(func() error { return serveHTTP(after, listeners.admin, metrics.Handler(), logger) })
@@ -145,24 +154,3 @@
 	self := gossip.Endpoint{Instance: s.Instance, Address: s.PeerListen.String(), DataCentre: s.DataCentre, Capacity: s.ProcessorShare}
 	return gossip.NewNode(conn, self, s.Seeds, state, clock, logger, gossip.WithGuard(guard)), nil
 }
-
-// logReloads reads the settings again on SIGHUP and logs what it finds. All
-// settings that can change while an instance runs come from the store.
-func logReloads(ctx context.Context, s platform.Settings, logger *slog.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-			next, err := platform.ReadSettings()
-			if err != nil {
-				logger.Error("reload", "error", err.Error())
-				continue
-			}
-			logger.Info("reload", "instance", next.Instance, "address_changed", next.Listen != s.Listen)
-		}
-	}
-}
--- a/internal/command/forward_test.go
+++ b/internal/command/forward_test.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"os"
@@ -89,6 +90,35 @@
 		}
 	})
 
+	// Guards against a reload signal that ends a process which is stopping, and cuts all
+	// requests in progress there.
+	It("finishes its requests when reload and stop signals arrive during the stop", func() {
+		runner.SetBehaviour(platformtest.Stream(30, 0, 100*time.Millisecond))
+		const callers = 10
+		answers := make(chan error, callers)
+		for range callers {
+			go func() {
+				body, err := ask()
+				if err == nil && !strings.Contains(body, "piece 30") {
+					err = errors.New("incomplete answer: " + body)
+				}
+				answers <- err
+			}()
+		}
+		Eventually(runner.Runs, startBound, 10*time.Millisecond).Should(Equal(callers))
+		session.Signal(syscall.SIGHUP)
+		session.Signal(syscall.SIGTERM)
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			session.Signal(syscall.SIGHUP)
+			session.Signal(syscall.SIGTERM)
+		}
+		for range callers {
+			Eventually(answers, "6s").Should(Receive(BeNil()))
+		}
+		Eventually(session, "8s").Should(gexec.Exit(ExitOK))
+	})
+
 	// Guards against a backend server in trouble whose answer without end fills the
 	// memory of the entry, or whose request is answered as not run.
 	It("keeps its memory bounded while a server sends without end", func() {
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -35,6 +35,16 @@
 	return value, withCode(ExitInvalid, err)
 }
 
+// reloadSettings reads a settings file again and logs whether it is valid. A process
+// uses the settings that it was started with.
+func reloadSettings[T any](file string, parse func(string, []byte) (T, error), logger *slog.Logger) {
+	if _, err := readSettings(file, parse); err != nil {
+		logger.Error("reload", "error", err.Error())
+		return
+	}
+	logger.Info("reload", "settings", "valid; used from the next start on")
+}
+
 func listen(address netip.AddrPort) (net.Listener, error) {
 	return net.Listen("tcp", address.String())
 }
--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 	"github.com/onsi/gomega/gexec"
 
 	"github.com/oleanderspool/oleanderspool"
@@ -39,6 +40,29 @@
 		}
 	})
 
+	// Guards against a reload signal that ends an entry or an agent with its requests.
+	It("reload their settings without cutting a stream", func() {
+		answer := make(chan string, 1)
+		go func() {
+			defer GinkgoRecover()
+			text, result, err := ask(d.question(0, "reload", 100))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(result.refusal).To(BeNil())
+			answer <- text
+		}()
+		processes := []string{"runner-1", "runner-2", "runner-3", "services-1", "entry-1"}
+		for range 5 {
+			time.Sleep(100 * time.Millisecond)
+			for _, p := range processes {
+				d.signal(p, syscall.SIGHUP)
+			}
+		}
+		for _, p := range processes {
+			Eventually(d.sessions[p].Err, startBound).Should(gbytes.Say("msg=reload"), p)
+		}
+		Eventually(answer, stopWait).Should(Receive(Equal(expectedAnswer("reload", 100))))
+	})
+
 	// Guards against a second run of a request that is sent again (P5).
 	It("runs a keyed reservation once though it is sent through both entries", func() {
 		for i := range d.entries {
@@ -109,6 +133,12 @@
 			})
 		}
 		time.Sleep(oleanderspool.Second.Duration() / 2)
+		hangUp := time.AfterFunc(100*time.Millisecond, func() {
+			for _, name := range []string{"runner-3", "entry-2"} {
+				_ = d.sessions[name].Command.Process.Signal(syscall.SIGHUP) // it may have stopped
+			}
+		})
+		defer hangUp.Stop()
 		d.stop("runner-3")
 		d.stop("entry-2")
 		group.Wait()
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -182,11 +182,25 @@
 	return in.busy[t]
 }
 
-// stop begins a graceful shutdown of an entry. The returned function waits until the
-// entry has exited and restarts it.
+// signalInterval is the interval of the signals that an entry gets while it stops.
+const signalInterval = 200 * time.Millisecond
+
+// stop begins a graceful shutdown of an entry, which gets further reload and stop
+// signals until it exits. The returned function waits for that and restarts it.
 func (in *injector) stop(i int, e *entry) func() {
 	at := time.Now()
 	e.signal(syscall.SIGTERM)
+	go func() {
+		for exited := e.done(); ; {
+			select {
+			case <-exited:
+				return
+			case <-time.After(signalInterval):
+				e.signal(syscall.SIGHUP)
+				e.signal(syscall.SIGTERM)
+			}
+		}
+	}()
 	return func() {
 		select {
 		case <-e.done():
