Bound the memory that requests and answers hold together

Callers saw (report of another operator): an instance ran out of memory while servers sent without end, and the requests of all its callers ended.

Cause: headers, answers, events and bodies each had a bound for one request, and nothing bounded their sum.

Ruled out: a part without a bound (endless headers and bytes that are no answer stayed below the limit in the same specs before the change).

Why this works: what exceeds 16 KiB of a body, header, event or buffered answer is taken from one budget, a fifth of the instance's memory. Without room a body is refused as not run, a plain answer is passed on as it arrives, and an event or header fails its attempt. Ordinary requests never need the budget.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/buffer"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 )
 
@@ -35,8 +36,8 @@
 // reused.
 const maxRejected = 16
 
-func newConnection(conn net.Conn, key directory.ServerRun) *connection {
-	input := &boundedReader{conn: conn}
+func newConnection(conn net.Conn, key directory.ServerRun, budget *buffer.Budget) *connection {
+	input := &boundedReader{conn: conn, budget: budget}
 	return &connection{conn: conn, input: input, reader: bufio.NewReaderSize(input, readBuffer), key: key}
 }
 
@@ -44,17 +45,31 @@
 // may have.
 var errAnswerTooLong = errors.New("the answer exceeds its maximum size")
 
+// headerCopies is how often a part of a header is held at most while it is decoded: in
+// a buffer that has grown, and as text.
+const headerCopies = 3
+
 // boundedReader reads from a connection and fails once a bound is exceeded, so
-// that a server that sends without end occupies no memory.
+// that a server that sends without end occupies no memory. What exceeds
+// [buffer.Unreserved] is taken from a budget that all connections share.
 type boundedReader struct {
-	conn    net.Conn
-	bounded bool
-	left    int
+	conn     net.Conn
+	budget   *buffer.Budget
+	bounded  bool
+	bound    int
+	read     int // since the bound was set
+	reserved int
 }
 
 // setBound bounds the bytes that are read until the next call; 0 removes the bound.
 func (r *boundedReader) setBound(bytes int) {
-	r.bounded, r.left = bytes > 0, bytes
+	r.bounded, r.bound, r.read = bytes > 0, bytes, 0
+}
+
+// release returns the memory of the headers that were read to the budget.
+func (r *boundedReader) release() {
+	r.budget.Release(r.reserved)
+	r.reserved = 0
 }
 
 // Read implements [io.Reader].
@@ -62,11 +77,17 @@
 	if !r.bounded {
 		return r.conn.Read(p)
 	}
-	if r.left == 0 {
+	if r.read == r.bound {
 		return 0, errAnswerTooLong
 	}
-	n, err := r.conn.Read(p[:min(len(p), r.left)])
-	r.left -= n
+	n, err := r.conn.Read(p[:min(len(p), r.bound-r.read)])
+	r.read += n
+	if size := headerCopies * n; r.read > buffer.Unreserved {
+		if !r.budget.Reserve(size) {
+			return 0, buffer.ErrExhausted.New("no memory for the header of an answer")
+		}
+		r.reserved += size
+	}
 	return n, err
 }
 
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -200,6 +200,7 @@
 // Close ends the exchange. It returns the connection to the pool if the request
 // was sent and the answer was read completely, and closes it otherwise.
 func (e *Exchange) Close() {
+	e.connection.input.release()
 	if !e.complete || !e.reusable || !e.requestSent() || e.connection.reader.Buffered() > 0 {
 		e.abort()
 		return
@@ -223,6 +224,7 @@
 }
 
 func (e *Exchange) abort() {
+	e.connection.input.release()
 	e.stop()
 	e.connection.close()
 }
--- a/internal/backend/fuzz_test.go
+++ b/internal/backend/fuzz_test.go
@@ -37,7 +37,8 @@
 		if err := client.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
 			t.Fatal(err)
 		}
-		e := &Exchange{pool: NewPool(clock.NewBoot()), connection: newConnection(client, directory.ServerRun{}), stop: func() bool { return false }}
+		pool := NewPool(clock.NewBoot())
+		e := &Exchange{pool: pool, connection: newConnection(client, directory.ServerRun{}, pool.budget), stop: func() bool { return false }}
 		defer e.abort()
 		if err := e.receive(Request{Method: "POST", ID: "one"}, platform.Headers{}); err != nil {
 			return
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/buffer"
 	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 )
@@ -53,6 +54,7 @@
 	// the same address is not used for requests to a later one.
 	idle    map[directory.ServerRun][]*connection
 	observe func(directory.Server, oleanderspool.RequestID, oleanderspool.AnswerHeader)
+	budget  *buffer.Budget
 }
 
 // Option configures a [Pool].
@@ -64,6 +66,14 @@
 	return func(p *Pool) { p.observe = observe }
 }
 
+// defaultBudget is the memory in bytes for long headers without [WithBudget].
+const defaultBudget = 16 << 20
+
+// WithBudget sets the memory that long headers of answers share with other buffers.
+func WithBudget(b *buffer.Budget) Option {
+	return func(p *Pool) { p.budget = b }
+}
+
 // NewPool returns a pool without connections.
 func NewPool(clock oleanderspool.Clock, options ...Option) *Pool {
 	p := &Pool{
@@ -84,6 +94,7 @@
 		},
 		idle:    make(map[directory.ServerRun][]*connection),
 		observe: func(directory.Server, oleanderspool.RequestID, oleanderspool.AnswerHeader) {},
+		budget:  buffer.NewBudget(defaultBudget),
 	}
 	for _, o := range options {
 		o(p)
@@ -101,7 +112,7 @@
 	if err != nil {
 		return nil, oleanderspool.ErrNotSent.Wrap(err, "cannot connect to %s", s.Instance)
 	}
-	return newConnection(conn, s.Run()), nil
+	return newConnection(conn, s.Run(), p.budget), nil
 }
 
 func (p *Pool) takeIdle(key directory.ServerRun, maxIdle oleanderspool.Millis, id oleanderspool.RequestID) *connection {
--- a/internal/command/forward.go
+++ b/internal/command/forward.go
@@ -22,6 +22,10 @@
 // works harder. The rest covers memory outside the heap.
 const memoryPart = 0.6
 
+// bufferPart is the part of an instance's memory for the buffers of requests and
+// answers. Buffers that grow leave garbage of the same size behind.
+const bufferPart = 0.2
+
 // forwardCommand runs an entry on the platform.
 type forwardCommand struct {
 	LogLevel string `long:"log-level" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info" description:"Lowest level of log lines"`
@@ -69,6 +73,9 @@
 		forward.WithRetryBudget(s.RetryBudget.Ratio, s.RetryBudget.Reserve),
 		forward.WithMaxKeyAge(s.KeyFreshness),
 	}
+	if s.MemoryBytes > 0 {
+		options = append(options, forward.WithBufferMemory(int64(float64(s.MemoryBytes)*bufferPart)))
+	}
 	if s.MemoryIdleTimeout > 0 {
 		options = append(options, forward.WithMemoryIdleTimeout(s.MemoryIdleTimeout))
 	}
--- a/internal/command/forward_test.go
+++ b/internal/command/forward_test.go
@@ -1,11 +1,15 @@
 package command
 
 import (
+	"bytes"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,7 +26,10 @@
 )
 
 var _ = Describe("An entry on the platform", func() {
-	const host = "pegs.example"
+	const (
+		host     = "pegs.example"
+		memoryMb = 184 // of the instance
+	)
 	var (
 		store    *platformtest.Store
 		runner   *platformtest.Runner
@@ -36,11 +43,15 @@
 		runner = platformtest.NewRunner(store, "runner-1", "llm")
 		DeferCleanup(runner.Close)
 		store.Configure(platformtest.Configuration{
-			Routes:   []platformtest.Route{{Name: "ask", Host: host, Prefix: "/ask/", Kind: platformtest.KindStream, Service: "llm", TimeoutMs: 6000, TTFTGoalMs: 300, Attempts: 2, Resumable: true}},
+			Routes: []platformtest.Route{
+				{Name: "ask", Host: host, Prefix: "/ask/", Kind: platformtest.KindStream, Service: "llm", TimeoutMs: 6000, TTFTGoalMs: 300, Attempts: 2, Resumable: true},
+				{Name: "lookup", Host: host, Prefix: "/lookup/", Kind: platformtest.KindIdempotent, Service: "app", TimeoutMs: 6000, TTFTGoalMs: 300, Attempts: 2},
+			},
 			Engines:  []string{"llm"},
+			Services: []string{"app"},
 			Accounts: map[string][]string{"crew": {"crew-key"}},
 		})
-		instance = platformtest.Instance{Name: "front-1", Listen: freeAddress(), Ready: freeAddress(), Control: freeAddress(), Peer: freeAddress()}
+		instance = platformtest.Instance{Name: "front-1", Listen: freeAddress(), Ready: freeAddress(), Control: freeAddress(), Peer: freeAddress(), MemoryMb: memoryMb}
 		variable, err := store.WriteSettings(GinkgoT().TempDir(), instance)
 		Expect(err).NotTo(HaveOccurred())
 		command := exec.Command(binary, "forward")
@@ -51,8 +62,8 @@
 		Eventually(func() int { return httpStatus(instance.Ready, "/") }, startBound, 20*time.Millisecond).Should(Equal(http.StatusOK))
 	})
 
-	ask := func() (string, error) {
-		r, err := http.NewRequest(http.MethodPost, "http://"+instance.Listen+"/ask/1", nil)
+	askAt := func(path string) (string, error) {
+		r, err := http.NewRequest(http.MethodPost, "http://"+instance.Listen+path, nil)
 		Expect(err).NotTo(HaveOccurred())
 		r.Host, r.Header = host, platformtest.CallerHeader{ID: "request-1", APIKey: "crew-key", PromptTokens: 1000}.Encode()
 		response, err := http.DefaultClient.Do(r)
@@ -63,6 +74,7 @@
 		body, err := io.ReadAll(response.Body)
 		return string(body), err
 	}
+	ask := func() (string, error) { return askAt("/ask/1") }
 
 	// Guards against a stop that cuts a stream, a process that does not end by
 	// itself, and a request that leaves no trace in the log.
@@ -161,6 +173,56 @@
 		}
 	})
 
+	// Guards against many requests whose answers, each within its bounds, together exceed
+	// the memory of the instance, so that the requests of all callers end with it.
+	for _, c := range []struct{ name, path, start string }{
+		{"a header line", "/ask/", "HTTP/1.1 200 OK\r\nX-A: "},
+		{"bytes that are no answer", "/lookup/", ""},
+		{"an event", "/ask/", platformtest.AnswerHead("", true, "Content-Type: text/event-stream\r\n") + "id: 1\ndata: "},
+		{"an answer", "/lookup/", platformtest.AnswerHead("", true, "")},
+	} {
+		It("stays within the memory of its instance while many servers send without end: "+c.name, func() {
+			const (
+				servers      = 21
+				callers      = 400
+				blockSize    = 32 << 10
+				blocksPerSec = 20
+			)
+			for i := range servers {
+				for _, service := range []string{"llm", "app"} {
+					r := platformtest.NewRunner(store, fmt.Sprintf("%s-%d", service, i), service)
+					DeferCleanup(r.Close)
+					r.SetBehaviour(platformtest.RawAnswer(func(conn net.Conn, _ string) {
+						block := bytes.Repeat([]byte("a"), blockSize)
+						for _, err := conn.Write([]byte(c.start)); err == nil; _, err = conn.Write(block) {
+							time.Sleep(time.Second / blocksPerSec)
+						}
+					}))
+				}
+			}
+			runner.Unregister()
+			Eventually(func() int { return bytes.Count(session.Out.Contents(), []byte(`"msg":"server ready"`)) }, startBound, 20*time.Millisecond).Should(Equal(1 + 2*servers))
+			answers := make(chan error, callers)
+			for i := range callers {
+				go func() {
+					_, err := askAt(c.path + strconv.Itoa(i))
+					answers <- err
+				}()
+			}
+			for range callers {
+				Eventually(answers, "15s").Should(Receive())
+			}
+			status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", session.Command.Process.Pid))
+			Expect(err).NotTo(HaveOccurred())
+			peak := regexp.MustCompile(`VmHWM:\s+(\d+) kB`).FindSubmatch(status)
+			Expect(peak).NotTo(BeNil())
+			kilobytes, err := strconv.Atoi(string(peak[1]))
+			Expect(err).NotTo(HaveOccurred())
+			GinkgoWriter.Println("peak of the resident memory in MiB:", kilobytes>>10)
+			Expect(kilobytes >> 10).To(BeNumerically("<", memoryMb))
+		})
+	}
+
 	// Guards against counters that nobody can read.
 	It("serves its counters and logs a reload", func() {
 		runner.SetBehaviour(platformtest.Stream(2, 0, 0))
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -11,8 +11,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/buffer"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/quarantine"
 )
@@ -44,7 +46,7 @@
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*transaction, *oleanderspool.Refusal) {
 	t := &transaction{
 		gateway: g, request: r, call: g.format.DecodeCallHeader(r.Header),
-		receivedAt: g.clock.Now(),
+		receivedAt: g.clock.Now(), body: buffer.New(g.buffers),
 	}
 	g.awaitConfiguration(r.Context())
 	t.snapshot = g.view.Snapshot()
@@ -172,11 +174,14 @@
 	if err := controller.SetReadDeadline(time.Now().Add(t.remaining().Duration())); err != nil {
 		t.gateway.logger.Debug("cannot bound the time for the body", "request_id", t.call.ID, "error", err.Error())
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, t.request.Body, limit))
+	_, err := t.body.ReadUpTo(http.MaxBytesReader(nil, t.request.Body, limit), math.MaxInt)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errorx.IsOfType(err, buffer.ErrExhausted):
+		t.recordExhausted("request", err)
+		return t.gateway.unavailableRefusal(oleanderspool.RefusalOverloaded, "the entry has no memory for the body")
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		t.gateway.logger.Warn("body did not arrive in time", "request_id", t.call.ID, "bytes", len(body), "age_ms", int64(t.gateway.clock.Now()-t.receivedAt))
+		t.gateway.logger.Warn("body did not arrive in time", "request_id", t.call.ID, "bytes", t.body.Len(), "age_ms", int64(t.gateway.clock.Now()-t.receivedAt))
 		return oleanderspool.Refuse(oleanderspool.RefusalTimeLimit, "the body did not arrive in time")
 	case errors.As(err, &tooLarge):
 		return oleanderspool.Refuse(oleanderspool.RefusalBodyTooLarge, "the body is too large")
@@ -186,12 +191,11 @@
 	if err := controller.SetReadDeadline(time.Time{}); err != nil {
 		t.gateway.logger.Debug("cannot end the time limit for the body", "request_id", t.call.ID, "error", err.Error())
 	}
-	t.body = body
 	h := xxhash.New()
 	for _, part := range []string{t.account.Name, "\x00", t.request.Method, "\x00", t.request.RequestURI, "\x00"} {
 		_, _ = h.WriteString(part) // hashing does not fail
 	}
-	_, _ = h.Write(body)
+	_, _ = h.Write(t.body.Bytes())
 	t.subject = quarantine.Subject{Request: oleanderspool.Fingerprint(h.Sum64())}
 	for _, p := range t.call.SharedParts {
 		t.subject.Parts = append(t.subject.Parts, partFingerprint(p))
--- a/internal/forward/answer_test.go
+++ b/internal/forward/answer_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/oleanderspool/oleanderspool/internal/forward"
 	"github.com/oleanderspool/oleanderspool/internal/gossip"
 	"github.com/oleanderspool/oleanderspool/platform/platformtest"
 )
@@ -238,3 +239,35 @@
 		Expect(h.send(query{path: "/reserve/1"}).status).To(Equal(200))
 	})
 })
+
+var _ = Describe("A request while no buffer memory is left", func() {
+	// Guards against requests that fail although they need no memory of the budget, and
+	// against a request that is refused as not run and runs.
+	long := strings.Repeat("x", 100<<10)
+	cases := []struct {
+		name, path, body, answer string
+		status, runs             int
+	}{
+		{"is served when it and its answer are short", "/reserve/1", "short", "short", http.StatusOK, 1},
+		{"is refused as not run when its body is long", "/reserve/1", long, "short", http.StatusServiceUnavailable, 0},
+		{"gets a long answer as it arrives", "/reserve/1", "short", long, http.StatusOK, 1},
+		{"fails when an event is long", "/ask/once/1", "short", "id: 1\ndata: " + long + "\n\n", http.StatusBadGateway, 1},
+	}
+	for _, c := range cases {
+		It(c.name, func() {
+			h := newHarness(1, 1, forward.WithBufferMemory(1))
+			h.behave(platformtest.RawAnswer(func(conn net.Conn, id string) {
+				platformtest.WriteRaw(conn, id, true, fmt.Sprintf("Content-Length: %d\r\n", len(c.answer)), c.answer)
+			}))
+			r := h.send(query{path: c.path, body: c.body, prompt: 1000})
+			Expect(r.status).To(Equal(c.status))
+			Expect(r.err).NotTo(HaveOccurred())
+			Expect(h.runs()).To(Equal(c.runs))
+			if c.status == http.StatusOK {
+				Expect(r.body).To(Equal(c.answer))
+			} else if c.runs == 0 {
+				Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+			}
+		})
+	}
+})
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/backend"
+	"github.com/oleanderspool/oleanderspool/internal/buffer"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/gossip"
 	"github.com/oleanderspool/oleanderspool/internal/observe"
@@ -57,6 +58,15 @@
 	return func(g *Gateway) { g.memoryIdleTimeout = limit }
 }
 
+// WithBufferMemory sets how many bytes of requests and answers the entry holds in
+// memory, over all requests. Small ones are not counted.
+func WithBufferMemory(bytes int64) Option {
+	return func(g *Gateway) { g.buffers = buffer.NewBudget(bytes) }
+}
+
+// defaultBufferMemory applies without [WithBufferMemory].
+const defaultBufferMemory = 64 << 20
+
 // defaultMemoryIdleTimeout applies without [WithMemoryIdleTimeout].
 const defaultMemoryIdleTimeout = 9 * oleanderspool.Second
 
@@ -73,6 +83,7 @@
 	maxKeyAge         oleanderspool.Millis
 	memoryIdleTimeout oleanderspool.Millis
 	quarantineStore   oleanderspool.QuarantineStore // nil for none
+	buffers           *buffer.Budget
 	shared            *sharedState
 	startedAt         oleanderspool.Millis
 	stoppingAt        atomic.Int64 // instant of Stop; 0 before it
@@ -85,7 +96,7 @@
 	g := &Gateway{
 		view: view, format: format, clock: clock,
 		logger: slog.New(slog.DiscardHandler), metrics: observe.NewMetrics(), memoryIdleTimeout: defaultMemoryIdleTimeout,
-		startedAt: clock.Now(),
+		startedAt: clock.Now(), buffers: buffer.NewBudget(defaultBufferMemory),
 		shared: &sharedState{
 			clock: clock, entry: entry, peers: noPeers{},
 			onRegistryUpdate: func(directory.RegistryUpdate) {}, onConfirmation: func(directory.Confirmation) {},
@@ -99,7 +110,7 @@
 	}
 	g.guard = observe.NewGuard(g.logger, g.metrics)
 	g.shared.onQuarantine = g.reportQuarantine
-	g.pool = backend.NewPool(clock, backend.WithObserver(g.observeAnswer))
+	g.pool = backend.NewPool(clock, backend.WithObserver(g.observeAnswer), backend.WithBudget(g.buffers))
 	return g
 }
 
@@ -238,6 +249,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	t, refusal := g.admit(w, r)
+	defer t.body.Reset()
 	defer t.recoverPanic()
 	if refusal != nil {
 		g.refuse(w, t, refusal)
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/buffer"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/quarantine"
 )
@@ -21,8 +23,9 @@
 	// minAttemptTimeout is the lower bound of that timeout.
 	minAttemptTimeout = 400 * oleanderspool.Millis(1)
 	// maxBuffered bounds the part of an answer, in bytes, that is read before
-	// any of it is passed on. A longer answer is passed on from then on, and
-	// the answer of another server can no longer replace it.
+	// any of it is passed on. A longer answer, or one for which no memory is left,
+	// is passed on from then on, and the answer of another server can no longer
+	// replace it.
 	maxBuffered = 1 << 20
 )
 
@@ -78,10 +81,16 @@
 	if a.outcome != answered {
 		return false
 	}
-	body, complete, err := readBuffered(a.exchange)
+	body := buffer.New(t.gateway.buffers)
+	defer body.Reset()
+	complete, err := body.ReadUpTo(a.exchange, maxBuffered)
+	if errorx.IsOfType(err, buffer.ErrExhausted) {
+		t.recordExhausted("answer", err)
+		err = nil
+	}
 	if err != nil {
 		a.outcome = broken
-		t.recordIncomplete(a, len(body), err)
+		t.recordIncomplete(a, body.Len(), err)
 		return false
 	}
 	answer := a.exchange.Answer
@@ -98,14 +107,14 @@
 	}
 	t.gateway.shared.recordAnswer(t.answeredSubject(answer.Status), a.Server.Instance)
 	if complete {
-		t.writeAnswer(w, a, body)
+		t.writeAnswer(w, a, body.Bytes())
 		return true
 	}
 	if !a.timeout.stop() {
 		a.outcome = broken
 		return false
 	}
-	t.streamAnswer(w, a, body)
+	t.streamAnswer(w, a, body.Bytes())
 	return true
 }
 
@@ -118,21 +127,6 @@
 	return quarantine.Subject{Request: t.subject.Request}
 }
 
-// readBuffered reads up to maxBuffered bytes of an answer and reports whether
-// that is all of it.
-func readBuffered(r io.Reader) (body []byte, complete bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(r, maxBuffered))
-	if err != nil || len(body) < maxBuffered {
-		return body, err == nil, err
-	}
-	var next [1]byte
-	n, err := io.ReadFull(r, next[:])
-	if errors.Is(err, io.EOF) {
-		return body, true, nil
-	}
-	return append(body, next[:n]...), false, err
-}
-
 // recordIncomplete logs an answer whose end is missing, and checks whether its
 // server crashed.
 func (t *transaction) recordIncomplete(a *attempt, size int, err error) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/buffer"
 )
 
 // maxEvent bounds the size of an event of a stream in bytes.
@@ -110,19 +111,23 @@
 // whole. It returns nil after the end of a complete answer.
 func (o *streamOutput) copyEvents(a *attempt) error {
 	reader := bufio.NewReaderSize(a.exchange, 4<<10)
-	var event []byte
+	event := buffer.New(o.transaction.gateway.buffers)
+	defer event.Reset()
 	id := ""
 	for {
 		line, err := reader.ReadSlice('\n')
-		if len(event)+len(line) > maxEvent {
+		if event.Len()+len(line) > maxEvent {
 			return oleanderspool.ErrInvalid.New("an event of the stream exceeds %d bytes", maxEvent)
 		}
-		event = append(event, line...)
+		if _, exhausted := event.Write(line); exhausted != nil {
+			o.transaction.recordExhausted("event", exhausted)
+			return exhausted
+		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err == io.EOF:
-			return o.checkEnd(event)
+			return o.checkEnd(event.Bytes())
 		case err != nil:
 			return err
 		}
@@ -132,13 +137,13 @@
 		if len(bytes.TrimRight(line, "\r\n")) > 0 {
 			continue
 		}
-		if err := o.writeEvent(a, event); err != nil {
+		if err := o.writeEvent(a, event.Bytes()); err != nil {
 			return err
 		}
 		if id != "" {
 			o.transaction.lastEvent = id
 		}
-		event = event[:0]
+		event.Reset()
 	}
 }
 
--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -12,6 +12,7 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/backend"
+	"github.com/oleanderspool/oleanderspool/internal/buffer"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/placement"
 	"github.com/oleanderspool/oleanderspool/internal/quarantine"
@@ -27,7 +28,7 @@
 	route           directory.Route
 	service         directory.Service
 	account         directory.Account
-	body            []byte
+	body            *buffer.Buffer
 	subject         quarantine.Subject
 	receivedAt      oleanderspool.Millis
 	deadline        oleanderspool.Millis
@@ -185,7 +186,7 @@
 	exchange, err := t.gateway.pool.Do(ctx, as.Server, backend.Request{
 		Method: t.request.Method, Target: t.request.RequestURI, Host: t.request.Host,
 		Header: t.gateway.format.EncodeForwardHeader(t.request.Header, forwarded),
-		Body:   t.body, ID: t.call.ID, NonIdempotent: !t.route.Repeatable(),
+		Body:   t.body.Bytes(), ID: t.call.ID, NonIdempotent: !t.route.Repeatable(),
 	}, t.gateway.format)
 	a.exchange, t.open.exchange = exchange, exchange
 	a.outcome = t.classify(a, err)
@@ -267,6 +268,12 @@
 	}
 }
 
+// recordExhausted records that something of a request found no room in memory.
+func (t *transaction) recordExhausted(part string, err error) {
+	t.gateway.metrics.StateChanged("buffer_memory_exhausted")
+	t.gateway.logger.Warn("buffer memory exhausted", "request_id", t.call.ID, "part", part, "error", err.Error())
+}
+
 // failedServer returns the server to which a failed attempt is attributed: the
 // helper that its answer names, or else the server that it was sent to.
 func (t *transaction) failedServer(a attempt) oleanderspool.InstanceID {
