Test answers whose heads are cut off after each byte

Report of another operator: a server stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole. Cause there: not known. Played here in five framings (length, chunks, end of the connection, stream, chunked stream) and three ends (FIN, RST, FIN after 0.2 s), cut after each byte of the head, with 100 callers: no answer was a success.

--- a/internal/forward/answer_test.go
+++ b/internal/forward/answer_test.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"path"
+	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -271,3 +274,54 @@
 		})
 	}
 })
+
+var _ = Describe("An answer whose head is cut off", func() {
+	// Guards against a success with an empty or short body, framed as whole, when a
+	// server stops in the middle of the head of its answer.
+	const callers = 100
+	framings := []struct{ name, path, fields string }{
+		{"with a length", "/reserve/", "Content-Length: 4\r\n"},
+		{"in chunks", "/lookup/", "Transfer-Encoding: chunked\r\n"},
+		{"that ends with its connection", "/reserve/", "Connection: close\r\n"},
+		{"of a stream", "/ask/", "Content-Type: text/event-stream\r\n"},
+		{"of a stream in chunks", "/ask/once/", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"},
+	}
+	ends := []struct {
+		name string
+		end  func(conn net.Conn)
+	}{
+		{"closes", func(net.Conn) {}},
+		{"resets", func(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) }},
+		{"closes later", func(net.Conn) { time.Sleep(200 * time.Millisecond) }},
+	}
+	for _, f := range framings {
+		for _, e := range ends {
+			It("is never a success "+f.name+" when its server "+e.name, func() {
+				h := newHarness(3, 6)
+				h.behave(func(r *platformtest.Runner, w http.ResponseWriter, q *http.Request) bool {
+					return platformtest.RawAnswer(func(conn net.Conn, id string) {
+						size, _ := strconv.Atoi(path.Base(q.URL.Path))
+						_, _ = conn.Write([]byte(platformtest.AnswerHead(id, true, f.fields)[:size]))
+						e.end(conn)
+					})(r, w, q)
+				})
+				requests := make(chan *http.Request, len(platformtest.AnswerHead("request-100", true, f.fields))-1)
+				for size := range cap(requests) {
+					requests <- h.newRequest(context.Background(), query{path: f.path + strconv.Itoa(size), prompt: 1000})
+				}
+				close(requests)
+				var sending sync.WaitGroup
+				for range callers {
+					sending.Go(func() {
+						defer GinkgoRecover()
+						for r := range requests {
+							Expect(h.statusOf(r)).To(BeElementOf(http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout), r.URL.Path)
+						}
+					})
+				}
+				sending.Wait()
+				Expect(h.runs()).To(BeNumerically(">", cap(requests)/2))
+			})
+		}
+	}
+})
