Close the connection of a request that was not answered

Cause: handlers returned without writing once the context of the request had ended, taking that for a caller that has gone. net/http ends it on any failed or ended read and completes what a handler leaves unfinished.

Ruled out: a refusal lost on a closing connection (the caller received a whole 200).

Why this works: each request leaves through callerAnswer, finished or broken off; endAnswer closes the connection of any other, logs and counts it. Refusals are written whatever the state of the context.

The soak has callers that close their sending side.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -43,7 +43,7 @@
 )
 
 // admit checks a request and reads its body. The transaction is never nil.
-func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*transaction, *oleanderspool.Refusal) {
+func (g *Gateway) admit(w *callerAnswer, r *http.Request) (*transaction, *oleanderspool.Refusal) {
 	t := &transaction{
 		gateway: g, request: r, call: g.format.DecodeCallHeader(r.Header),
 		receivedAt: g.clock.Now(), body: buffer.New(g.buffers),
@@ -166,7 +166,7 @@
 
 // readBody reads the body before the deadline of the request, so that a caller
 // that sends a byte now and then does not hold its connection and memory longer.
-func (t *transaction) readBody(w http.ResponseWriter, limit int64) *oleanderspool.Refusal {
+func (t *transaction) readBody(w *callerAnswer, limit int64) *oleanderspool.Refusal {
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
@@ -191,6 +191,7 @@
 	if err := controller.SetReadDeadline(time.Time{}); err != nil {
 		t.gateway.logger.Debug("cannot end the time limit for the body", "request_id", t.call.ID, "error", err.Error())
 	}
+	t.received = true
 	h := xxhash.New()
 	for _, part := range []string{t.account.Name, "\x00", t.request.Method, "\x00", t.request.RequestURI, "\x00"} {
 		_, _ = h.WriteString(part) // hashing does not fail
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -248,22 +248,26 @@
 	if g.stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	t, refusal := g.admit(w, r)
+	answer := &callerAnswer{ResponseWriter: w}
+	t, refusal := g.admit(answer, r)
 	defer t.body.Reset()
 	defer t.recoverPanic()
+	if refusal == nil {
+		refusal = t.run(answer)
+	}
 	if refusal != nil {
-		g.refuse(w, t, refusal)
-		return
+		g.refuse(answer, t, refusal)
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), t.remaining().Duration())
+	g.endAnswer(answer, t)
+}
+
+// run sends an admitted request to backend servers and answers it, or returns a refusal.
+func (t *transaction) run(answer *callerAnswer) *oleanderspool.Refusal {
+	ctx, cancel := context.WithTimeout(t.request.Context(), t.remaining().Duration())
 	defer cancel()
 	t.ctx = ctx
 	if t.route.Kind == directory.KindStream {
-		refusal = t.runStream(w)
-	} else {
-		refusal = t.runPlain(w)
-	}
-	if refusal != nil {
-		g.refuse(w, t, refusal)
+		return t.runStream(answer)
 	}
+	return t.runPlain(answer)
 }
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -30,7 +30,7 @@
 )
 
 // runPlain answers a request for a plain service.
-func (t *transaction) runPlain(w http.ResponseWriter) *oleanderspool.Refusal {
+func (t *transaction) runPlain(w *callerAnswer) *oleanderspool.Refusal {
 	for {
 		ctx, timeout := t.withAttemptTimeout()
 		a, found := t.try(ctx)
@@ -77,7 +77,7 @@
 
 // deliverPlain passes the answer on to the caller. It reports false when the
 // request has no final answer yet; the attempt's outcome then says why.
-func (t *transaction) deliverPlain(w http.ResponseWriter, a *attempt) bool {
+func (t *transaction) deliverPlain(w *callerAnswer, a *attempt) bool {
 	if a.outcome != answered {
 		return false
 	}
@@ -146,7 +146,7 @@
 }
 
 // writeAnswer sends the caller a complete answer of a backend server.
-func (t *transaction) writeAnswer(w http.ResponseWriter, a *attempt, body []byte) {
+func (t *transaction) writeAnswer(w *callerAnswer, a *attempt, body []byte) {
 	t.copyHeader(w, a.exchange.Header)
 	if length, stated := a.exchange.ContentLength(); t.request.Method != http.MethodHead {
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -156,19 +156,22 @@
 	w.WriteHeader(a.exchange.Answer.Status)
 	if _, err := w.Write(body); err != nil {
 		t.logCallerClosed(err)
+		w.breakOff()
+		return
 	}
+	w.finish()
 	t.logAnswered(a, len(body))
 }
 
 // streamAnswer sends the caller the start of an answer and then the rest as it
-// arrives. If the end of the answer is missing, it aborts the connection, so
-// that the answer does not look complete.
-func (t *transaction) streamAnswer(w http.ResponseWriter, a *attempt, start []byte) {
+// arrives.
+func (t *transaction) streamAnswer(w *callerAnswer, a *attempt, start []byte) {
 	t.copyHeader(w, a.exchange.Header)
 	if length, stated := a.exchange.ContentLength(); stated {
 		w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	w.WriteHeader(a.exchange.Answer.Status)
+	w.breakOff() // unless the rest arrives
 	if _, err := w.Write(start); err != nil {
 		t.logCallerClosed(err)
 		return
@@ -177,18 +180,18 @@
 	size := len(start) + int(rest)
 	switch {
 	case err == nil:
+		w.finish()
 		t.logAnswered(a, size)
 	case t.request.Context().Err() != nil:
 		t.logCallerClosed(err)
 	default:
 		t.recordIncomplete(a, size, err)
-		t.close(*a)
-		panic(http.ErrAbortHandler)
 	}
 }
 
 func (t *transaction) logCallerClosed(err error) {
-	t.gateway.logger.Info("caller closed the connection", "request_id", t.call.ID, "error", err.Error())
+	t.gateway.logger.Info("caller closed the connection", "request_id", t.call.ID, "error", err.Error(), "events", t.events,
+		"age_ms", int64(t.gateway.clock.Now()-t.receivedAt), "sends", t.sends)
 }
 
 func (t *transaction) logAnswered(a *attempt, size int) {
@@ -196,7 +199,7 @@
 		"bytes", size, "age_ms", int64(t.gateway.clock.Now()-t.receivedAt), "sends", t.sends)
 }
 
-func (t *transaction) copyHeader(w http.ResponseWriter, header http.Header) {
+func (t *transaction) copyHeader(w *callerAnswer, header http.Header) {
 	for name, values := range t.gateway.format.EncodeAnswerHeader(header) {
 		w.Header()[name] = values
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -17,7 +18,7 @@
 // streamOutput writes the events of a stream to the caller, over all attempts.
 type streamOutput struct {
 	transaction *transaction
-	w           http.ResponseWriter
+	w           *callerAnswer
 	controller  *http.ResponseController
 	firstAt     oleanderspool.Millis
 	contentType string // of the answer that the caller receives
@@ -28,13 +29,13 @@
 
 // runStream answers a request with a stream of events. A resumable stream that
 // is interrupted continues from another server within the same answer.
-func (t *transaction) runStream(w http.ResponseWriter) *oleanderspool.Refusal {
+func (t *transaction) runStream(w *callerAnswer) *oleanderspool.Refusal {
 	t.lastEvent = t.call.LastEventID
 	out := &streamOutput{transaction: t, w: w, controller: http.NewResponseController(w)}
 	for {
 		a, found := t.try(t.ctx)
 		if !found {
-			return out.refuseOrAbort(t.unplacedRefusal(a))
+			return out.refuseOrBreakOff(t.unplacedRefusal(a))
 		}
 		done := t.deliverStream(out, &a)
 		t.close(a)
@@ -42,26 +43,30 @@
 			return nil
 		}
 		if a.outcome != retryable && !t.claimRetry(a) {
-			return out.refuseOrAbort(t.failureRefusal())
+			return out.refuseOrBreakOff(t.failureRefusal())
 		}
 		t.gateway.metrics.Retried(oleanderspool.RetryEngineDied)
 	}
 }
 
-// refuseOrAbort returns the refusal if the caller has no part of an answer
-// yet. Otherwise it aborts the connection, so that the answer does not look
-// complete.
-func (o *streamOutput) refuseOrAbort(r *oleanderspool.Refusal) *oleanderspool.Refusal {
+// refuseOrBreakOff returns the refusal if the caller has no part of an answer yet, and
+// nil to break off the answer otherwise.
+func (o *streamOutput) refuseOrBreakOff(r *oleanderspool.Refusal) *oleanderspool.Refusal {
 	if !o.transaction.committed {
 		return r
 	}
+	o.w.breakOff()
+	if o.transaction.callerClosed() {
+		o.transaction.logCallerClosed(context.Canceled)
+		return nil
+	}
 	o.transaction.gateway.logger.Warn("stream to the caller aborted", "request_id", o.transaction.call.ID, "events", o.transaction.events, "last_event", o.transaction.lastEvent,
 		"reason", string(r.Reason), "sends", o.transaction.sends, "age_ms", int64(o.transaction.gateway.clock.Now()-o.transaction.receivedAt))
-	panic(http.ErrAbortHandler)
+	return nil
 }
 
-// deliverStream passes the events of an attempt on. It reports whether the
-// request has its final answer.
+// deliverStream passes the events of an attempt on. It reports whether no other attempt
+// may follow.
 func (t *transaction) deliverStream(out *streamOutput, a *attempt) bool {
 	if a.outcome != answered {
 		return false
@@ -81,13 +86,15 @@
 	err := out.copyEvents(a)
 	switch {
 	case err == nil:
+		out.w.finish()
 		t.gateway.shared.recordAnswer(t.subject, a.Server.Instance)
 		t.gateway.logger.Info("answered", "request_id", t.call.ID, "instance", a.Server.Instance, "events", t.events,
 			"first_ms", int64(out.firstAt-t.receivedAt), "predicted_ms", int64(a.TTFT), "helpers", len(a.Helpers),
 			"age_ms", int64(t.gateway.clock.Now()-t.receivedAt), "sends", t.sends)
 		return true
-	case errors.Is(err, errCallerClosed) || t.request.Context().Err() != nil:
-		t.gateway.logger.Info("caller closed the connection", "request_id", t.call.ID, "events", t.events, "age_ms", int64(t.gateway.clock.Now()-t.receivedAt))
+	case errors.Is(err, errCallerClosed):
+		t.logCallerClosed(err)
+		out.w.breakOff()
 		return true
 	}
 	a.outcome = broken
--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -29,6 +29,7 @@
 	service         directory.Service
 	account         directory.Account
 	body            *buffer.Buffer
+	received        bool // the whole request has arrived
 	subject         quarantine.Subject
 	receivedAt      oleanderspool.Millis
 	deadline        oleanderspool.Millis
@@ -427,17 +428,15 @@
 	return http.StatusBadGateway
 }
 
-// refuse sends the caller the entry's own answer.
-func (g *Gateway) refuse(w http.ResponseWriter, t *transaction, r *oleanderspool.Refusal) {
-	if t.request.Context().Err() != nil {
-		g.logger.Info("caller closed the connection", "request_id", t.call.ID, "age_ms", int64(g.clock.Now()-t.receivedAt), "sends", t.sends)
-		return
-	}
+// refuse sends the caller the entry's own answer, also one that has only closed its
+// sending side.
+func (g *Gateway) refuse(w *callerAnswer, t *transaction, r *oleanderspool.Refusal) {
 	status := statusOf(r)
-	g.metrics.Refused(r)
-	g.logger.Info("refused", "request_id", t.call.ID, "reason", string(r.Reason), "execution", r.Execution.String(), "status", status,
-		"retry_after_ms", int64(r.RetryAfter), "route", t.route.Name, "parts", t.call.SharedParts, "sends", t.sends,
-		"age_ms", int64(g.clock.Now()-t.receivedAt), "confirmed_ms", int64(t.confirmationAge))
+	if t.callerClosed() {
+		t.logCallerClosed(context.Canceled)
+	} else {
+		g.recordRefused(t, r, status)
+	}
 	for name, values := range g.format.EncodeRefusalHeader(t.call.ID, r.RetryAfter) {
 		w.Header()[name] = values
 	}
@@ -448,4 +447,20 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_, _ = w.Write(body) // a caller that closed the connection needs no answer
+	w.finish()
+}
+
+// callerClosed reports whether the caller has closed its connection, or its sending
+// side, after the whole request had arrived. Before that, net/http also ends the context
+// of a request whose body is late.
+func (t *transaction) callerClosed() bool {
+	return t.received && t.request.Context().Err() != nil
+}
+
+// recordRefused counts and logs a refusal.
+func (g *Gateway) recordRefused(t *transaction, r *oleanderspool.Refusal, status int) {
+	g.metrics.Refused(r)
+	g.logger.Info("refused", "request_id", t.call.ID, "reason", string(r.Reason), "execution", r.Execution.String(), "status", status,
+		"retry_after_ms", int64(r.RetryAfter), "route", t.route.Name, "parts", t.call.SharedParts, "sends", t.sends,
+		"age_ms", int64(g.clock.Now()-t.receivedAt), "confirmed_ms", int64(t.confirmationAge))
 }
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -23,7 +25,7 @@
 	entry      int
 	sentAt     time.Time
 	endedAt    time.Time
-	abandoned  bool // the caller cancelled before the answer was complete
+	abandoned  bool // the caller cancelled, or ended its sending side, before the answer was complete
 	status     int  // 0 if there was no answer
 	answeredID string
 	header     http.Header
@@ -61,9 +63,23 @@
 	return "stays"
 }
 
+const (
+	// One in halfCloseEvery requests of a caller is followed by the end of its sending
+	// side, halfCloseAfter later.
+	halfCloseEvery = 16
+	halfCloseAfter = 30 * time.Millisecond
+)
+
 func (c *callers) run(ctx context.Context, number int) {
 	rng := rand.New(rand.NewPCG(c.seed, uint64(number)))
-	transport := &http.Transport{IdleConnTimeout: 10 * time.Second}
+	var current atomic.Pointer[net.TCPConn]
+	transport := &http.Transport{IdleConnTimeout: 10 * time.Second, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, address)
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			current.Store(tcp)
+		}
+		return conn, err
+	}}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
 	entryIndex := rng.IntN(len(c.fleet.entries))
@@ -72,7 +88,19 @@
 		if r.promptTokens > 100_000 && rng.IntN(3) > 0 {
 			r = routes[2]
 		}
+		var halfClose *time.Timer
+		if i%halfCloseEvery == halfCloseEvery-1 {
+			halfClose = time.AfterFunc(halfCloseAfter, func() {
+				if conn := current.Load(); conn != nil {
+					_ = conn.CloseWrite() // the connection may have ended
+				}
+			})
+		}
 		o := c.send(client, entryIndex, r, fmt.Sprintf("r-%d-%d", number, i), c.key(rng), rng.IntN(25) == 0)
+		if halfClose != nil && !halfClose.Stop() {
+			o.abandoned = true
+			transport.CloseIdleConnections()
+		}
 		c.mu.Lock()
 		c.outcomes = append(c.outcomes, o)
 		c.mu.Unlock()
