Answer requests that are late in a planned stop

Cause: whether requests are still taken was checked before the body was read and not before the first send, so one whose body was late was passed on until the end of the grace; at that end the server closed all connections and left no time to answer.

Ruled out: late requests on kept connections ("A planned stop under load" sends them through the whole stop; none is cut).

Why this works: the check is made at the first send, for which nothing has run yet, so the 503 is true. Half a second before the end of the grace the requests in progress end and their callers get 503 or 502; the connections close 0.25 s later.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -52,7 +52,7 @@
 	t.snapshot = g.view.Snapshot()
 	t.confirmationAge = g.view.ConfirmationAge(t.receivedAt)
 	if g.refusesNew() {
-		return t, g.unavailableRefusal(oleanderspool.RefusalStopping, "the entry stops")
+		return t, g.stoppingRefusal()
 	}
 	c := t.snapshot.Configuration
 	if c == nil {
@@ -171,15 +171,16 @@
 		limit = defaultMaxBody
 	}
 	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(time.Now().Add(t.remaining().Duration())); err != nil {
-		t.gateway.logger.Debug("cannot bound the time for the body", "request_id", t.call.ID, "error", err.Error())
-	}
+	t.setReadDeadline(controller, time.Now().Add(t.remaining().Duration()))
+	defer context.AfterFunc(t.gateway.ended, func() { t.setReadDeadline(controller, time.Now()) })()
 	_, err := t.body.ReadUpTo(http.MaxBytesReader(nil, t.request.Body, limit), math.MaxInt)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errorx.IsOfType(err, buffer.ErrExhausted):
 		t.recordExhausted("request", err)
 		return t.gateway.unavailableRefusal(oleanderspool.RefusalOverloaded, "the entry has no memory for the body")
+	case errors.Is(err, os.ErrDeadlineExceeded) && t.gateway.ended.Err() != nil:
+		return t.gateway.stoppingRefusal()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		t.gateway.logger.Warn("body did not arrive in time", "request_id", t.call.ID, "bytes", t.body.Len(), "age_ms", int64(t.gateway.clock.Now()-t.receivedAt))
 		return oleanderspool.Refuse(oleanderspool.RefusalTimeLimit, "the body did not arrive in time")
@@ -188,9 +189,7 @@
 	case err != nil:
 		return oleanderspool.Refuse(oleanderspool.RefusalBadRequest, "the body is incomplete")
 	}
-	if err := controller.SetReadDeadline(time.Time{}); err != nil {
-		t.gateway.logger.Debug("cannot end the time limit for the body", "request_id", t.call.ID, "error", err.Error())
-	}
+	t.setReadDeadline(controller, time.Time{})
 	t.received = true
 	h := xxhash.New()
 	for _, part := range []string{t.account.Name, "\x00", t.request.Method, "\x00", t.request.RequestURI, "\x00"} {
@@ -204,6 +203,13 @@
 	return nil
 }
 
+// setReadDeadline sets the time until which the body may arrive; zero for any.
+func (t *transaction) setReadDeadline(controller *http.ResponseController, until time.Time) {
+	if err := controller.SetReadDeadline(until); err != nil {
+		t.gateway.logger.Debug("cannot set the time limit for the body", "request_id", t.call.ID, "error", err.Error())
+	}
+}
+
 // chooseService draws a service of the route by weight.
 func (t *transaction) chooseService(c *directory.Configuration) {
 	sum := 0.0
@@ -231,6 +237,12 @@
 	return oleanderspool.Refuse(reason, message).WithRetryAfter(jitter(meanRetryAfter))
 }
 
+// stoppingRefusal returns the refusal of a request that has not run and comes too late
+// in a planned stop.
+func (g *Gateway) stoppingRefusal() *oleanderspool.Refusal {
+	return g.unavailableRefusal(oleanderspool.RefusalStopping, "the entry stops")
+}
+
 // jitter returns a random duration between half and one and a half times the
 // mean, so that callers that were refused together do not retry together.
 func jitter(mean oleanderspool.Millis) oleanderspool.Millis {
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -86,7 +86,9 @@
 	buffers           *buffer.Budget
 	shared            *sharedState
 	startedAt         oleanderspool.Millis
-	stoppingAt        atomic.Int64 // instant of Stop; 0 before it
+	stoppingAt        atomic.Int64    // instant of Stop; 0 before it
+	ended             context.Context // ends with endRequests
+	endRequests       context.CancelFunc
 	inFlight          atomic.Int64
 }
 
@@ -105,6 +107,7 @@
 			changedQuarantine: make(chan struct{}, 1), unsaved: make(map[oleanderspool.Fingerprint]bool),
 		},
 	}
+	g.ended, g.endRequests = context.WithCancel(context.Background())
 	for _, o := range options {
 		o(g)
 	}
@@ -230,7 +233,14 @@
 // may not end before the process is killed.
 const acceptAfterStop = 2500 * oleanderspool.Millis(1)
 
-// refusesNew reports whether the entry no longer accepts new requests.
+// EndRequests ends the requests in progress: each caller without a part of its answer
+// gets a refusal that says whether the request may have run.
+func (g *Gateway) EndRequests() {
+	g.endRequests()
+}
+
+// refusesNew reports whether the entry no longer accepts new requests, nor sends
+// accepted ones that no backend server has received.
 func (g *Gateway) refusesNew() bool {
 	at := oleanderspool.Millis(g.stoppingAt.Load())
 	return at != 0 && g.clock.Now()-at > acceptAfterStop
@@ -265,6 +275,7 @@
 func (t *transaction) run(answer *callerAnswer) *oleanderspool.Refusal {
 	ctx, cancel := context.WithTimeout(t.request.Context(), t.remaining().Duration())
 	defer cancel()
+	defer context.AfterFunc(t.gateway.ended, cancel)()
 	t.ctx = ctx
 	if t.route.Kind == directory.KindStream {
 		return t.runStream(answer)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -46,8 +46,10 @@
 	// listener is closed also while connections arrive.
 	closeMargin = oleanderspool.Second
 	// stopMargin is the part at the end of the stop grace period that is
-	// reserved for the exit of the process.
+	// reserved for the refusal of the requests in progress and the exit of the process.
 	stopMargin = 500 * oleanderspool.Millis(1)
+	// refuseTimeout is the part of stopMargin for the refusals.
+	refuseTimeout = 250 * oleanderspool.Millis(1)
 )
 
 // Server serves callers over HTTP/1.1.
@@ -143,15 +145,24 @@
 	s.logger.Info("stopping", "running", s.gateway.InFlight(), "grace_ms", int64(grace))
 	time.Sleep(min(listenAfterStop, grace/2).Duration())
 	s.awaitQuiet(startedAt + grace - stopMargin - closeMargin)
-	left := max(0, grace-stopMargin-(s.clock.Now()-startedAt))
-	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
-	defer cancel()
-	err := s.server.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		s.logger.Warn("stop grace period over; aborting requests in progress", "running", s.gateway.InFlight())
-		return s.server.Close()
+	err := s.shutdown(grace - stopMargin - (s.clock.Now() - startedAt))
+	if !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	s.logger.Warn("stop grace period over; refusing requests in progress", "running", s.gateway.InFlight())
+	s.gateway.EndRequests()
+	if err := s.shutdown(refuseTimeout); !errors.Is(err, context.DeadlineExceeded) {
+		return err
 	}
-	return err
+	s.logger.Warn("closing connections with requests in progress", "running", s.gateway.InFlight())
+	return s.server.Close()
+}
+
+// shutdown closes idle connections and waits for the requests in progress.
+func (s *Server) shutdown(timeout oleanderspool.Millis) error {
+	ctx, cancel := context.WithTimeout(context.Background(), max(0, timeout).Duration())
+	defer cancel()
+	return s.server.Shutdown(ctx)
 }
 
 // awaitQuiet waits until no connection has arrived in several checks, or until an
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -131,3 +131,60 @@
 	<-l.release
 	return l.Listener.Accept()
 }
+
+var _ = Describe("A request late in a planned stop", func() {
+	// Guards against requests that are passed on when they can no longer end within the
+	// grace period, and against requests in progress at its end that get no answer.
+	const callers = 100
+	cases := []struct {
+		name, path string
+		from       time.Duration // after the stop began, when requests are sent
+		bodyAfter  time.Duration // until their bodies arrive
+		behave     platformtest.Behaviour
+		status     int
+		runs       int
+	}{
+		{"is refused as not run when its body arrives late", "/ask/once/1", -500 * time.Millisecond, 4 * time.Second, platformtest.Hang, http.StatusServiceUnavailable, 0},
+		{"is refused as not run when its body has not arrived at the end", "/audit/1", 2 * time.Second, 20 * time.Second, platformtest.Hang, http.StatusServiceUnavailable, 0},
+		{"gets an answer at the end when its server has sent none", "/audit/1", 2 * time.Second, 0, platformtest.Hang, http.StatusBadGateway, callers},
+		{"gets an answer at the end when it was accepted before the stop", "/audit/1", -500 * time.Millisecond, 0, platformtest.Hang, http.StatusBadGateway, callers},
+	}
+	for _, c := range cases {
+		It(c.name, func() {
+			h := newHarness(1, 8)
+			h.behave(c.behave)
+			stopAt := time.Now().Add(time.Second)
+			time.AfterFunc(time.Until(stopAt), h.stop)
+			statuses := make(chan int, callers)
+			for i := range callers {
+				var head bytes.Buffer
+				fmt.Fprintf(&head, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 4\r\n", c.path, host)
+				Expect(platformtest.CallerHeader{ID: fmt.Sprint("late-", i), APIKey: "crew-key", PromptTokens: 100}.Encode().Write(&head)).To(Succeed())
+				go func() {
+					defer GinkgoRecover()
+					time.Sleep(time.Until(stopAt.Add(c.from)))
+					conn, err := net.Dial("tcp", h.address)
+					Expect(err).NotTo(HaveOccurred())
+					defer conn.Close()
+					body := time.AfterFunc(c.bodyAfter, func() { _, _ = io.WriteString(conn, "body") })
+					defer body.Stop()
+					_, err = io.WriteString(conn, head.String()+"\r\n")
+					Expect(err).NotTo(HaveOccurred())
+					response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+					if err != nil {
+						statuses <- 0
+						return
+					}
+					_ = response.Body.Close()
+					statuses <- response.StatusCode
+				}()
+			}
+			for range callers {
+				Eventually(statuses, "12s").Should(Receive(Equal(c.status)))
+			}
+			Eventually(h.stopped, "2s").Should(Receive(BeNil()))
+			Expect(time.Since(stopAt)).To(BeNumerically("<", grace.Duration()))
+			Expect(h.runs()).To(Equal(c.runs))
+		})
+	}
+})
--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -142,8 +142,11 @@
 }
 
 // try places the request and sends it once. It reports false when no server is
-// left.
+// left, or when it is too late in a planned stop to send the request for the first time.
 func (t *transaction) try(ctx context.Context) (attempt, bool) {
+	if t.execution == oleanderspool.NotRun && t.gateway.refusesNew() {
+		return attempt{}, false
+	}
 	t.snapshot = t.gateway.view.Snapshot()
 	as, found := t.gateway.shared.place(t.snapshot.Servers(t.service.Name), t.service.Engine, t.placementRequest())
 	if !found {
@@ -400,6 +403,10 @@
 	switch {
 	case t.remaining() <= 0:
 		return t.timeLimitRefusal()
+	case t.execution == oleanderspool.NotRun && t.gateway.refusesNew():
+		return t.gateway.stoppingRefusal()
+	case t.gateway.ended.Err() != nil:
+		return oleanderspool.Refuse(oleanderspool.RefusalStopping, "the entry stopped before the answer was complete").WithExecution(t.execution)
 	case t.execution == oleanderspool.NotRun:
 		return t.gateway.unavailableRefusal(oleanderspool.RefusalNoBackendServer, "no backend server accepted the request")
 	default:
