Divide the bounds on the age of knowledge into the steps of a read

The bounds are 2 s.

Cause: the bounds were sums of a wait, a timeout, a pause, a second silent connection of the pool and, for servers, a grace after outages, and nothing added them up. The grace also followed a failure of the entry's own connections.

Why this works: NewBudget divides each bound so that a read, a silent connection and a call on a new one fit. The grace needs an outage by which registrations can expire, judged by the last read of any entry. Ages are metrics, and a line when a bound is passed.

Tests: WithMaxDrainDelay is replaced by WithBudget in two specs with the interval that they had.

--- a/internal/command/forward.go
+++ b/internal/command/forward.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/forward"
@@ -80,12 +81,29 @@
 		options = append(options, forward.WithMemoryIdleTimeout(s.MemoryIdleTimeout))
 	}
 	guard := observe.NewGuard(logger, metrics)
-	store := platform.NewStoreClient(s.StoreAddress)
+	budget, err := directory.NewBudget(s.MaxConfigurationDelay, s.MaxDrainDelay)
+	if err != nil {
+		logger.Warn("delays too short", "error", err.Error())
+	}
+	store := platform.NewStoreClient(s.StoreAddress, platform.WithCallTimeout(budget.CallTimeout))
 	options = append(options, forward.WithQuarantineStore(platform.NewQuarantineLog(store)))
 	gateway := forward.New(view, platform.Headers{}, clock, options...)
+	followerOptions := []directory.FollowerOption{
+		directory.WithBudget(budget),
+		directory.WithConfirmationTTL(gateway.EffectiveMaxKeyAge()),
+		directory.WithCoordinator(gateway.Coordinator()),
+		directory.WithGuard(guard),
+	}
+	if s.Heartbeat > 0 {
+		followerOptions = append(followerOptions, directory.WithHeartbeat(s.Heartbeat))
+	}
 	follower := directory.NewFollower(view, platform.NewConfigurationFeed(store), platform.NewServerFeed(store, clock), clock, logger,
-		directory.WithMaxDrainDelay(s.MaxDrainDelay), directory.WithConfirmationTTL(gateway.EffectiveMaxKeyAge()), directory.WithCoordinator(gateway.Coordinator()),
-		directory.WithGuard(guard))
+		followerOptions...)
+
+	metrics.ObserveAge("configuration_age_seconds", "Time since the instant up to which the configuration is confirmed.",
+		func() oleanderspool.Millis { return view.ConfirmationAge(clock.Now()) })
+	metrics.ObserveAge("servers_age_seconds", "Time since the last read of the registry of backend servers that was answered.",
+		func() oleanderspool.Millis { return view.ServersAge(clock.Now()) })
 
 	listeners, err := listenForward(s)
 	if err != nil {
@@ -108,6 +126,7 @@
 	}
 	run(follower.RunConfigurations)
 	run(follower.RunServers)
+	run(follower.RunAgeChecks)
 	run(gateway.Run)
 	run(node.Run)
 	group.Go(func() error { return env.runReloads(after, logger) })
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -45,48 +45,33 @@
 }
 
 const (
-	// maxReadWait is the longest time that a read waits for a new configuration.
-	// While the store answers, the confirmation is at most this old.
-	maxReadWait = 2500 * oleanderspool.Millis(1)
 	// renewalFraction is the fraction of the lifetime of a confirmation after which
 	// it is renewed. The rest covers a call that gets no answer and its retry at a
 	// slow store.
 	renewalFraction = 0.55
-	// drainReadFraction is the fraction of the maximum drain delay after which the
-	// registry is read again. The rest covers one call that gets no answer and its
-	// retry.
-	drainReadFraction = 0.45
-	// defaultServerInterval applies without [WithMaxDrainDelay].
-	defaultServerInterval = 600 * oleanderspool.Millis(1)
 	// retryInterval is the delay between reads that fail.
 	retryInterval = 250 * oleanderspool.Millis(1)
 	// maxRetryInterval bounds the delay for an entry that others read for: it doubles
 	// with each failure, so that a fleet does not load a store in trouble.
 	maxRetryInterval = oleanderspool.Second
-	// sharedReadWait is the longest time that a read waits for a new configuration
-	// while other entries depend on its confirmation. It is shorter than maxReadWait by
-	// the interval at which they ask.
-	sharedReadWait = 1200 * oleanderspool.Millis(1)
 	// maxOwnReadDelay bounds the random delay after which an entry that gets no
 	// confirmation from others reads the configuration itself.
 	maxOwnReadDelay = 300 * oleanderspool.Millis(1)
 	// maxChangeReadDelay bounds the random delay after which an entry reads a
 	// configuration that another one has announced. It spreads the load on the store.
 	maxChangeReadDelay = 150 * oleanderspool.Millis(1)
-	// changeReadInterval is the smallest time between two reads of announced
-	// configurations, so that several in quick succession are read together. It is a
-	// half of the shortest time within which a configuration must be in force.
-	changeReadInterval = oleanderspool.Second
-	// readDelayFraction bounds the delay of the entries that read the registry when
-	// the others do not, as a fraction of the maximum drain delay.
-	readDelayFraction = 0.225
-	// defaultMaxReadDelay applies without [WithMaxDrainDelay].
-	defaultMaxReadDelay = 300 * oleanderspool.Millis(1)
 	// expiryGrace is the time after an outage of the store during which a removed
 	// server is still used: its registration may have expired only because the
 	// server could not renew it. It is shorter than the time after which a server
 	// that left must receive no more requests.
 	expiryGrace = 1500 * oleanderspool.Millis(1)
+	// expiryHeartbeats is the length of an outage, in heartbeats of the servers, from
+	// which on registrations may expire by it. A registration expires after three
+	// heartbeats without a renewal, and the last one may have preceded the outage by
+	// one and some delay.
+	expiryHeartbeats = 1.6
+	// defaultHeartbeat applies without [WithHeartbeat].
+	defaultHeartbeat = 1200 * oleanderspool.Millis(1)
 )
 
 // Follower keeps a view up to date from a configuration feed and a server feed.
@@ -95,17 +80,16 @@
 	clock  oleanderspool.Clock
 	logger *slog.Logger
 
-	// wait is how long a read waits for a new configuration.
-	wait           oleanderspool.Millis
+	budget  Budget
+	renewal oleanderspool.Millis // time after which a confirmation is renewed; 0 if it does not expire
+	// expiryOutage is the length of an outage of the store by which registrations may
+	// expire.
+	expiryOutage   oleanderspool.Millis
 	configurations feedState
 	servers        feedState
 	expired        []Change // removals that are deferred to the end of the grace period
 	coordinator    Coordinator
 	received       chan receivedUpdate
-	// serverInterval is the time between two reads of the registry. All records that
-	// arrive within an interval are fetched by one read.
-	serverInterval oleanderspool.Millis
-	maxReadDelay   oleanderspool.Millis
 	confirmations  chan Confirmation
 	changeReadAt   oleanderspool.Millis // last read of an announced configuration
 	guard          *observe.Guard
@@ -114,13 +98,14 @@
 // FollowerOption configures a [Follower].
 type FollowerOption func(*Follower)
 
-// WithMaxDrainDelay sets the time within which the entry must learn that a server
-// is draining.
-func WithMaxDrainDelay(delay oleanderspool.Millis) FollowerOption {
-	return func(f *Follower) {
-		f.serverInterval = oleanderspool.Millis(float64(delay) * drainReadFraction)
-		f.maxReadDelay = oleanderspool.Millis(float64(delay) * readDelayFraction)
-	}
+// WithBudget sets when and how long the follower reads.
+func WithBudget(b Budget) FollowerOption {
+	return func(f *Follower) { f.budget = b }
+}
+
+// WithHeartbeat sets the interval at which servers renew their registrations.
+func WithHeartbeat(interval oleanderspool.Millis) FollowerOption {
+	return func(f *Follower) { f.expiryOutage = part(interval, expiryHeartbeats) }
 }
 
 // WithConfirmationTTL sets how long a confirmation of the configuration is valid; 0
@@ -128,7 +113,7 @@
 func WithConfirmationTTL(ttl oleanderspool.Millis) FollowerOption {
 	return func(f *Follower) {
 		if ttl > 0 {
-			f.wait = min(f.wait, oleanderspool.Millis(float64(ttl)*renewalFraction))
+			f.renewal = part(ttl, renewalFraction)
 		}
 	}
 }
@@ -165,9 +150,10 @@
 // NewFollower returns a follower that updates view from the two feeds once
 // [Follower.RunConfigurations] and [Follower.RunServers] run.
 func NewFollower(view *View, configurations, servers Feed, clock oleanderspool.Clock, logger *slog.Logger, options ...FollowerOption) *Follower {
+	budget, _ := NewBudget(0, 0) // no delay is too short
 	f := &Follower{
-		view: view, clock: clock, logger: logger, wait: maxReadWait, serverInterval: defaultServerInterval,
-		guard: observe.NewGuard(logger, observe.NewMetrics()), maxReadDelay: defaultMaxReadDelay,
+		view: view, clock: clock, logger: logger, budget: budget, expiryOutage: part(defaultHeartbeat, expiryHeartbeats),
+		guard:       observe.NewGuard(logger, observe.NewMetrics()),
 		coordinator: noCoordinator{}, received: make(chan receivedUpdate, maxReceived), confirmations: make(chan Confirmation, maxReceived),
 		configurations: feedState{name: "configuration", feed: configurations},
 		servers:        feedState{name: "servers", feed: servers},
@@ -175,6 +161,9 @@
 	for _, o := range options {
 		o(f)
 	}
+	if f.renewal > 0 {
+		f.budget.ReadWait = min(f.budget.ReadWait, f.renewal)
+	}
 	return f
 }
 
@@ -194,9 +183,13 @@
 }
 
 func (f *Follower) followConfigurations(ctx context.Context) {
-	confirmed, failures := false, 0
+	confirmed, changed, failures := false, false, 0
 	for ctx.Err() == nil {
 		wait := f.readWait()
+		if changed {
+			// The reply confirmed the instant at which its read was sent.
+			wait = max(0, wait-f.view.ConfirmationAge(f.clock.Now()))
+		}
 		if !confirmed {
 			wait = 0
 		} else if !f.coordinator.ReadsConfiguration() && f.awaitConfirmations(ctx) {
@@ -204,7 +197,7 @@
 		}
 		sentAt, from, incremental := f.clock.Now(), f.configurations.next, f.configurations.synced
 		batch, ok := f.read(ctx, &f.configurations, wait)
-		confirmed = ok && incremental && !batch.More
+		confirmed, changed = ok && incremental && !batch.More, len(batch.Changes) > 0
 		for _, c := range batch.Changes {
 			f.configure(c)
 		}
@@ -227,18 +220,22 @@
 // readWait returns how long a read waits for a new configuration.
 func (f *Follower) readWait() oleanderspool.Millis {
 	if f.coordinator.ServesConfirmations() {
-		return min(f.wait, sharedReadWait)
+		return min(f.budget.ReadWait, f.budget.SharedReadWait)
 	}
-	return f.wait
+	return f.budget.ReadWait
 }
 
-// retryDelay returns the delay after a number of failed reads before this one. It
-// grows only if others read for this entry.
+// retryDelay returns the delay after a number of failed reads before this one. The
+// first retry is immediate, since a connection may have gone silent while new ones work.
+// Later delays grow only if others read for this entry.
 func (f *Follower) retryDelay(failures int, grows bool) oleanderspool.Millis {
+	if failures == 0 {
+		return 0
+	}
 	if !grows {
 		return retryInterval
 	}
-	return min(retryInterval<<min(failures, 8), maxRetryInterval)
+	return min(retryInterval<<min(failures-1, 8), maxRetryInterval)
 }
 
 // ReceiveConfirmation queues the confirmation of another entry. It does not block.
@@ -254,7 +251,7 @@
 // configuration, or other entries depend on it. It reports whether the read is to
 // return at once.
 func (f *Follower) awaitConfirmations(ctx context.Context) bool {
-	maxAge := f.wait + rand.N(maxOwnReadDelay)
+	maxAge := f.budget.ReadWait + rand.N(maxOwnReadDelay)
 	for ctx.Err() == nil {
 		if f.coordinator.ReadsConfiguration() {
 			return false
@@ -270,7 +267,7 @@
 		case c := <-f.confirmations:
 			if c.Next > f.configurations.next {
 				timer.Stop()
-				spacing := max(0, f.changeReadAt+changeReadInterval-f.clock.Now())
+				spacing := max(0, f.changeReadAt+f.budget.ChangeReadInterval-f.clock.Now())
 				clock.Sleep(ctx, spacing+rand.N(maxChangeReadDelay))
 				f.changeReadAt = f.clock.Now()
 				return true
@@ -297,11 +294,12 @@
 func (f *Follower) followServers(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
+		f.applyReceived()
 		if f.readServers(ctx) {
 			failures = 0
 			f.awaitRead(ctx)
 		} else {
-			clock.Sleep(ctx, f.retryDelay(failures, f.coordinator.ReadDelay(f.maxReadDelay) > 0))
+			clock.Sleep(ctx, f.retryDelay(failures, f.coordinator.ReadDelay(f.budget.ReadDelay) > 0))
 			failures++
 		}
 	}
@@ -327,6 +325,7 @@
 	// grace period may lack expired registrations and is read again after the interval.
 	if ok && !batch.More && (!full || !f.servers.synced) {
 		f.servers.lastReadAt = sentAt
+		f.view.ServersRead(sentAt)
 	}
 	if ok && !batch.More && !full {
 		f.publish(from, applied, sentAt)
@@ -338,7 +337,7 @@
 // updates of other entries meanwhile. An update postpones the read.
 func (f *Follower) awaitRead(ctx context.Context) {
 	for ctx.Err() == nil {
-		left := f.servers.lastReadAt + f.serverInterval + f.coordinator.ReadDelay(f.maxReadDelay) - f.clock.Now()
+		left := f.servers.lastReadAt + f.budget.ServerInterval + f.coordinator.ReadDelay(f.budget.ReadDelay) - f.clock.Now()
 		if left <= 0 {
 			return
 		}
@@ -353,6 +352,18 @@
 	}
 }
 
+// applyReceived applies the updates of other entries that arrived during a read.
+func (f *Follower) applyReceived() {
+	for {
+		select {
+		case u := <-f.received:
+			f.apply(u)
+		default:
+			return
+		}
+	}
+}
+
 // inGrace reports whether the store recovered so recently that the registry may
 // still lack servers that could not renew their registrations during the outage.
 func (f *Follower) inGrace() bool {
@@ -408,8 +419,13 @@
 		return Batch{}, false
 	}
 	if s.failingSince != 0 {
-		f.logger.Info("store reachable again", "feed", s.name, "after_ms", int64(now-s.failingSince))
-		s.failingSince, s.recoveredAt = 0, now
+		f.logger.Info("store reachable again", "feed", s.name, "after_ms", int64(now-s.failingSince), "last_read_ms", int64(now-s.lastReadAt))
+		s.failingSince = 0
+		// After a shorter time only connections of this entry have failed, or no
+		// registration has expired yet.
+		if now-s.lastReadAt >= f.expiryOutage {
+			s.recoveredAt = now
+		}
 	}
 	if !s.synced {
 		s.listEnd = batch.Next
--- a/internal/directory/follower_test.go
+++ b/internal/directory/follower_test.go
@@ -116,6 +116,44 @@
 	return directory.Batch{Next: from}, nil
 }
 
+// changingFeed returns a change at the end of the wait of its second read.
+type changingFeed struct {
+	clock  *clock.Manual
+	cancel context.CancelFunc
+	waits  []oleanderspool.Millis
+}
+
+func (f *changingFeed) Newest(context.Context) (directory.Batch, error) {
+	return directory.Batch{}, nil
+}
+
+func (f *changingFeed) Compacted(error) bool { return false }
+
+func (f *changingFeed) Read(_ context.Context, from oleanderspool.Offset, wait oleanderspool.Millis) (directory.Batch, error) {
+	f.waits = append(f.waits, wait)
+	f.clock.Advance(wait)
+	switch len(f.waits) {
+	case 2:
+		return directory.Batch{Changes: []directory.Change{{Offset: from, Err: context.Canceled}}, Next: from + 1}, nil
+	case 3:
+		f.cancel()
+	}
+	return directory.Batch{Next: from}, nil
+}
+
+var _ = Describe("A change that arrives at the end of the wait of a read", func() {
+	// Guards against keys that expire although the store answers: the reply confirms the
+	// instant at which its read was sent, and the next read waits as long again.
+	It("makes the next read confirm the configuration at once", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		manual := clock.NewManual(100)
+		feed := &changingFeed{clock: manual, cancel: cancel}
+		directory.NewFollower(directory.NewView(), feed, feed, manual, slog.New(slog.DiscardHandler)).RunConfigurations(ctx)
+		Expect(feed.waits).To(Equal([]oleanderspool.Millis{0, 2500, 0}))
+	})
+})
+
 var _ = Describe("The wait of a read for a new configuration", func() {
 	// Guards against confirmations that expire at every entry although the store
 	// answers, in a deployment with a short confirmation TTL.
--- a/internal/directory/registry_update.go
+++ b/internal/directory/registry_update.go
@@ -84,11 +84,11 @@
 }
 
 // apply applies the update of another entry. It ignores the update when records
-// before it are missing here, when this entry's copy of the registry is incomplete
-// or its reads fail, and during the grace period after an outage.
+// before it are missing here, when this entry's copy of the registry is incomplete, and
+// during the grace period after an outage.
 func (f *Follower) apply(u receivedUpdate) {
 	s := &f.servers
-	if !s.synced || f.inGrace() || len(f.expired) > 0 || s.failingSince != 0 || u.From > s.next {
+	if !s.synced || f.inGrace() || len(f.expired) > 0 || u.From > s.next {
 		return
 	}
 	changes := make([]Change, len(u.Changes))
@@ -98,6 +98,7 @@
 	f.register(changes)
 	s.next = max(s.next, u.Next)
 	s.lastReadAt = max(s.lastReadAt, u.sentAt)
+	f.view.ServersRead(s.lastReadAt)
 }
 
 // publish sends the changes that a read from an offset found to the other entries,
@@ -117,7 +118,7 @@
 		part := changes[:maxUpdateChanges]
 		next := part[maxUpdateChanges-1].Offset + 1
 		// Only the last update is as new as the read.
-		f.coordinator.Publish(RegistryUpdate{From: from, Next: next, Changes: part, Age: f.serverInterval + now - sentAt})
+		f.coordinator.Publish(RegistryUpdate{From: from, Next: next, Changes: part, Age: f.budget.ServerInterval + now - sentAt})
 		from, changes = next, changes[maxUpdateChanges:]
 	}
 	f.coordinator.Publish(RegistryUpdate{From: from, Next: f.servers.next, Changes: changes, Age: now - sentAt})
--- a/internal/directory/registry_update_test.go
+++ b/internal/directory/registry_update_test.go
@@ -66,6 +66,7 @@
 		maxDelay = 400 * oleanderspool.Millis(1)
 		interval = 180 * time.Millisecond // between the reads with that delay
 	)
+	budget := directory.Budget{ServerInterval: oleanderspool.MillisOf(interval), ReadDelay: 90}
 	var (
 		feed     *countingFeed
 		view     *directory.View
@@ -76,7 +77,7 @@
 		feed = &countingFeed{next: 10}
 		view = directory.NewView()
 		boot := clock.NewBoot()
-		follower = directory.NewFollower(view, feed, feed, boot, slog.New(slog.DiscardHandler), directory.WithMaxDrainDelay(maxDelay))
+		follower = directory.NewFollower(view, feed, feed, boot, slog.New(slog.DiscardHandler), directory.WithBudget(budget))
 		ctx, stop := context.WithCancel(context.Background())
 		DeferCleanup(stop)
 		go follower.RunServers(ctx)
@@ -91,7 +92,7 @@
 		published := make(chan directory.RegistryUpdate, 100)
 		many := &manyChanges{count: 100}
 		reader := directory.NewFollower(directory.NewView(), many, many, clock.NewBoot(), slog.New(slog.DiscardHandler),
-			directory.WithMaxDrainDelay(maxDelay), directory.WithCoordinator(publisher{&subscriber{}, published}))
+			directory.WithBudget(budget), directory.WithCoordinator(publisher{&subscriber{}, published}))
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
 		go reader.RunServers(ctx)
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -31,6 +31,7 @@
 	records   map[oleanderspool.InstanceID]registration
 	snapshot  atomic.Pointer[Snapshot]
 	confirmed atomic.Int64 // instant; 0 before the first read
+	readAt    atomic.Int64 // of the registry; instant, 0 before the first read
 	ready     chan struct{}
 	isReady   bool
 }
@@ -93,6 +94,21 @@
 	return math.MaxInt32
 }
 
+// ServersRead records that a read of the registry that was sent at an instant, by this
+// or another entry, was answered and applied.
+func (v *View) ServersRead(sentAt oleanderspool.Millis) {
+	v.readAt.Store(int64(sentAt))
+}
+
+// ServersAge returns the time since the last read of the registry that was answered. If
+// there was none, the age exceeds every limit that callers apply.
+func (v *View) ServersAge(now oleanderspool.Millis) oleanderspool.Millis {
+	if at := oleanderspool.Millis(v.readAt.Load()); at != 0 {
+		return now - at
+	}
+	return math.MaxInt32
+}
+
 // Configure replaces the current configuration if the given one is newer, and
 // reports whether it did.
 func (v *View) Configure(c *Configuration, offset oleanderspool.Offset) bool {
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -129,6 +129,13 @@
 	}
 }
 
+// ObserveAge adds a gauge of the age of something that the process knows.
+func (m *Metrics) ObserveAge(name, help string, age func() oleanderspool.Millis) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, func() float64 {
+		return age().Duration().Seconds()
+	}))
+}
+
 // Handler serves the metrics over HTTP.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
