Follow an outage that the store shows by the grace for registrations

"keeps its server in use until the server registers again" failed: a registration that expired during an outage of 1 s, with refused calls, was removed at once.

Only timeouts look the same for a silent connection and for an outage, so only after timeouts the length decides. Ruled out: a longer retry (the failure was a 503).

--- a/errors.go
+++ b/errors.go
@@ -14,6 +14,9 @@
 	// ErrUnavailable marks an action that had no effect because the peer could
 	// not be reached or refused the action temporarily.
 	ErrUnavailable = errorNamespace.NewType("unavailable")
+	// ErrTimeout marks a call that got no answer in time. Its connection may have gone
+	// silent while the peer is reachable.
+	ErrTimeout = ErrUnavailable.NewSubtype("timeout")
 	// ErrNotSent marks a call that the peer did not receive.
 	ErrNotSent = errorNamespace.NewType("not_sent")
 	// ErrFenced marks an order that was refused because its fencing token is too
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/observe"
@@ -142,6 +144,8 @@
 	// failingSince is the instant of the first failed read since the last successful
 	// one; 0 while the store answers.
 	failingSince oleanderspool.Millis
+	// timeoutsOnly says that all failed reads since then got no answer in time.
+	timeoutsOnly bool
 	recoveredAt  oleanderspool.Millis
 	listEnd      oleanderspool.Offset // Next of the last reply of Newest, which may be seconds old
 	lastReadAt   oleanderspool.Millis // instant at which the last successful read was sent, by this or another entry
@@ -412,6 +416,8 @@
 			f.logger.Info("records at offset deleted; reading the newest records", "feed", s.name, "offset", s.next)
 			s.synced = false
 		}
+		timeout := errorx.IsOfType(err, oleanderspool.ErrTimeout)
+		s.timeoutsOnly = timeout && (s.timeoutsOnly || s.failingSince == 0)
 		if s.failingSince == 0 && ctx.Err() == nil {
 			s.failingSince = now
 			f.logger.Warn("store unreachable", "feed", s.name, "error", err.Error())
@@ -421,9 +427,9 @@
 	if s.failingSince != 0 {
 		f.logger.Info("store reachable again", "feed", s.name, "after_ms", int64(now-s.failingSince), "last_read_ms", int64(now-s.lastReadAt))
 		s.failingSince = 0
-		// After a shorter time only connections of this entry have failed, or no
-		// registration has expired yet.
-		if now-s.lastReadAt >= f.expiryOutage {
+		// Timeouts for a shorter time are those of connections that have gone silent, or
+		// no registration has expired meanwhile.
+		if !s.timeoutsOnly || now-s.lastReadAt >= f.expiryOutage {
 			s.recoveredAt = now
 		}
 	}
