Keep an instance running when nobody reads its log

Callers would see: all requests of an entry cut when the reader of its standard output goes away.

Cause: Go raises SIGPIPE for a write to descriptors 1 and 2 that fails, and its default action ends the process. Ruled out: an error of the writer (AsyncWriter drops what it cannot write).

Evidence: "serves on when nobody reads its log" failed before (EOF) and passes. Subcommands that are no instances keep the default action, for pipes.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -124,6 +124,7 @@
 	active := values[parser.Active.Name]
 	if r, ok := active.(role); ok {
 		env.reload = r.reload
+		signal.Ignore(syscall.SIGPIPE) // a log that nobody reads must not end an instance
 	} else {
 		var stop context.CancelFunc
 		env.ctx, stop = signal.NotifyContext(env.ctx, syscall.SIGHUP)
--- a/internal/command/forward_test.go
+++ b/internal/command/forward_test.go
@@ -173,6 +173,34 @@
 		}
 	})
 
+	// Guards against a log reader that goes away and takes the process and its requests
+	// with it.
+	It("serves on when nobody reads its log", func() {
+		reader, writer, err := os.Pipe()
+		Expect(err).NotTo(HaveOccurred())
+		second := platformtest.Instance{Name: "front-2", Listen: freeAddress(), Ready: freeAddress(), Control: freeAddress(), Peer: freeAddress()}
+		variable, err := store.WriteSettings(GinkgoT().TempDir(), second)
+		Expect(err).NotTo(HaveOccurred())
+		command := exec.Command(binary, "forward")
+		command.Env, command.Stdout = append(os.Environ(), variable), writer
+		Expect(command.Start()).To(Succeed())
+		DeferCleanup(func() {
+			_ = command.Process.Kill() // it has usually exited
+		})
+		Eventually(func() int { return httpStatus(second.Ready, "/") }, startBound, 20*time.Millisecond).Should(Equal(http.StatusOK))
+		Expect(writer.Close()).To(Succeed())
+		Expect(reader.Close()).To(Succeed())
+		instance = second
+		runner.SetBehaviour(platformtest.Stream(3, 0, 100*time.Millisecond))
+		for range 2 {
+			body, err := ask()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(ContainSubstring("piece 3"))
+		}
+		Expect(command.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Expect(command.Wait()).To(Succeed())
+	})
+
 	// Guards against many requests whose answers, each within its bounds, together exceed
 	// the memory of the instance, so that the requests of all callers end with it.
 	for _, c := range []struct{ name, path, start string }{
