Keep only the start of an endless answer in the soak's callers

Cause: the callers kept answers without end, 0.5 to 2.1 GB each, and read them long after the entry had ended them. Ruled out: an entry that ends late.

The callers now keep 1 MiB, more than any complete answer, and read on to the end; limits and checks are unchanged.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -112,6 +112,11 @@
 	}
 }
 
+// maxKept is how many bytes of an answer a caller keeps. It exceeds every complete answer;
+// a caller that kept an answer without end would still be reading it long after the entry
+// has ended it.
+const maxKept = 1 << 20
+
 // send sends one request and reads the whole answer. With abandons set, the caller
 // cancels the request after 150 ms.
 func (c *callers) send(client *http.Client, entryIndex int, r route, id, key string, abandons bool) outcome {
@@ -129,7 +134,10 @@
 	response, err := client.Do(q)
 	if err == nil {
 		var body []byte
-		body, err = io.ReadAll(response.Body)
+		body, err = io.ReadAll(io.LimitReader(response.Body, maxKept))
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+		}
 		_ = response.Body.Close()
 		o.status, o.header, o.body = response.StatusCode, response.Header, string(body)
 		o.answeredID = platformtest.AnswerRequestID(response.Header)
