Signal only the process of the soak that stops

Cause: the signals that a stopping entry gets were sent to its successor when it exited in the moment of a signal; the successor stopped and nobody started another one. Found by reading; not repeated with logs, since the moment is some microseconds long.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -189,15 +189,16 @@
 // signals until it exits. The returned function waits for that and restarts it.
 func (in *injector) stop(i int, e *entry) func() {
 	at := time.Now()
+	exited := e.done()
 	e.signal(syscall.SIGTERM)
 	go func() {
-		for exited := e.done(); ; {
+		for {
 			select {
 			case <-exited:
 				return
 			case <-time.After(signalInterval):
-				e.signal(syscall.SIGHUP)
-				e.signal(syscall.SIGTERM)
+				e.signalProcess(exited, syscall.SIGHUP)
+				e.signalProcess(exited, syscall.SIGTERM)
 			}
 		}
 	}()
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -87,10 +87,19 @@
 
 // signal sends a signal to the process if it is running.
 func (e *entry) signal(s syscall.Signal) {
+	e.signalProcess(e.done(), s)
+}
+
+// signalProcess sends a signal to the process whose exit closes a channel, unless another
+// one has been started since.
+func (e *entry) signalProcess(exited <-chan struct{}, s syscall.Signal) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.exited != exited {
+		return
+	}
 	select {
-	case <-e.exited:
+	case <-exited:
 	default:
 		_ = e.command.Process.Signal(s) // the process may exit at this moment
 	}
