Check again after the body whether an entry accepts requests

Found by reading the change again.

Ruled out: admission (it does not look at the stop).

Evidence: "refuses a request when the entry stops accepting before its body has arrived" failed before (201) and passes.

--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -35,8 +35,7 @@
 func (s *Server) receive(w http.ResponseWriter, r *http.Request) (incoming, *oleanderspool.Refusal) {
 	in := incoming{config: s.gateway.Configuration(), arrival: s.gateway.Now()}
 	if !s.gateway.Accepting() {
-		return in, oleanderspool.Refuse(oleanderspool.RefusalStopping, "the entry is starting or stopping").
-			WithRetryAfter(oleanderspool.Second)
+		return in, notAccepting()
 	}
 	var known bool
 	if in.account, known = authenticate(in.config, r); !known {
@@ -50,9 +49,16 @@
 	}
 	var refusal *oleanderspool.Refusal
 	in.body, refusal = s.readBody(w, r)
+	if refusal == nil && !s.gateway.Accepting() {
+		refusal = notAccepting() // the body took too long
+	}
 	return in, refusal
 }
 
+func notAccepting() *oleanderspool.Refusal {
+	return oleanderspool.Refuse(oleanderspool.RefusalStopping, "the entry is starting or stopping").WithRetryAfter(oleanderspool.Second)
+}
+
 // authenticate returns the client account that the request's API key belongs to.
 func authenticate(c configuration.Configuration, r *http.Request) (configuration.ClientAccount, bool) {
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -25,6 +25,7 @@
 type fakeGateway struct {
 	configuration configuration.Configuration
 	served        int
+	closed        bool // accepts no more requests
 }
 
 func newFakeGateway() *fakeGateway {
@@ -44,7 +45,7 @@
 func (f *fakeGateway) NewRequestID() oleanderspool.RequestID      { return "r-1" }
 func (f *fakeGateway) Now() oleanderspool.Millis                  { return 0 }
 func (f *fakeGateway) Ready() bool                                { return true }
-func (f *fakeGateway) Accepting() bool                            { return true }
+func (f *fakeGateway) Accepting() bool                            { return !f.closed }
 func (f *fakeGateway) Serve(_ context.Context, r oleanderspool.Request, emit func(oleanderspool.Piece) error) *oleanderspool.Refusal {
 	f.served++
 	text := r.Prompt + string(r.Body)
@@ -65,6 +66,17 @@
 	return nil
 }
 
+// lateBody calls a function when it is read.
+type lateBody struct {
+	io.Reader
+	read func()
+}
+
+func (b *lateBody) Read(p []byte) (int, error) {
+	b.read()
+	return b.Reader.Read(p)
+}
+
 func cancelled(err error) *oleanderspool.Refusal {
 	if err == nil {
 		return nil
@@ -130,6 +142,21 @@
 		golden.Match("testdata/server.golden", out.String())
 	})
 
+	// Guards against a request that is passed on late in a planned stop, since its body
+	// took longer than the time for which requests are accepted.
+	It("refuses a request when the entry stops accepting before its body has arrived", func() {
+		gateway := newFakeGateway()
+		body := &lateBody{Reader: strings.NewReader("work"), read: func() { gateway.closed = true }}
+		w := httptest.NewRecorder()
+		r := httptest.NewRequestWithContext(context.Background(), http.MethodPost, "/services/pegs", body)
+		r.Header.Set("Authorization", "Bearer key")
+		caller.NewServer(gateway).ServeHTTP(w, r)
+		Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
+		Expect(w.Body.String()).To(ContainSubstring(`"execution":"not_run"`))
+		Expect(w.Header().Get("Retry-After")).NotTo(BeEmpty())
+		Expect(gateway.served).To(BeZero())
+	})
+
 	// Guards against slow senders that keep connections and memory in use.
 	It("refuses a body that does not arrive in time", func() {
 		limits := caller.DefaultLimits
