Ask callers back at once when another entry can serve them

Cause: an entry that cannot confirm keys, stops or has no memory told callers to come back after 0.4 s on average, later than the goal of short requests, although another entry could have served them at once. Change: these refusals ask to come back after 30 ms. The line 'answered' of a stream has the longest pause between two events.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -35,6 +35,10 @@
 	// meanRetryAfter is the mean delay after which a caller should resend a
 	// request that could not be served for the moment.
 	meanRetryAfter = 400 * oleanderspool.Millis(1)
+	// otherEntryRetryAfter is the mean delay after which a caller should resend a request
+	// that this entry cannot serve but another one can. The resent request reaches an
+	// entry that the load balancer chooses anew, and may still be answered in time.
+	otherEntryRetryAfter = 30 * oleanderspool.Millis(1)
 	// startupWait is the time after the start during which requests wait for
 	// the first configuration. Reading a large one over a slow link takes some
 	// 300 ms, and a caller that is refused meanwhile would come back later
@@ -131,7 +135,7 @@
 		return t.denyRefusal(oleanderspool.RefusalUnknownAccount, "the key is unknown")
 	}
 	if t.gateway.keysExpired(t.confirmationAge) {
-		return t.gateway.unavailableRefusal(oleanderspool.RefusalLogUnavailable, "the key cannot be confirmed")
+		return t.gateway.otherEntryRefusal(oleanderspool.RefusalLogUnavailable, "the key cannot be confirmed")
 	}
 	return nil
 }
@@ -178,7 +182,7 @@
 	switch {
 	case errorx.IsOfType(err, buffer.ErrExhausted):
 		t.recordExhausted("request", err)
-		return t.gateway.unavailableRefusal(oleanderspool.RefusalOverloaded, "the entry has no memory for the body")
+		return t.gateway.otherEntryRefusal(oleanderspool.RefusalOverloaded, "the entry has no memory for the body")
 	case errors.Is(err, os.ErrDeadlineExceeded) && t.gateway.ended.Err() != nil:
 		return t.gateway.stoppingRefusal()
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -237,10 +241,16 @@
 	return oleanderspool.Refuse(reason, message).WithRetryAfter(jitter(meanRetryAfter))
 }
 
+// otherEntryRefusal returns the refusal of a request that has not run and that another
+// entry can serve at once.
+func (g *Gateway) otherEntryRefusal(reason oleanderspool.RefusalReason, message string) *oleanderspool.Refusal {
+	return oleanderspool.Refuse(reason, message).WithRetryAfter(jitter(otherEntryRetryAfter))
+}
+
 // stoppingRefusal returns the refusal of a request that has not run and comes too late
 // in a planned stop.
 func (g *Gateway) stoppingRefusal() *oleanderspool.Refusal {
-	return g.unavailableRefusal(oleanderspool.RefusalStopping, "the entry stops")
+	return g.otherEntryRefusal(oleanderspool.RefusalStopping, "the entry stops")
 }
 
 // jitter returns a random duration between half and one and a half times the
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -21,7 +21,9 @@
 	w           *callerAnswer
 	controller  *http.ResponseController
 	firstAt     oleanderspool.Millis
-	contentType string // of the answer that the caller receives
+	lastAt      oleanderspool.Millis // instant of the last event
+	maxPause    oleanderspool.Millis // longest pause between two events
+	contentType string               // of the answer that the caller receives
 }
 
 // errCallerClosed means that the caller closed its connection.
@@ -89,7 +91,7 @@
 		out.w.finish()
 		t.gateway.shared.recordAnswer(t.subject, a.Server.Instance)
 		t.gateway.logger.Info("answered", "request_id", t.call.ID, "instance", a.Server.Instance, "events", t.events,
-			"first_ms", int64(out.firstAt-t.receivedAt), "predicted_ms", int64(a.TTFT), "helpers", len(a.Helpers),
+			"first_ms", int64(out.firstAt-t.receivedAt), "predicted_ms", int64(a.TTFT), "max_pause_ms", int64(out.maxPause), "helpers", len(a.Helpers),
 			"age_ms", int64(t.gateway.clock.Now()-t.receivedAt), "sends", t.sends)
 		return true
 	case errors.Is(err, errCallerClosed):
@@ -166,6 +168,16 @@
 	return nil
 }
 
+// recordEvent counts an event that has arrived, and the pause before it.
+func (o *streamOutput) recordEvent() {
+	now := o.transaction.gateway.clock.Now()
+	if o.transaction.events > 0 {
+		o.maxPause = max(o.maxPause, now-o.lastAt)
+	}
+	o.transaction.events++
+	o.lastAt = now
+}
+
 func (o *streamOutput) writeEvent(a *attempt, event []byte) error {
 	if !o.transaction.committed {
 		o.transaction.copyHeader(o.w, a.exchange.Header)
@@ -182,7 +194,7 @@
 		}
 		o.transaction.gateway.shared.recordFirstToken(a.assignment)
 	}
-	o.transaction.events++
+	o.recordEvent()
 	if _, err := o.w.Write(event); err != nil {
 		return errCallerClosed
 	}
