Refuse requests that would wait for a slot in an overload

Cause: short prompts were never refused. Besides, all entries chose the same best server as soon as most servers were above three quarters of their slots. Change: internal/placement/overload.go decides who is refused while requests contend for slots, by wait, free slots, client account and rank; placements are drawn among all servers with a free slot.

--- a/internal/forward/refusals.go
+++ b/internal/forward/refusals.go
@@ -32,10 +32,11 @@
 	r.unreported = append(r.unreported, f)
 }
 
-// refused reports whether a request was refused within refusalRetention.
-func (r *refusalTracker) refused(f oleanderspool.Fingerprint, now oleanderspool.Millis) bool {
+// refused reports whether a request was refused within refusalRetention, and how long
+// ago.
+func (r *refusalTracker) refused(f oleanderspool.Fingerprint, now oleanderspool.Millis) (refused bool, age oleanderspool.Millis) {
 	at, found := r.at[f]
-	return found && now-at < refusalRetention
+	return found && now-at < refusalRetention, now - at
 }
 
 // takeUnreported returns and resets the refusals that were not reported to the
--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -82,7 +82,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	d, found := s.scheduler.Choose(s.exclusions.Filter(servers, now), e, r, now)
-	if !found || d.Refuse {
+	if !found || d.Refused != "" {
 		wait, _ := s.exclusions.AvailableIn(servers, now)
 		return assignment{Decision: d, availableIn: wait}, false
 	}
@@ -233,9 +233,9 @@
 	s.peers.Wake()
 }
 
-// wasRefused reports whether an entry refused the request before and asked its
-// caller to retry.
-func (s *sharedState) wasRefused(f oleanderspool.Fingerprint) bool {
+// refusedBefore reports whether an entry refused the request before and asked its
+// caller to retry, and how long ago.
+func (s *sharedState) refusedBefore(f oleanderspool.Fingerprint) (refused bool, age oleanderspool.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.refusals.refused(f, s.clock.Now())
--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -134,10 +134,12 @@
 	if answer == 0 || t.call.MaxAnswerTokens > 0 && answer > t.call.MaxAnswerTokens {
 		answer = t.call.MaxAnswerTokens
 	}
+	resubmitted, age := t.gateway.shared.refusedBefore(t.subject.Request)
 	return placement.Request{
 		PromptTokens: t.call.PromptTokens, OutputTokens: answer, TTFTGoal: t.route.TTFTGoal, InterTokenGoal: t.route.InterTokenGoal,
 		CallerTimeout: t.remaining(), DataCentre: t.gateway.dataCentre, Tried: t.tried,
-		Resubmitted: t.gateway.shared.wasRefused(t.subject.Request), Started: t.execution != oleanderspool.NotRun,
+		Rank: t.rank(), Account: t.account.Name,
+		Resubmitted: resubmitted, Overdue: resubmitted && age > t.route.TTFTGoal, Started: t.execution != oleanderspool.NotRun,
 	}
 }
 
@@ -149,6 +151,7 @@
 	}
 	t.snapshot = t.gateway.view.Snapshot()
 	as, found := t.gateway.shared.place(t.snapshot.Servers(t.service.Name), t.service.Engine, t.placementRequest())
+	t.recordContention(as)
 	if !found {
 		return attempt{assignment: as}, false
 	}
@@ -227,17 +230,21 @@
 	if t.service.Engine == nil {
 		return -1
 	}
-	rank := t.route.Priority
-	if t.account.HasPriority {
-		rank = t.account.Priority
-	}
-	priority := 2 * max(0, rank)
+	priority := 2 * max(0, t.rank())
 	if t.route.TTFTGoal == 0 || t.route.TTFTGoal > urgentGoal {
 		priority++
 	}
 	return min(priority, lowestPriority)
 }
 
+// rank returns the rank of the client account, or else of the route.
+func (t *transaction) rank() int {
+	if t.account.HasPriority {
+		return t.account.Priority
+	}
+	return t.route.Priority
+}
+
 // recordAttempt counts and logs an attempt and records what it shows about the
 // server.
 func (t *transaction) recordAttempt(ctx context.Context, a attempt, err error) {
@@ -375,7 +382,7 @@
 // unplacedRefusal returns the refusal of a request for which no server was
 // chosen.
 func (t *transaction) unplacedRefusal(a attempt) *oleanderspool.Refusal {
-	if a.Refuse {
+	if a.Refused != "" {
 		return t.overloadRefusal(a.assignment)
 	}
 	if a.availableIn > 0 && t.execution == oleanderspool.NotRun {
@@ -388,12 +395,29 @@
 // overloadRefusal returns the refusal of a request for which the servers have
 // no capacity in time.
 func (t *transaction) overloadRefusal(as assignment) *oleanderspool.Refusal {
-	t.gateway.logger.Info("not placed", "request_id", t.call.ID, "prompt", t.call.PromptTokens, "cost", as.Cost, "load_ms", int64(as.MeanBacklog), "predicted_ms", int64(as.TTFT))
+	t.gateway.logger.Info("not placed", "request_id", t.call.ID, "prompt", t.call.PromptTokens, "cost", as.Cost, "load_ms", int64(as.MeanBacklog), "predicted_ms", int64(as.TTFT),
+		"wait_ms", int64(as.Wait), "cause", string(as.Refused), "rank", t.rank(), "slots", as.Contention.Slots, "free", as.Contention.Free, "contended_ms", int64(as.ReturnDelay))
+	t.gateway.metrics.RefusedForOverload(string(as.Refused))
 	t.gateway.shared.recordRefusal(t.subject.Request)
-	retryAfter := jitter(max(meanRetryAfter, min(as.MeanBacklog, t.remaining()/retryAfterDivisor)))
+	retryAfter := jitter(max(meanRetryAfter, min(max(as.MeanBacklog, as.ReturnDelay), t.remaining()/retryAfterDivisor)))
 	return oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "the backend servers are busy").WithRetryAfter(retryAfter)
 }
 
+// recordContention logs and counts when requests begin or cease to contend for the slots
+// of a service.
+func (t *transaction) recordContention(as assignment) {
+	if !as.Contention.Changed {
+		return
+	}
+	change := "slot_contention_ended"
+	if as.Contention.Lasts {
+		change = "slot_contention_began"
+	}
+	t.gateway.metrics.StateChanged(change)
+	t.gateway.logger.Info("contention for slots", "service", t.service.Name, "goal_ms", int64(t.route.TTFTGoal), "lasts", as.Contention.Lasts,
+		"slots", as.Contention.Slots, "free", as.Contention.Free)
+}
+
 // retryAfterDivisor bounds the retry delay: the remaining time is divided by
 // it, so that the retry can still end in time.
 const retryAfterDivisor = 4
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -63,6 +63,7 @@
 	firstToken      *prometheus.HistogramVec
 	predictionError *prometheus.HistogramVec
 	attempts        *prometheus.CounterVec
+	unplaced        *prometheus.CounterVec
 	revision        prometheus.Gauge
 	running         prometheus.Gauge
 	engineMemory    *prometheus.GaugeVec
@@ -96,6 +97,7 @@
 		}, []string{"length"}),
 		panics:   counter("panics_total", "Unexpected panics by the task that they ended.", "task"),
 		attempts: counter("attempts_total", "Requests sent to backend servers by outcome.", "outcome"),
+		unplaced: counter("overload_refusals_total", "Requests refused because the backend servers are busy, by cause.", "cause"),
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "configuration_revision", Help: "Revision of the configuration in force.",
 		}),
@@ -119,7 +121,7 @@
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.admitted, m.finished, m.refused, m.retried, m.piecesDropped, m.stateChanges, m.orders, m.transfers,
-		m.firstToken, m.predictionError, m.attempts, m.revision, m.running, m.engineMemory, m.panics,
+		m.firstToken, m.predictionError, m.attempts, m.unplaced, m.revision, m.running, m.engineMemory, m.panics,
 	)
 	for _, r := range oleanderspool.RefusalReasons {
 		m.refused.WithLabelValues(string(r), oleanderspool.NotRun.String())
@@ -226,6 +228,12 @@
 	m.attempts.WithLabelValues(outcome).Inc()
 }
 
+// RefusedForOverload counts a request that was refused because the backend servers are
+// busy.
+func (m *Metrics) RefusedForOverload(cause string) {
+	m.unplaced.WithLabelValues(cause).Inc()
+}
+
 // SetRevision sets the revision of the configuration in force.
 func (m *Metrics) SetRevision(r oleanderspool.Revision) {
 	m.revision.Set(float64(r))
--- a/internal/placement/alternatives.go
+++ b/internal/placement/alternatives.go
@@ -62,18 +62,25 @@
 	cost, ttft float64
 }
 
-// draw returns one of a number of candidates with the lowest costs, all of them within
-// alternativeMargin of the best and not above packedFraction with the request, by
-// chance. Without one it returns the best. It changes their order.
-func (sc *Scheduler) draw(candidates []wholeCandidate, e *directory.Engine, count int) wholeCandidate {
+// draw returns one of a number of candidates with the lowest costs by chance, all of them
+// with a free slot and within alternativeMargin of the best. Those that stay below
+// packedFraction with the request precede the others. Without a candidate it returns the
+// best. It changes their order.
+func (sc *Scheduler) draw(candidates []wholeCandidate, e *directory.Engine, count int, margin float64) wholeCandidate {
 	byCost := func(x, y wholeCandidate) int { return cmp.Compare(x.cost, y.cost) }
 	best := slices.MinFunc(candidates, byCost)
 	if count == 1 {
 		return best
 	}
 	near := slices.DeleteFunc(candidates, func(c wholeCandidate) bool {
-		return c.cost > best.cost+alternativeMargin || float64(c.slotsUsed+1) > packedFraction*float64(e.Slots)
+		return c.cost > best.cost+margin || c.slotsUsed >= e.Slots
 	})
+	packed := func(c wholeCandidate) bool { return float64(c.slotsUsed+1) > packedFraction*float64(e.Slots) }
+	// Servers above packedFraction are drawn from when there are no others: without that
+	// all entries would choose the same best one as soon as most servers are above it.
+	if slices.ContainsFunc(near, func(c wholeCandidate) bool { return !packed(c) }) {
+		near = slices.DeleteFunc(near, packed)
+	}
 	if len(near) == 0 {
 		return best
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -50,8 +50,8 @@
 	tieBreakCost     = 5e-3
 	longTieBreakCost = 0.05
 	// longPrefill is the prefill time in ms from which a prompt is long. A shorter
-	// prompt is not refused: it delays others little, and a late answer still comes
-	// before the caller would have resubmitted it.
+	// prompt is not refused because of prefills: it delays others little, and a late
+	// answer still comes before the caller would have resubmitted it.
 	longPrefill = 500
 )
 
@@ -68,6 +68,11 @@
 	// Resubmitted says that the request was refused earlier and that its caller
 	// sent it again after the delay given in the refusal.
 	Resubmitted bool
+	// Overdue says that its TTFT goal has passed since that refusal.
+	Overdue bool
+	// Rank orders requests by urgency; 0 is the most urgent.
+	Rank    int
+	Account string // client account; empty if unknown
 	// Started says that a server may have started the request. It is no longer
 	// refused, because its caller may have received a part of the answer.
 	Started bool
@@ -93,8 +98,14 @@
 	TTFT    oleanderspool.Millis // predicted time to the first token
 	Cost    float64              // expected loss of value, of this request and others
 	Backlog oleanderspool.Millis // prefill backlog of the server
-	// Refuse says that serving the request would lose more than refusing it.
-	Refuse bool
+	// Refused says why the request is to be refused; empty if it is not.
+	Refused RefusalCause
+	// Wait is the predicted time until the server begins with the request.
+	Wait oleanderspool.Millis
+	// ReturnDelay is the time after which the servers are expected to have room for a
+	// refused request; 0 if unknown.
+	ReturnDelay oleanderspool.Millis
+	Contention  Contention
 	// MeanBacklog is the mean prefill backlog of the eligible servers.
 	MeanBacklog   oleanderspool.Millis
 	ActiveStreams int // decoding requests on the server; for a service without an engine, all its requests
@@ -115,7 +126,9 @@
 	if prefillMillis(e, r.PromptTokens) >= longPrefill {
 		tieBreak = longTieBreakCost
 	}
-	best := sc.chooseWhole(loads, e, r, tieBreak, now)
+	c, slots := sc.contentionOf(loads[0].server.Service), sc.slotUseOf(loads, e, r.TTFTGoal)
+	changed := c.observe(slots, r.TTFTGoal, now)
+	best := sc.chooseWhole(loads, e, r, tieBreak, c.lasts(r.TTFTGoal), now)
 	maxShards := 1 + min(e.MaxExtraServers, int(r.PromptTokens/minShardTokens)-1)
 	if maxShards = min(maxShards, len(loads)); maxShards > 1 {
 		if d := sc.chooseSharded(loads, e, r, maxShards, tieBreak, now); d.Cost < best.Cost {
@@ -132,7 +145,11 @@
 	best.MeanBacklog = millis(meanBacklog)
 	prefill := prefillMillis(e, r.PromptTokens)
 	best.Cost += r.prefillCost(prefill, meanBacklog)
-	best.Refuse = !r.Started && prefill >= longPrefill && best.Cost > refusalFraction*r.Value()
+	if !r.Started && prefill >= longPrefill && best.Cost > refusalFraction*r.Value() {
+		best.Refused = RefusedCost
+	}
+	best.Contention = Contention{Changed: changed, Lasts: c.lasts(r.TTFTGoal), Slots: slots.slots, Free: slots.free}
+	c.decide(&best, r, slots, now)
 	return best, true
 }
 
@@ -206,15 +223,19 @@
 }
 
 // chooseWhole returns a placement of a prompt that one server prefills: the best one,
-// or for a short prompt one of several that are nearly as good.
-func (sc *Scheduler) chooseWhole(loads []*serverLoad, e *directory.Engine, r Request, tieBreak float64, now oleanderspool.Millis) Decision {
+// or for a short prompt one of several that are nearly as good. With spread, more of them
+// count as such.
+func (sc *Scheduler) chooseWhole(loads []*serverLoad, e *directory.Engine, r Request, tieBreak float64, spread bool, now oleanderspool.Millis) Decision {
 	prefill := prefillMillis(e, r.PromptTokens)
 	maxPass := maxPassPrefillMillis(e, r.PromptTokens, prefill)
 	count, margin := 1, 0.0
 	if prefill < longPrefill {
 		count = sc.alternatives(now)
 	}
-	if count > 1 {
+	switch {
+	case count > 1 && spread:
+		count, margin = maxAlternatives, contendedMargin
+	case count > 1:
 		margin = alternativeMargin
 	}
 	sc.wholeCandidates = sc.wholeCandidates[:0]
@@ -239,8 +260,10 @@
 	if len(sc.wholeCandidates) == 0 {
 		return Decision{Cost: bestCost}
 	}
-	c := sc.draw(sc.wholeCandidates, e, count)
-	return c.decision(c.cost, c.ttft)
+	c := sc.draw(sc.wholeCandidates, e, count, margin)
+	d := c.decision(c.cost, c.ttft)
+	d.Wait = millis(max(c.backlog, c.slotWait(e)))
+	return d
 }
 
 // decision returns a decision for the server without helpers.
@@ -330,6 +353,7 @@
 		return Decision{Cost: bestCost}
 	}
 	d := best.decision(bestCost, bestTTFT)
+	d.Wait = millis(best.slotWait(e))
 	best.helperCost(candidates, e, r, shards, &d.Helpers)
 	return d
 }
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -160,19 +160,19 @@
 		r := withPromptTokens(longRequest, 880_000)
 		f := newTestFleet(20)
 		d, _ := f.place(r, 0)
-		Expect(d.Refuse).To(BeFalse())
+		Expect(d.Refused).To(BeEmpty())
 		f = newTestFleet(20)
 		for i := range 20 {
 			f.place(longRequest, oleanderspool.Millis(i))
 		}
 		d, found := f.scheduler.Choose(f.servers, engine, r, 30)
 		Expect(found).To(BeTrue())
-		Expect(d.Refuse).To(BeTrue())
+		Expect(d.Refused).NotTo(BeEmpty())
 		Expect(d.MeanBacklog).To(BeNumerically(">", 1000))
 		// A stream whose server was lost continues, however busy the others are.
 		r.Started = true
 		d, _ = f.scheduler.Choose(f.servers, engine, r, 30)
-		Expect(d.Refuse).To(BeFalse())
+		Expect(d.Refused).To(BeEmpty())
 	})
 
 	// Guards against a prompt that is refused, resubmitted and refused again although
@@ -187,7 +187,7 @@
 			d, found := f.scheduler.Choose(f.servers, engine, r, 1)
 			Expect(found).To(BeTrue())
 			Expect(d.TTFT).To(BeNumerically("<", r.TTFTGoal), "the request would meet its TTFT goal")
-			return d.Refuse
+			return d.Refused != ""
 		}
 		r := withPromptTokens(longRequest, 400_000)
 		Expect(refused(r)).To(BeTrue())
@@ -236,7 +236,7 @@
 			d, found := f.scheduler.Choose(f.servers, engine, shortRequest, 700)
 			Expect(found).To(BeTrue())
 			if f.scheduler.Count("s00") == engine.Slots {
-				Expect(d.Refuse).To(BeFalse())
+				Expect(d.Refused).To(BeEmpty())
 				Expect(d.TTFT).To(BeNumerically("~", 200, 60))
 			}
 			f.place(shortRequest, 700)
@@ -263,7 +263,7 @@
 		Expect(found).To(BeTrue())
 		Expect(d.Cost).To(BeNumerically(">", shortRequest.Value()), "others are delayed")
 		Expect(d.TTFT).To(BeNumerically("<", 500))
-		Expect(d.Refuse).To(BeFalse())
+		Expect(d.Refused).To(BeEmpty())
 	})
 
 	// Guards against requests that continue to be placed on a failing server.
--- /dev/null
+++ b/internal/placement/overload.go
@@ -0,0 +1,291 @@
+package placement
+
+import (
+	"math"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
+)
+
+const (
+	// contendedFree is the fraction of free slots of the servers below which requests
+	// contend for slots. With more of them an arriving request finds a free one.
+	contendedFree = 0.1
+	// settledFree is the fraction of free slots from which on a contention has ended.
+	// It is larger than contendedFree, so that single ends of requests do not end it.
+	settledFree = 0.25
+	// reservedFree is the fraction of the slots that accounts above their fair share
+	// leave free for the others.
+	reservedFree = 0.05
+	// contendedMargin is the cost above that of the best server up to which another one
+	// may be drawn during a contention. With few free slots, entries that all prefer the
+	// same servers meet there.
+	contendedMargin = 0.15
+	// maxMargin bounds the margin of free slots, as a fraction of all slots.
+	maxMargin = 0.1
+	// fullMarginRefused is the fraction of refused requests from which on the whole margin
+	// is left free.
+	fullMarginRefused = 0.15
+	// contentionGrace is the time from the start of a contention in which requests that
+	// will be late are still accepted: they are served when it was a short one.
+	contentionGrace = 150 * oleanderspool.Millis(1)
+	// maxGraceWait bounds their wait for a slot, as a multiple of the TTFT goal. It
+	// bounds the queue that is left when the contention turns out to be a long one.
+	maxGraceWait = 0.5
+	// minWaitFraction is the wait, as a fraction of the TTFT goal, up to which no request
+	// counts as late because of the contention. A prompt whose prefill takes most of its
+	// goal is judged by its wait, like the shorter ones.
+	minWaitFraction = 0.25
+	// lateProbability is the probability of missing the TTFT goal from which on a request
+	// counts as late.
+	lateProbability = 0.5
+	// rankTolerance is by how much a larger fraction of the requests of a more urgent
+	// rank may be refused than of a less urgent one.
+	rankTolerance = 0.05
+	// outcomeWindow is the time over which outcomes and shares are averaged.
+	outcomeWindow = 3 * oleanderspool.Second
+	// maxRank is the least urgent rank that is told from others.
+	maxRank = 7
+	// maxGoals bounds the TTFT goals that are told from others.
+	maxGoals = 64
+	// maxAccounts bounds the accounts whose shares are tracked for a service.
+	maxAccounts = 20_000
+)
+
+// RefusalCause says why a placed request is refused.
+type RefusalCause string
+
+// The causes of a refusal; empty for none.
+const (
+	// RefusedCost: serving it would lose more than refusing it.
+	RefusedCost RefusalCause = "cost"
+	// RefusedLate: it would wait too long for a slot.
+	RefusedLate RefusalCause = "late"
+	// RefusedMargin: the free slots are probably taken by requests of other entries.
+	RefusedMargin RefusalCause = "margin"
+	// RefusedReturned: it came back after its goal had passed, and yields to requests that
+	// can be in time.
+	RefusedReturned RefusalCause = "returned"
+	// RefusedShare: its account has more than its fair share.
+	RefusedShare RefusalCause = "share"
+	// RefusedRank: requests of a more urgent rank are refused more often.
+	RefusedRank RefusalCause = "rank"
+)
+
+// RefusalCauses lists all causes.
+var RefusalCauses = []RefusalCause{RefusedCost, RefusedLate, RefusedMargin, RefusedReturned, RefusedShare, RefusedRank}
+
+// Contention describes the use of the slots of a service by requests with the TTFT goal
+// of a request.
+type Contention struct {
+	Changed, Lasts bool // it has just begun or ended; it lasts
+	Slots, Free    int  // of the servers that were compared
+}
+
+// contention decides which requests for a service are refused while more arrive than
+// the servers have slots for. A request that waits for a slot is late, and takes the
+// slot from one that would have been in time, so that without refusals all are late.
+// It is not safe for concurrent use.
+type contention struct {
+	// since holds the start of the contention by the TTFT goal of the requests. A server
+	// that is busy with prefills has room for those with a long goal only.
+	since    map[oleanderspool.Millis]oleanderspool.Millis
+	all      outcomes
+	ranks    [maxRank + 1]outcomes
+	accounts map[string]decayingCount
+	admitted decayingCount // of all accounts
+}
+
+// outcomes counts recent requests.
+type outcomes struct {
+	offered, refused decayingCount
+}
+
+func (o *outcomes) record(refused bool, now oleanderspool.Millis) {
+	o.offered = o.offered.plusOne(now)
+	if refused {
+		o.refused = o.refused.plusOne(now)
+	}
+}
+
+// refusedFraction returns the fraction of the recent requests that was refused.
+func (o *outcomes) refusedFraction(now oleanderspool.Millis) float64 {
+	return o.refused.value(now) / max(1, o.offered.value(now))
+}
+
+// decayingCount is a count whose entries lose weight exponentially over outcomeWindow.
+type decayingCount struct {
+	count float64
+	at    oleanderspool.Millis
+}
+
+func (d decayingCount) value(now oleanderspool.Millis) float64 {
+	return d.count * math.Exp(-float64(max(0, now-d.at))/float64(outcomeWindow))
+}
+
+func (d decayingCount) plusOne(now oleanderspool.Millis) decayingCount {
+	return decayingCount{count: d.value(now) + 1, at: now}
+}
+
+// slotUse is how far the slots of the servers of a service are taken. A slot counts as
+// free if a request can begin there soon enough for its TTFT goal.
+type slotUse struct {
+	slots, free int
+	// unknown is the expected number of placements of other entries that this entry does
+	// not know of yet.
+	unknown float64
+}
+
+func (u slotUse) freeFraction() float64 {
+	return float64(u.free) / max(1, float64(u.slots))
+}
+
+// margin returns the number of slots to leave free, so that few requests meet others that
+// this entry does not know of. A request meets one of u.unknown in one of the free slots
+// with probability u.unknown/margin; the margin minimises the sum of the fraction of the
+// slots that it leaves unused and that probability.
+func (u slotUse) margin() float64 {
+	return min(math.Sqrt(u.unknown*float64(u.slots)), maxMargin*float64(u.slots))
+}
+
+// slotUseOf returns the use of the slots of the given servers for requests with a TTFT
+// goal.
+func (sc *Scheduler) slotUseOf(loads []*serverLoad, e *directory.Engine, goal oleanderspool.Millis) slotUse {
+	u := slotUse{slots: len(loads) * e.Slots, unknown: sc.unknown.mean}
+	for _, l := range loads {
+		if goal == 0 || l.backlog <= minWaitFraction*float64(goal) {
+			u.free += max(0, e.Slots-l.slotsUsed)
+		}
+	}
+	return u
+}
+
+// observe records the use of the slots by requests with a TTFT goal, and reports whether
+// they have begun or ceased to contend for them.
+func (c *contention) observe(u slotUse, goal, now oleanderspool.Millis) (changed bool) {
+	free := u.freeFraction()
+	switch contended := c.lasts(goal); {
+	case contended && free >= settledFree:
+		delete(c.since, goal)
+	case !contended && free < contendedFree && len(c.since) < maxGoals:
+		c.since[goal] = now
+	default:
+		return false
+	}
+	return true
+}
+
+// lasts reports whether requests with a TTFT goal contend for slots.
+func (c *contention) lasts(goal oleanderspool.Millis) bool {
+	_, contended := c.since[goal]
+	return contended
+}
+
+// decide refuses a placed request if the servers lack slots, and records the decision.
+func (c *contention) decide(d *Decision, r Request, u slotUse, now oleanderspool.Millis) {
+	if r.Started {
+		return
+	}
+	if d.Refused == "" {
+		d.Refused = c.cause(r, float64(d.Wait), float64(d.TTFT), u, now)
+	}
+	if since, contended := c.since[r.TTFTGoal]; contended && d.Refused != "" {
+		// An overload that has lasted for some time is expected to last as long again.
+		d.ReturnDelay = now - since
+	}
+	c.record(r, d.Refused != "", now)
+}
+
+// cause returns why a request is refused that has to wait for the given time for a server
+// and then has its first token after the given one, both in ms; empty for none.
+func (c *contention) cause(r Request, wait, ttft float64, u slotUse, now oleanderspool.Millis) RefusalCause {
+	since, contended := c.since[r.TTFTGoal]
+	if !contended {
+		return ""
+	}
+	goal := float64(r.TTFTGoal)
+	late := goal > 0 && wait > minWaitFraction*goal && missProbability(ttft, goal) >= lateProbability
+	left := float64(u.free) - c.margin(u, now)
+	reserved := reservedFree * float64(u.slots)
+	switch {
+	case late && (wait > maxGraceWait*goal || now-since >= contentionGrace):
+		return RefusedLate
+	case now-since < contentionGrace || r.Resubmitted && !r.Overdue:
+		return ""
+	case r.Overdue && left < reserved:
+		return RefusedReturned
+	case left < reserved && c.exceedsShare(r.Account, now):
+		return RefusedShare
+	case left < 0:
+		return RefusedMargin
+	case c.precedesUrgent(r.Rank, now):
+		return RefusedRank
+	}
+	return ""
+}
+
+// margin returns the number of slots that are left free. A margin pays only if requests
+// that find no slot are refused anyway, so it grows with the fraction that is refused.
+func (c *contention) margin(u slotUse, now oleanderspool.Millis) float64 {
+	return u.margin() * min(1, c.all.refusedFraction(now)/fullMarginRefused)
+}
+
+// exceedsShare reports whether more of the recently admitted requests are of an account
+// than its fair share, an equal part for each account that has any.
+func (c *contention) exceedsShare(account string, now oleanderspool.Millis) bool {
+	active := 0.0
+	for _, own := range c.accounts {
+		active += min(1, own.value(now))
+	}
+	return c.accounts[account].value(now) > 1+c.admitted.value(now)/max(1, active)
+}
+
+// precedesUrgent reports whether requests of a rank are refused more rarely than those
+// of a more urgent one.
+func (c *contention) precedesUrgent(rank int, now oleanderspool.Millis) bool {
+	rank = clampRank(rank)
+	own := c.ranks[rank].refusedFraction(now)
+	for i := range rank {
+		if c.ranks[i].refusedFraction(now) > own+rankTolerance {
+			return true
+		}
+	}
+	return false
+}
+
+func clampRank(rank int) int {
+	return min(max(0, rank), maxRank)
+}
+
+// record counts a decision. Accounts are counted while requests contend for slots.
+func (c *contention) record(r Request, refused bool, now oleanderspool.Millis) {
+	c.all.record(refused, now)
+	c.ranks[clampRank(r.Rank)].record(refused, now)
+	if refused {
+		return
+	}
+	c.admitted = c.admitted.plusOne(now)
+	own, known := c.accounts[r.Account]
+	if known || len(c.accounts) < maxAccounts {
+		c.accounts[r.Account] = own.plusOne(now)
+	}
+}
+
+// expire forgets accounts without recent requests.
+func (c *contention) expire(now oleanderspool.Millis) {
+	for account, own := range c.accounts {
+		if now-own.at > 4*outcomeWindow {
+			delete(c.accounts, account)
+		}
+	}
+}
+
+// contentionOf returns the contention for the slots of a service.
+func (sc *Scheduler) contentionOf(service string) *contention {
+	c := sc.contentions[service]
+	if c == nil {
+		c = &contention{since: make(map[oleanderspool.Millis]oleanderspool.Millis), accounts: make(map[string]decayingCount)}
+		sc.contentions[service] = c
+	}
+	return c
+}
--- /dev/null
+++ b/internal/placement/overload_test.go
@@ -0,0 +1,282 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/directory"
+	"github.com/oleanderspool/oleanderspool/internal/placement"
+)
+
+// overloadEngine and overloadRequest are those of the first deployment of
+// docs/design/contended-load.md.
+var (
+	overloadEngine = &directory.Engine{
+		Slots: 12, KVCacheTokens: 344_250, StepMillis: 1.31, SequenceCost: 0.000917, ContextCost: 0.00213,
+		PrefillRate: 154, AttentionCost: 0.162, PrefillChunk: 2048, StepsPerPass: 38, MeanAnswerTokens: 1285, MaxExtraServers: 16,
+	}
+	overloadRequest = placement.Request{PromptTokens: 5000, OutputTokens: 36 * 38, TTFTGoal: 250, InterTokenGoal: 250, CallerTimeout: 10_000, DataCentre: "a"}
+)
+
+const (
+	overloadServers = 54
+	overloadEntries = 8
+	overloadDelay   = 5  // ms until an entry learns of a placement of another one
+	overloadEvents  = 36 // mean of an answer
+	// promptMillis and passMillis are the prefill time of the prompt and the duration of
+	// a pass with all slots taken.
+	promptMillis = 38
+	passMillis   = 55
+	// networkMillis is the part of the TTFT that is spent between caller and server.
+	networkMillis = 15
+)
+
+// overloadCapacity is the number of requests that the servers complete in a second with
+// all slots taken: each answer takes its events, each of which takes a pass and the
+// prefills of the requests that begin in it.
+const overloadCapacity = overloadServers * 12 * 1000.0 / (overloadEvents * (passMillis + 12.0*promptMillis/overloadEvents))
+
+// play is a load of short prompts on simulated servers that batch as the engine does.
+type play struct {
+	random     *rand.Rand
+	schedulers []*placement.Scheduler
+	list       []directory.Server
+	servers    map[oleanderspool.InstanceID]*batchServer
+	news       []delivery
+	returns    []playedRequest
+	done       []playedRequest
+	lastID     placement.TaskID
+	// account and rank label the requests.
+	account func(*rand.Rand) string
+	rank    func(*rand.Rand) int
+}
+
+// playedRequest is a request and what its caller saw.
+type playedRequest struct {
+	account           string
+	rank              int
+	at, first         oleanderspool.Millis // arrival and first event
+	left              int                  // events until the end of the answer
+	returned, refused bool
+	task              placement.Task
+}
+
+func (r playedRequest) inTime() bool {
+	return r.first > 0 && !r.returned && r.first-r.at+networkMillis <= overloadRequest.TTFTGoal
+}
+
+// batchServer runs passes: the requests that a pass admits are prefilled in it.
+type batchServer struct {
+	waiting, running []playedRequest
+	passEnd          oleanderspool.Millis
+}
+
+func newPlay() *play {
+	p := &play{
+		random: rand.New(rand.NewPCG(7, 7)), list: servers(overloadServers), servers: make(map[oleanderspool.InstanceID]*batchServer),
+		account: func(*rand.Rand) string { return "" }, rank: func(*rand.Rand) int { return 0 },
+	}
+	for i := range p.list {
+		p.list[i].Slots, p.list[i].Service = overloadEngine.Slots, "llm"
+		p.servers[p.list[i].Instance] = &batchServer{}
+	}
+	for i := range overloadEntries {
+		p.schedulers = append(p.schedulers, placement.NewScheduler(placement.WithTieBreakSeed(uint64(i+1))))
+	}
+	return p
+}
+
+// run plays a number of requests per second until an instant.
+func (p *play) run(from, until oleanderspool.Millis, perSecond float64) {
+	for now := from; now < until; now++ {
+		p.deliver(now)
+		for _, s := range p.list {
+			p.advance(p.servers[s.Instance], now)
+		}
+		for len(p.returns) > 0 && p.returns[0].at <= now {
+			r := p.returns[0]
+			p.returns = p.returns[1:]
+			p.arrive(r, now)
+		}
+		if p.random.Float64()*1000 < perSecond {
+			p.arrive(playedRequest{at: now, account: p.account(p.random), rank: p.rank(p.random)}, now)
+		}
+	}
+}
+
+// deliver tells the entries of the placements that others have made.
+func (p *play) deliver(now oleanderspool.Millis) {
+	for len(p.news) > 0 && p.news[0].at <= now {
+		for i, sc := range p.schedulers {
+			if uint64(i+1) != p.news[0].task.Entry {
+				sc.Add(p.news[0].task)
+				sc.ObserveDelay(overloadDelay, now)
+			}
+		}
+		p.news = p.news[1:]
+	}
+}
+
+func (p *play) arrive(r playedRequest, now oleanderspool.Millis) {
+	entry := p.random.IntN(overloadEntries)
+	request := overloadRequest
+	request.Account, request.Rank, request.Resubmitted, request.Overdue = r.account, r.rank, r.returned, r.returned
+	d, found := p.schedulers[entry].Choose(p.list, overloadEngine, request, now)
+	if !found || d.Refused != "" {
+		p.refuse(r, d, now)
+		return
+	}
+	r.task = placement.Tasks(d, overloadEngine, request, now)[0]
+	p.lastID++
+	r.task.ID, r.task.Entry, r.left = p.lastID, uint64(entry+1), overloadEvents/3+p.random.IntN(overloadEvents*4/3+1)
+	p.schedulers[entry].Add(r.task)
+	p.news = append(p.news, delivery{now + overloadDelay, r.task})
+	s := p.servers[r.task.Server]
+	s.waiting = append(s.waiting, r)
+}
+
+// refuse records a refusal. Its caller comes back once, after the time that it is told.
+func (p *play) refuse(r playedRequest, d placement.Decision, now oleanderspool.Millis) {
+	if r.returned {
+		return
+	}
+	r.refused = true
+	p.done = append(p.done, r)
+	r.returned, r.at = true, now+max(400, min(d.ReturnDelay, 2500))
+	p.returns = append(p.returns, r)
+	slices.SortStableFunc(p.returns, func(x, y playedRequest) int { return int(x.at - y.at) })
+}
+
+// advance ends the pass of a server and begins the next one.
+func (p *play) advance(s *batchServer, now oleanderspool.Millis) {
+	if now < s.passEnd {
+		return
+	}
+	kept := s.running[:0]
+	for _, r := range s.running {
+		if r.first == 0 {
+			r.first = now
+			p.all(func(sc *placement.Scheduler) { sc.MarkDecoding(r.task.ID) })
+		}
+		if r.left--; r.left > 0 {
+			kept = append(kept, r)
+			continue
+		}
+		p.all(func(sc *placement.Scheduler) { sc.Remove(r.task.ID) })
+		p.done = append(p.done, r)
+	}
+	s.running, s.passEnd = kept, now
+	if len(kept) > 0 {
+		s.passEnd += passMillis
+	}
+	for len(s.waiting) > 0 && len(s.running) < overloadEngine.Slots {
+		s.running, s.waiting = append(s.running, s.waiting[0]), s.waiting[1:]
+		s.passEnd += promptMillis
+	}
+}
+
+func (p *play) all(f func(*placement.Scheduler)) {
+	for _, sc := range p.schedulers {
+		f(sc)
+	}
+}
+
+// count returns how many of the requests that arrived between two instants meet a
+// condition.
+func (p *play) count(from, until oleanderspool.Millis, condition func(playedRequest) bool) float64 {
+	n := 0
+	for _, r := range p.done {
+		if r.at >= from && r.at < until && condition(r) {
+			n++
+		}
+	}
+	return float64(n)
+}
+
+// The load: half of the capacity, then three times the capacity for the jump, then half
+// of it again.
+const (
+	calmStart = 2 * oleanderspool.Second // the servers have filled up to the usual
+	jumpStart = 4 * oleanderspool.Second
+	jumpEnd   = 16 * oleanderspool.Second
+	playEnd   = 24 * oleanderspool.Second
+)
+
+func (p *play) runJump() {
+	p.run(1, jumpStart, overloadCapacity/2)
+	p.run(jumpStart, jumpEnd, 3*overloadCapacity)
+	p.run(jumpEnd, playEnd, overloadCapacity/2)
+}
+
+// TestOverloadKeepsCapacity guards against an overload of short prompts in which each
+// request that waits for a slot makes the next one late, until all are late although the
+// servers work at capacity. It answers the load of a jump to three times the capacity.
+func TestOverloadKeepsCapacity(t *testing.T) {
+	p := newPlay()
+	p.runJump()
+	capacity := overloadCapacity * float64(jumpEnd-jumpStart) / 1000
+	if got := p.count(jumpStart, jumpEnd, playedRequest.inTime); got < 0.9*capacity {
+		t.Errorf("%.0f requests in time during the jump, want nine tenths of the capacity of %.0f", got, capacity)
+	}
+	late := p.count(jumpStart, jumpEnd, func(r playedRequest) bool { return !r.refused && !r.returned && !r.inTime() })
+	if late > 0.1*capacity {
+		t.Errorf("%.0f requests late during the jump, want the rest refused at once", late)
+	}
+	from, until := jumpEnd+2*oleanderspool.Second, playEnd-3*oleanderspool.Second
+	first := func(r playedRequest) bool { return !r.returned }
+	before := p.count(calmStart, jumpStart, playedRequest.inTime) / p.count(calmStart, jumpStart, first)
+	if after := p.count(from, until, playedRequest.inTime) / p.count(from, until, first); after < before {
+		t.Errorf("%.3f of the requests in time from 2 s after the jump on, %.3f before it", after, before)
+	}
+}
+
+// TestShortOverloadRefusesNothing guards against a refusal of requests that could have
+// been served in time: a jump to twice the capacity that lasts a quarter of a second.
+func TestShortOverloadRefusesNothing(t *testing.T) {
+	p := newPlay()
+	p.run(1, 4000, overloadCapacity/2)
+	p.run(4000, 4250, 2*overloadCapacity)
+	p.run(4250, 8000, overloadCapacity/2)
+	if refused := p.count(0, 8000, func(r playedRequest) bool { return r.refused }); refused > 0 {
+		t.Errorf("%.0f requests refused", refused)
+	}
+}
+
+// TestOverloadSharesFairly guards against a client account that sends most requests of an
+// overload and takes the slots of the accounts that send little.
+func TestOverloadSharesFairly(t *testing.T) {
+	p := newPlay()
+	p.account = func(r *rand.Rand) string {
+		if r.Float64() < 0.9 {
+			return "large"
+		}
+		return fmt.Sprintf("small-%d", r.IntN(6))
+	}
+	p.runJump()
+	from, until := jumpStart+2*oleanderspool.Second, jumpEnd
+	small := func(r playedRequest) bool { return r.account != "large" && !r.returned }
+	got, all := p.count(from, until, func(r playedRequest) bool { return small(r) && r.inTime() }), p.count(from, until, small)
+	if got < 0.8*all {
+		t.Errorf("%.0f of %.0f requests of small accounts in time", got, all)
+	}
+}
+
+// TestOverloadKeepsRanks guards against requests of a less urgent rank that are served
+// while those of a more urgent one are refused, and against a rank that is never served.
+func TestOverloadKeepsRanks(t *testing.T) {
+	p := newPlay()
+	p.rank = func(r *rand.Rand) int { return r.IntN(3) }
+	p.runJump()
+	from, until := jumpStart+2*oleanderspool.Second, jumpEnd
+	served := make([]float64, 3)
+	for rank := range served {
+		own := func(r playedRequest) bool { return r.rank == rank && !r.returned }
+		served[rank] = p.count(from, until, func(r playedRequest) bool { return own(r) && r.inTime() }) / p.count(from, until, own)
+	}
+	if served[1] > served[0]+0.05 || served[2] > served[1]+0.05 || served[2] < served[0]/4 {
+		t.Errorf("served by rank, most urgent first: %.3f", served)
+	}
+}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -63,6 +63,7 @@
 	candidates, avoidedCandidates []*serverLoad
 	wholeCandidates               []wholeCandidate
 	unknown                       unknownPlacements
+	contentions                   map[string]*contention // by service
 }
 
 // serverState holds the tasks on a server and the load that they cause. It stays
@@ -102,6 +103,8 @@
 		byServer: make(map[oleanderspool.InstanceID]*serverState),
 		avoided:  make(map[oleanderspool.InstanceID]avoidance),
 
+		contentions: make(map[string]*contention),
+
 		maxCandidates: defaultMaxCandidates, maxHelperCandidates: defaultMaxHelperCandidates,
 	}
 	for _, o := range options {
@@ -209,6 +212,9 @@
 			delete(sc.avoided, id)
 		}
 	}
+	for _, c := range sc.contentions {
+		c.expire(now)
+	}
 }
 
 // TasksOf returns the tasks of an entry, ordered by ID.
