--- a/exchange.go
+++ b/exchange.go
@@ -50,6 +50,9 @@
 	// RetryAfter is the time for which a backend server that turned the request away
 	// wants no requests from this entry; 0 for none.
 	RetryAfter Millis
+	// ColdRemaining is the time for which the backend server is still slow after its
+	// start and tolerates fewer requests; 0 for none.
+	ColdRemaining Millis
 	// Invalid names the header fields that cannot be decoded and count as absent.
 	Invalid []string
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -67,6 +67,9 @@
 type Service struct {
 	Name   string
 	Engine *Engine // nil for a plain service
+	// ColdRate is the number of requests per second that a backend server tolerates
+	// while it is slow after its start; 0 for no limit.
+	ColdRate float64
 }
 
 // Engine describes the inference engine that the backend servers of a service
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -471,12 +471,15 @@
 		f.logger.Debug("cannot decode server record", "instance", c.Instance, "offset", c.Offset, "error", c.Err.Error())
 	}
 	switch {
+	case effect.TurnedCold:
+		f.logger.Info("server cold", "instance", c.Instance, "started", c.Server.Started, "cold_ms", int64(c.Server.ColdUntil-f.clock.Now()), "cause", "registry", "offset", c.Offset)
 	case !effect.Notable:
 	case c.Server == nil:
 		f.logger.Info("server removed", "instance", c.Instance, "cause", "removed", "offset", c.Offset)
 	case c.Server.Draining:
 		f.logger.Info("server draining", "instance", c.Instance, "offset", c.Offset)
 	default:
-		f.logger.Info("server ready", "instance", c.Instance, "address", c.Server.Address, "service", c.Server.Service, "started", c.Server.Started, "offset", c.Offset)
+		f.logger.Info("server ready", "instance", c.Instance, "address", c.Server.Address, "service", c.Server.Service, "started", c.Server.Started,
+			"cold_ms", int64(max(0, c.Server.ColdUntil-f.clock.Now())), "offset", c.Offset)
 	}
 }
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -22,6 +22,15 @@
 	return s.servers[service]
 }
 
+// ServerCount returns the number of usable servers of all services.
+func (s *Snapshot) ServerCount() int {
+	n := 0
+	for _, servers := range s.servers {
+		n += len(servers)
+	}
+	return n
+}
+
 // View merges the records of the configuration and of the registry. Records may
 // arrive out of order and more than once; an older one never replaces a newer one.
 // It is safe for concurrent use.
@@ -132,6 +141,8 @@
 	// or unusable, or describes another process than the record before; the caller logs
 	// such a record.
 	Notable bool
+	// TurnedCold says that the server is cold again without a new start.
+	TurnedCold bool
 }
 
 // Register applies records of servers, each unless a newer one is known, and returns
@@ -165,9 +176,14 @@
 	if known && old.usable == r.usable && (!r.usable || old.server == r.server) {
 		return Registered{}
 	}
-	return Registered{Changed: true, Notable: !known || old.usable != r.usable || !old.server.SameRun(r.server)}
+	notable := !known || old.usable != r.usable || !old.server.SameRun(r.server)
+	return Registered{Changed: true, Notable: notable, TurnedCold: !notable && r.server.ColdUntil > old.server.ColdUntil+coldRecordDelay}
 }
 
+// coldRecordDelay is the largest difference between two instants that describe the
+// same cold period: a heartbeat and an interval between reads of the registry.
+const coldRecordDelay = 2400 * oleanderspool.Millis(1)
+
 // RemoveUnlisted removes the servers that are missing from a complete list and
 // returns those of them that were usable. end is the offset after the newest record
 // of the list; servers that were registered later stay.
