Limit the requests to a server that may be cold

A placement leaves out the servers whose share is used up, and records the send under the same lock. The send is checked again on the ready connection if time has passed, and given back after a 421 or when nothing was sent. Without coldPerS or bounds.coldOver nothing changes. The tests of internal/forward, backend, placement, observe and command pass with -race.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -41,6 +41,9 @@
 	Body          []byte
 	ID            oleanderspool.RequestID
 	NonIdempotent bool // may run at most once, so the connection must have been used recently
+	// Confirm is called when the connection is ready, immediately before the request is
+	// sent. The request is not sent if it reports false. nil means always.
+	Confirm func() bool
 }
 
 // Exchange is a request that was sent and its answer. The caller must close it.
@@ -75,6 +78,10 @@
 		p.put(c)
 		return nil, oleanderspool.ErrNotSent.Wrap(ctx.Err(), "request to %s ended before it was sent", s.Instance)
 	}
+	if r.Confirm != nil && !r.Confirm() {
+		p.put(c)
+		return nil, oleanderspool.ErrNotSent.New("request to %s was withdrawn before it was sent", s.Instance)
+	}
 	e := &Exchange{server: s, pool: p, connection: c, stop: context.AfterFunc(ctx, c.close)}
 	if err := e.send(r); err != nil {
 		e.abort()
--- a/internal/command/forward.go
+++ b/internal/command/forward.go
@@ -72,6 +72,7 @@
 		forward.WithMetrics(metrics),
 		forward.WithDataCentre(s.DataCentre),
 		forward.WithRetryBudget(s.RetryBudget.Ratio, s.RetryBudget.Reserve),
+		forward.WithColdLimit(s.ColdLimit.Factor, s.ColdLimit.Slack),
 		forward.WithMaxKeyAge(s.KeyFreshness),
 	}
 	if s.MemoryBytes > 0 {
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -46,6 +46,13 @@
 	return func(g *Gateway) { g.shared.retryFraction, g.shared.retryReserve = fraction, reserve }
 }
 
+// WithColdLimit bounds the requests that all entries together send to a server within
+// one second: factor times the rate that a cold server of its service tolerates, plus
+// slack. A factor of 0 means no limit.
+func WithColdLimit(factor, slack float64) Option {
+	return func(g *Gateway) { g.shared.coldLimits.factor, g.shared.coldLimits.slack = factor, slack }
+}
+
 // WithMaxKeyAge sets how long ago a key may have been confirmed when a
 // request with it arrives; 0 means any time.
 func WithMaxKeyAge(limit oleanderspool.Millis) Option {
@@ -103,7 +110,8 @@
 			clock: clock, entry: entry, peers: noPeers{},
 			onRegistryUpdate: func(directory.RegistryUpdate) {}, onConfirmation: func(directory.Confirmation) {},
 			scheduler: placement.NewScheduler(placement.WithTieBreakSeed(entry)), exclusions: placement.NewExclusions(), crashes: newCrashExchange(), refusals: newRefusalTracker(),
-			budgets: make(map[string]*retry.Budget), changed: make(map[placement.TaskID]bool),
+			coldLimits: newColdLimits(entry, clock.Now()),
+			budgets:    make(map[string]*retry.Budget), changed: make(map[placement.TaskID]bool),
 			changedQuarantine: make(chan struct{}, 1), unsaved: make(map[oleanderspool.Fingerprint]bool),
 		},
 	}
@@ -129,6 +137,10 @@
 		g.metrics.StateChanged("server_leaving")
 		g.logger.Info("server leaving", "request_id", id, "instance", s.Instance, "started", s.Started, "cause", "answer")
 	}
+	if answer.ColdRemaining > 0 && g.shared.recordCold(s.Run(), answer.ColdRemaining) {
+		g.metrics.StateChanged("server_cold")
+		g.logger.Info("server cold", "request_id", id, "instance", s.Instance, "started", s.Started, "cold_ms", int64(answer.ColdRemaining), "cause", "answer")
+	}
 	if answer.RetryAfter > 0 && g.shared.recordPause(s.Run(), answer.RetryAfter) {
 		g.metrics.StateChanged("server_paused")
 		g.logger.Info("server asked for time", "request_id", id, "instance", s.Instance, "started", s.Started, "retry_after_ms", int64(answer.RetryAfter))
--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -32,6 +32,7 @@
 	exclusions      *placement.Exclusions
 	crashes         *crashExchange
 	refusals        *refusalTracker
+	coldLimits      coldLimits
 	budgets         map[string]*retry.Budget
 	lastID          uint64
 	changed         map[placement.TaskID]bool
@@ -53,8 +54,9 @@
 	ids      []placement.TaskID
 	placedAt oleanderspool.Millis
 	// availableIn is the time until one of the servers may be used, if all of them
-	// asked for time; 0 otherwise.
+	// asked for time or are excluded by the slow-start limit; 0 otherwise.
 	availableIn oleanderspool.Millis
+	limit       limitEffect
 }
 
 // reserves reports whether a helper has to reserve memory.
@@ -77,16 +79,25 @@
 }
 
 // place chooses servers and adds the tasks of the request to the scheduler.
-func (s *sharedState) place(servers []directory.Server, e *directory.Engine, r placement.Request) (assignment, bool) {
-	now := s.clock.Now()
+func (s *sharedState) place(snapshot *directory.Snapshot, service directory.Service, r placement.Request) (assignment, bool) {
+	now, servers, e := s.clock.Now(), snapshot.Servers(service.Name), service.Engine
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d, found := s.scheduler.Choose(s.exclusions.Filter(servers, now), e, r, now)
+	usable := s.exclusions.Filter(servers, now)
+	limiter := s.coldLimiter(snapshot, service, now)
+	allowed, effect := limit(limiter, usable, r.Tried, now)
+	d, found := s.scheduler.Choose(allowed, e, r, now)
 	if !found || d.Refuse {
 		wait, _ := s.exclusions.AvailableIn(servers, now)
-		return assignment{Decision: d, availableIn: wait}, false
+		if effect.untried {
+			wait = limiter.AvailableIn(usable, now)
+		}
+		return assignment{Decision: d, availableIn: wait, limit: effect}, false
+	}
+	if limiter != nil {
+		limiter.RecordSend(d.Server.Instance, now)
 	}
-	as := assignment{Decision: d, placedAt: now}
+	as := assignment{Decision: d, placedAt: now, limit: effect}
 	for _, t := range placement.Tasks(d, e, r, now) {
 		s.lastID++
 		t.ID = placement.TaskID(s.entry<<24 ^ s.lastID)
@@ -267,6 +278,7 @@
 		s.scheduler.Expire(now)
 		s.exclusions.Expire(now)
 		s.refusals.expire(now)
+		s.coldLimits.expire(s.peers.LivePeers(), now)
 		s.announceReleased(s.crashes.tracker.Expire(now), s.peers.Rank() < savingEntries, "no requests")
 		for _, t := range s.scheduler.TasksOf(s.entry) {
 			m.Tasks = append(m.Tasks, taskWithAge(t, now))
--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -96,6 +96,13 @@
 	decoding     bool                 // the first event of a stream has arrived
 	firstEventAt oleanderspool.Millis // 0 before the first event
 	memory       *reservations        // nil when none is reserved
+	send         *limitedSend         // nil without a limit
+}
+
+// misdirected reports whether the answer came from another server than the one that
+// the request was meant for.
+func (a attempt) misdirected() bool {
+	return a.exchange != nil && a.exchange.Answer.Status == http.StatusMisdirectedRequest
 }
 
 // close ends the exchange of an attempt and removes its tasks.
@@ -148,12 +155,16 @@
 		return attempt{}, false
 	}
 	t.snapshot = t.gateway.view.Snapshot()
-	as, found := t.gateway.shared.place(t.snapshot.Servers(t.service.Name), t.service.Engine, t.placementRequest())
+	as, found := t.gateway.shared.place(t.snapshot, t.service, t.placementRequest())
+	t.recordLimited(as)
 	if !found {
 		return attempt{assignment: as}, false
 	}
-	a := attempt{assignment: as}
+	a := attempt{assignment: as, send: newLimitedSend(as)}
 	t.open = &attempt{assignment: as}
+	if a.send != nil {
+		defer func() { t.gateway.shared.endSend(a) }()
+	}
 	t.gateway.logger.Info("placed", "request_id", t.call.ID, "route", t.route.Name, "instance", as.Server.Instance, "prompt", t.call.PromptTokens,
 		"helpers", as.helpers(), "predicted_ms", int64(as.TTFT), "cost", as.Cost, "backlog_ms", int64(as.Backlog), "writers", as.ActiveStreams,
 		"sends", t.sends, "version", t.snapshot.Configuration.Version, "confirmed_ms", int64(t.confirmationAge), "left_ms", int64(t.remaining()))
@@ -187,11 +198,19 @@
 		t.gateway.logger.Info("attempt not sent", "request_id", t.call.ID, "instance", as.Server.Instance, "sends", t.sends)
 		return a, true
 	}
-	exchange, err := t.gateway.pool.Do(ctx, as.Server, backend.Request{
+	q := backend.Request{
 		Method: t.request.Method, Target: t.request.RequestURI, Host: t.request.Host,
 		Header: t.gateway.format.EncodeForwardHeader(t.request.Header, forwarded),
 		Body:   t.body.Bytes(), ID: t.call.ID, NonIdempotent: !t.route.Repeatable(),
-	}, t.gateway.format)
+	}
+	if a.send != nil {
+		q.Confirm = func() bool { return t.gateway.shared.confirmSend(a.send) }
+	}
+	exchange, err := t.gateway.pool.Do(ctx, as.Server, q, t.gateway.format)
+	if a.send != nil && a.send.withdrawn {
+		t.recordWithdrawn(&a)
+		return a, true
+	}
 	a.exchange, t.open.exchange = exchange, exchange
 	a.outcome = t.classify(a, err)
 	t.recordAttempt(ctx, a, err)
@@ -378,6 +397,9 @@
 	if a.Refuse {
 		return t.overloadRefusal(a.assignment)
 	}
+	if a.limit.untried && t.execution == oleanderspool.NotRun {
+		return t.coldLimitRefusal(a.assignment)
+	}
 	if a.availableIn > 0 && t.execution == oleanderspool.NotRun {
 		t.gateway.shared.recordRefusal(t.subject.Request)
 		return oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "each backend server asked for time").WithRetryAfter(a.availableIn + rand.N(meanRetryAfter))
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -63,6 +63,7 @@
 	firstToken      *prometheus.HistogramVec
 	predictionError *prometheus.HistogramVec
 	attempts        *prometheus.CounterVec
+	coldLimited     prometheus.Counter
 	revision        prometheus.Gauge
 	running         prometheus.Gauge
 	engineMemory    *prometheus.GaugeVec
@@ -96,6 +97,9 @@
 		}, []string{"length"}),
 		panics:   counter("panics_total", "Unexpected panics by the task that they ended.", "task"),
 		attempts: counter("attempts_total", "Requests sent to backend servers by outcome.", "outcome"),
+		coldLimited: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "cold_limit_exclusions_total", Help: "Backend servers excluded from a placement or an attempt by the request limit of a cold server.",
+		}),
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "configuration_revision", Help: "Revision of the configuration in force.",
 		}),
@@ -119,7 +123,7 @@
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.admitted, m.finished, m.refused, m.retried, m.piecesDropped, m.stateChanges, m.orders, m.transfers,
-		m.firstToken, m.predictionError, m.attempts, m.revision, m.running, m.engineMemory, m.panics,
+		m.firstToken, m.predictionError, m.attempts, m.coldLimited, m.revision, m.running, m.engineMemory, m.panics,
 	)
 	for _, r := range oleanderspool.RefusalReasons {
 		m.refused.WithLabelValues(string(r), oleanderspool.NotRun.String())
@@ -226,6 +230,11 @@
 	m.attempts.WithLabelValues(outcome).Inc()
 }
 
+// ColdLimited counts backend servers that the request limit of a cold server excludes.
+func (m *Metrics) ColdLimited(servers int) {
+	m.coldLimited.Add(float64(servers))
+}
+
 // SetRevision sets the revision of the configuration in force.
 func (m *Metrics) SetRevision(r oleanderspool.Revision) {
 	m.revision.Set(float64(r))
