--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -66,17 +66,15 @@
 
 // Allows reports whether a server may get a request now.
 func (l *Limiter) Allows(server oleanderspool.InstanceID, now oleanderspool.Millis) bool {
+	if l.share.Whole == 0 && !l.drawn(server, now) {
+		return false // most servers of a large fleet; saves the look-up
+	}
 	count := 0
 	for _, at := range l.sends[server] {
 		if now-at < Window {
 			count++
 		}
 	}
-	return l.allowsMore(server, count, now)
-}
-
-// allowsMore reports whether a server that has got count requests may get another one.
-func (l *Limiter) allowsMore(server oleanderspool.InstanceID, count int, now oleanderspool.Millis) bool {
 	return count < l.share.Whole || count == l.share.Whole && l.share.Part > 0 && l.drawn(server, now)
 }
 
@@ -163,9 +161,9 @@
 			continue
 		}
 		allowed := slices.Clone(servers[:i])
-		for _, s := range servers[i+1:] {
-			if l.Allows(s.Instance, now) {
-				allowed = append(allowed, s)
+		for j := i + 1; j < len(servers); j++ {
+			if l.Allows(servers[j].Instance, now) {
+				allowed = append(allowed, servers[j])
 			}
 		}
 		return allowed
--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -342,3 +343,35 @@
 		t.Errorf("%d servers remembered", n)
 	}
 }
+
+// Guards against settled entries that leave no room for those in the worst case: the
+// mean of the sum and four standard deviations stay within the bound.
+func TestShareLeavesRoom(t *testing.T) {
+	const worst = 64
+	perWindow := 1 + float64(warmup.Window)/4000 // intervals that a window covers, on average
+	for n := 2; n <= worst; n++ {
+		size := warmup.Size{Entries: n, WorstCase: worst}
+		unsettled := warmup.NewShare(bound, size)
+		size.Settled = true
+		settled := warmup.NewShare(bound, size)
+		mean := perWindow * (float64(n)*settled.Part + float64(worst-n)*unsettled.Part)
+		if sum := float64(n*settled.Whole) + mean + 4*math.Sqrt(mean); sum > bound {
+			t.Errorf("%d settled entries: %g requests", n, sum)
+		}
+	}
+}
+
+// Guards against a request that is sent although its server has got its share since the
+// request was placed, and against one that counts twice.
+func TestRenew(t *testing.T) {
+	l := warmup.NewLimiter(1)
+	l.SetLimit(bound, warmup.Size{Entries: 29, WorstCase: 64, Settled: true}) // one request
+	l.RecordSend("s", 0)
+	if !l.Renew("s", 0, 500) || l.Allows("s", 500+warmup.Window-1) || !l.Allows("s", 500+warmup.Window) {
+		t.Error("a send is not counted from the instant to which it was moved")
+	}
+	l.RecordSend("s", 2000)
+	if l.Renew("s", 500, 2001) {
+		t.Error("a request is sent although the share is used up")
+	}
+}
