--- a/internal/directory/view_test.go
+++ b/internal/directory/view_test.go
@@ -89,3 +89,22 @@
 		Expect(v.ConfirmationAge(1000)).To(BeEquivalentTo(100))
 	})
 })
+
+var _ = Describe("A server that turns cold", func() {
+	// Guards against a cold period that is not reported, and against one that is reported
+	// with each record, whose ends differ by the delay of the record.
+	It("is reported once for each cold period", func() {
+		v := directory.NewView()
+		offset := oleanderspool.Offset(0)
+		turnedCold := func(until oleanderspool.Millis) bool {
+			offset++
+			s := directory.Server{Instance: "i", Service: "s", Address: "10.0.0.1:80", Started: 1, ColdUntil: until}
+			return v.Register(directory.Change{Instance: "i", Offset: offset, Server: &s})[0].TurnedCold
+		}
+		Expect(turnedCold(0)).To(BeFalse())
+		Expect(turnedCold(100_000)).To(BeTrue())
+		Expect(turnedCold(102_000)).To(BeFalse())
+		Expect(turnedCold(0)).To(BeFalse())
+		Expect(turnedCold(105_000)).To(BeTrue())
+	})
+})
--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -375,3 +375,16 @@
 		t.Error("a request is sent although the share is used up")
 	}
 }
+
+// Guards against a cold server that is reported with each of its answers, or only once.
+func TestColdServers(t *testing.T) {
+	c, run := warmup.NewColdServers(), directory.ServerRun{Instance: "s", Started: 1}
+	for _, r := range []struct {
+		at, remaining oleanderspool.Millis
+		isNew         bool
+	}{{0, 3000, true}, {100, 2950, false}, {3049, 1, false}, {3050, 500, true}} {
+		if got := c.Record(run, r.remaining, r.at); got != r.isNew {
+			t.Errorf("at %d: new %v", r.at, got)
+		}
+	}
+}
