Decode the delays between data centres

The configuration states the one-way delays between data centres in the engine of a service; they were ignored.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -84,6 +84,34 @@
 	ShardStepMillis  float64 // added to each step of a prompt whose shards lie on several backend servers
 	MeanAnswerTokens float64 // mean length of an answer
 	MaxExtraServers  int     // maximum number of additional backend servers that one prompt is sharded over
+	Delays           []Delay // between data centres; not to be modified
+}
+
+// Delay is the network delay between two data centres, the same in both directions.
+type Delay struct {
+	Between [2]oleanderspool.DataCentreID
+	OneWay  float64 // in ms
+}
+
+// defaultDelay is the one-way delay in ms between two data centres whose delay is not
+// configured. It is above that of a region (0.5 ms), so that a known near data centre
+// is preferred.
+const defaultDelay = 2
+
+// Delay returns the one-way network delay between two data centres in ms: 0 within one,
+// and a default for a pair that is not configured or without an engine.
+func (e *Engine) Delay(a, b oleanderspool.DataCentreID) float64 {
+	if a == b {
+		return 0
+	}
+	if e != nil {
+		for _, d := range e.Delays {
+			if d.Between == [2]oleanderspool.DataCentreID{a, b} || d.Between == [2]oleanderspool.DataCentreID{b, a} {
+				return d.OneWay
+			}
+		}
+	}
+	return defaultDelay
 }
 
 // Account is a client account.
