Keep requests in the data centre of their entry while it can serve them

A constant cost of 0.01 for another data centre is less than the gain of packing two requests on one server, so that most requests left their data centre needlessly. The price of crossing now exceeds the packing gains, grows with the bytes and varies by chance; above three quarters of its capacity a data centre gives up a share that rises with its load. A request that would be late is placed without the price. Failures and late first bytes at three or more servers raise the cost of their data centre.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -35,8 +35,6 @@
 	// helperMemoryMargin is left free on a helper, in tokens, for the streams that
 	// it accepts while the reservation lasts.
 	helperMemoryMargin = 60_000
-	// remoteCost is the cost of the longer round trip to another data centre.
-	remoteCost = 0.01
 	// backlogCost is the cost per ms of a server's prefill backlog. It breaks ties
 	// and keeps servers free for later requests.
 	backlogCost = 1e-3
@@ -98,6 +96,10 @@
 	// MeanBacklog is the mean prefill backlog of the eligible servers.
 	MeanBacklog   oleanderspool.Millis
 	ActiveStreams int // decoding requests on the server; for a service without an engine, all its requests
+	// Crossing says why the server is in the data centre of the entry or in another one,
+	// and Delay is the one-way network delay between them in ms.
+	Crossing CrossingReason
+	Delay    float64
 }
 
 // Choose returns the placement with the lowest cost. It reports false when no
@@ -115,13 +117,7 @@
 	if prefillMillis(e, r.PromptTokens) >= longPrefill {
 		tieBreak = longTieBreakCost
 	}
-	best := sc.chooseWhole(loads, e, r, tieBreak, now)
-	maxShards := 1 + min(e.MaxExtraServers, int(r.PromptTokens/minShardTokens)-1)
-	if maxShards = min(maxShards, len(loads)); maxShards > 1 {
-		if d := sc.chooseSharded(loads, e, r, maxShards, tieBreak, now); d.Cost < best.Cost {
-			best = d
-		}
-	}
+	best := sc.choosePriced(loads, e, r, tieBreak, now)
 	if math.IsInf(best.Cost, 1) {
 		return Decision{}, false
 	}
@@ -136,6 +132,19 @@
 	return best, true
 }
 
+// chooseUnpriced returns the better placement of the prompt as a whole and in shards, by
+// the costs of the data centres as they are.
+func (sc *Scheduler) chooseUnpriced(loads []*serverLoad, e *directory.Engine, r Request, tieBreak float64, now oleanderspool.Millis) Decision {
+	best := sc.chooseWhole(loads, e, r, tieBreak, now)
+	maxShards := 1 + min(e.MaxExtraServers, int(r.PromptTokens/minShardTokens)-1)
+	if maxShards = min(maxShards, len(loads)); maxShards > 1 {
+		if d := sc.chooseSharded(loads, e, r, maxShards, tieBreak, now); d.Cost < best.Cost {
+			best = d
+		}
+	}
+	return best
+}
+
 const (
 	// busyPrefillCost is the cost per ms of prefill while the servers are busy, when
 	// other requests would have used the time.
@@ -225,8 +234,9 @@
 		if math.IsInf(start+cost, 1) {
 			continue
 		}
-		ttft := start + prefill + s.passDelay(start) + deliveryDelay
-		cost += s.secondaryCost(e, r, tieBreak) + r.ttftLoss(ttft)
+		crossing, delay := s.dataCentre.extra()
+		ttft := start + prefill + s.passDelay(start) + deliveryDelay + delay
+		cost += s.secondaryCost(e, tieBreak) + crossing + r.ttftLoss(ttft)
 		if cost >= bestCost+margin {
 			continue // the cost to others is not negative
 		}
@@ -298,7 +308,8 @@
 	prefill, maxPass := shardPrefill(e, r, shards)
 	for i := range candidates {
 		c := &candidates[i]
-		c.cost = c.costToOthers(e, prefill, maxPass, true, now) + backlogCost*c.backlog + tieBreak*c.tieBreak
+		crossing, _ := c.dataCentre.extra()
+		c.cost = c.costToOthers(e, prefill, maxPass, true, now) + backlogCost*c.backlog + tieBreak*c.tieBreak + crossing/float64(shards)
 	}
 	slices.SortStableFunc(candidates, func(x, y helperCandidate) int { return cmp.Compare(x.cost, y.cost) })
 }
@@ -318,10 +329,11 @@
 		if math.IsInf(start+cost, 1) {
 			continue
 		}
-		ttft := start + prefill + c.passDelay(start) + deliveryDelay
+		crossing, delay := c.dataCentre.extra()
+		ttft := start + prefill + c.passDelay(start) + deliveryDelay + delay
 		// The cost of the candidate contains its backlog and its tie-break, which
-		// secondaryCost contains too.
-		cost += c.cost - backlogCost*c.backlog - tieBreak*c.tieBreak + c.secondaryCost(e, r, tieBreak) + r.ttftLoss(ttft)
+		// secondaryCost contains too, and the crossing of one shard.
+		cost += c.cost - backlogCost*c.backlog - tieBreak*c.tieBreak + c.secondaryCost(e, tieBreak) + crossing*float64(shards-1)/float64(shards) + r.ttftLoss(ttft)
 		if cost < bestCost {
 			best, bestCost, bestTTFT = c, cost, ttft
 		}
@@ -474,12 +486,8 @@
 }
 
 // secondaryCost returns a small cost that decides between otherwise equal servers.
-func (s *serverLoad) secondaryCost(e *directory.Engine, r Request, tieBreak float64) float64 {
-	cost := backlogCost*s.backlog + packingCost*packing(s.slotsUsed, e.Slots) + tieBreak*s.tieBreak
-	if s.server.DataCentre != r.DataCentre {
-		cost += remoteCost
-	}
-	return cost
+func (s *serverLoad) secondaryCost(e *directory.Engine, tieBreak float64) float64 {
+	return backlogCost*s.backlog + packingCost*packing(s.slotsUsed, e.Slots) + tieBreak*s.tieBreak
 }
 
 // packedFraction is the fraction of a server's slots up to which streams are packed
@@ -513,20 +521,20 @@
 }
 
 // chooseLeastLoaded returns the server with the fewest requests per slot, for a
-// service without an engine model. Equal servers are ordered by data centre, local
-// first. The cost is the number of requests per slot, to which remoteCost,
-// lastResortCost and warmUpCost are added as fractions of the slots.
+// service without an engine model. Servers of the own data centre are preferred up to a
+// bound. The cost is the number of requests per slot, to which the costs of the data
+// centre, lastResortCost and warmUpCost are added as fractions of the slots.
 func (sc *Scheduler) chooseLeastLoaded(servers []directory.Server, r Request, now oleanderspool.Millis) (Decision, bool) {
-	best, found := Decision{Cost: math.Inf(1)}, false
+	best, found, ownIsFull := Decision{Cost: math.Inf(1)}, false, true
+	sc.dataCentres.priceLeastLoaded(servers, r, sc.random, now)
 	for _, s := range servers {
 		if slices.Contains(r.Tried, s.Instance) {
 			continue
 		}
 		count := sc.Count(s.Instance)
 		cost := float64(count) / float64(max(1, s.Slots))
-		if s.DataCentre != r.DataCentre {
-			cost += remoteCost
-		}
+		cost += sc.dataCentres.leastLoadedCost(&s, count)
+		ownIsFull = ownIsFull && (s.DataCentre != r.DataCentre || count >= s.Slots)
 		if sc.isAvoided(s.Instance, now) {
 			cost += lastResortCost
 		}
@@ -537,6 +545,9 @@
 			best, found = Decision{Server: s, Cost: cost, ActiveStreams: count}, true
 		}
 	}
+	if found {
+		best.Crossing = sc.dataCentres.leastLoadedReason(&best.Server, ownIsFull)
+	}
 	return best, found
 }
 
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -63,6 +63,7 @@
 	candidates, avoidedCandidates []*serverLoad
 	wholeCandidates               []wholeCandidate
 	unknown                       unknownPlacements
+	dataCentres                   dataCentres
 }
 
 // serverState holds the tasks on a server and the load that they cause. It stays
@@ -241,6 +242,7 @@
 // serverLoad is the predicted load of a server.
 type serverLoad struct {
 	server         *directory.Server
+	dataCentre     *dataCentre
 	prefills       []pendingPrefill // in the order in which the server runs them
 	backlog        float64          // time until all pending prefills are done, in ms
 	maxPassPrefill float64          // longest prefill within one pass, in ms
@@ -271,6 +273,7 @@
 	st := sc.state(s.Instance)
 	l := &st.load
 	l.server, l.tieBreak = s, st.tieBreak
+	l.dataCentre = sc.dataCentres.of(s.DataCentre, l.dataCentre)
 	if st.changed || l.engine != e {
 		l.engine = e
 		l.count(st.tasks, e)
