Log and count the traffic between data centres

The line placed gets the data centre of the server, the reason and the delay; requests and bytes are counted within the data centre of the entry and out of it. Failures and the times of first bytes reach the scheduler, and a link that degrades or recovers is logged and counted. A test now also covers a request that the price alone would have made late.

--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -113,6 +113,7 @@
 	}
 	g.guard = observe.NewGuard(g.logger, g.metrics)
 	g.shared.onQuarantine = g.reportQuarantine
+	g.shared.onLinkChange = g.reportLinkChange
 	g.pool = backend.NewPool(clock, backend.WithObserver(g.observeAnswer), backend.WithBudget(g.buffers))
 	return g
 }
@@ -135,6 +136,16 @@
 	}
 }
 
+// reportLinkChange counts and logs that a link to a data centre degrades or recovers.
+func (g *Gateway) reportLinkChange(c placement.LinkChange) {
+	change, message := "data_centre_link_recovered", "data centre link recovered"
+	if c.Degraded {
+		change, message = "data_centre_link_degraded", "data centre link degraded"
+	}
+	g.metrics.StateChanged(change)
+	g.logger.Warn(message, "data_centre", c.DataCentre, "lost", c.Lost)
+}
+
 // State returns the state that the entry exchanges with the other entries.
 func (g *Gateway) State() gossip.State {
 	return g.shared
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -84,6 +84,7 @@
 	body := buffer.New(t.gateway.buffers)
 	defer body.Reset()
 	complete, err := body.ReadUpTo(a.exchange, maxBuffered)
+	a.received = int64(body.Len())
 	if errorx.IsOfType(err, buffer.ErrExhausted) {
 		t.recordExhausted("answer", err)
 		err = nil
@@ -106,6 +107,7 @@
 		return false
 	}
 	t.gateway.shared.recordAnswer(t.answeredSubject(answer.Status), a.Server.Instance)
+	t.gateway.shared.recordFirstByte(a.assignment, t.route.TTFTGoal)
 	if complete {
 		t.writeAnswer(w, a, body.Bytes())
 		return true
@@ -178,6 +180,7 @@
 	}
 	rest, err := io.Copy(w, a.exchange)
 	size := len(start) + int(rest)
+	a.received = int64(size)
 	switch {
 	case err == nil:
 		w.finish()
--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -24,6 +24,8 @@
 	onConfirmation   func(directory.Confirmation)
 	// onQuarantine is called when the quarantine of a part begins or ends.
 	onQuarantine func(part oleanderspool.Fingerprint, begins bool, cause string)
+	// onLinkChange is called when a link to a data centre degrades or recovers.
+	onLinkChange func(placement.LinkChange)
 	// changedQuarantine signals that unsaved has a new change.
 	changedQuarantine chan struct{}
 
@@ -82,6 +84,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	d, found := s.scheduler.Choose(s.exclusions.Filter(servers, now), e, r, now)
+	for _, c := range s.scheduler.TakeLinkChanges() {
+		s.onLinkChange(c)
+	}
 	if !found || d.Refuse {
 		wait, _ := s.exclusions.AvailableIn(servers, now)
 		return assignment{Decision: d, availableIn: wait}, false
@@ -143,6 +148,26 @@
 	s.peers.Wake()
 }
 
+// recordFirstByte records when the first byte of an answer arrived from the server of a
+// request. goal is used in place of a prediction where there is none.
+func (s *sharedState) recordFirstByte(as assignment, goal oleanderspool.Millis) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	expected := as.TTFT
+	if expected == 0 {
+		expected = goal
+	}
+	s.scheduler.RecordFirstByte(as.Server.Instance, as.Server.DataCentre, now-as.placedAt-expected, now)
+}
+
+// recordLinkFailure records that no answer came from the server of a request.
+func (s *sharedState) recordLinkFailure(as assignment) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.RecordLinkFailure(as.Server.Instance, as.Server.DataCentre, s.clock.Now())
+}
+
 // recordLeaving records that a server leaves, and reports whether that is new.
 func (s *sharedState) recordLeaving(run directory.ServerRun) bool {
 	s.mu.Lock()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -102,6 +102,7 @@
 		t.gateway.logger.Warn("stream from the backend server interrupted", "request_id", t.call.ID, "instance", a.Server.Instance, "events", t.events,
 			"last_event", t.lastEvent, "error", err.Error())
 		t.gateway.shared.recordFailure(a.Server.Instance)
+		t.gateway.shared.recordLinkFailure(a.assignment)
 		t.checkForCrash(*a)
 	}
 	return false
@@ -181,8 +182,10 @@
 			a.memory.markUsed()
 		}
 		o.transaction.gateway.shared.recordFirstToken(a.assignment)
+		o.transaction.gateway.shared.recordFirstByte(a.assignment, o.transaction.route.TTFTGoal)
 	}
 	o.transaction.events++
+	a.received += int64(len(event))
 	if _, err := o.w.Write(event); err != nil {
 		return errCallerClosed
 	}
--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -14,6 +14,7 @@
 	"github.com/oleanderspool/oleanderspool/internal/backend"
 	"github.com/oleanderspool/oleanderspool/internal/buffer"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
+	"github.com/oleanderspool/oleanderspool/internal/observe"
 	"github.com/oleanderspool/oleanderspool/internal/placement"
 	"github.com/oleanderspool/oleanderspool/internal/quarantine"
 )
@@ -96,6 +97,7 @@
 	decoding     bool                 // the first event of a stream has arrived
 	firstEventAt oleanderspool.Millis // 0 before the first event
 	memory       *reservations        // nil when none is reserved
+	received     int64                // bytes of the answer's body
 }
 
 // close ends the exchange of an attempt and removes its tasks.
@@ -106,10 +108,16 @@
 	if a.memory != nil {
 		go t.gateway.guard.Run("release", a.memory.release)
 	}
+	t.gateway.metrics.ExchangedWithDataCentre(t.leavesDataCentre(a), observe.DirectionReceived, a.received)
 	t.gateway.shared.endTasks(a.assignment)
 	t.open = nil
 }
 
+// leavesDataCentre reports whether an attempt is sent to another data centre.
+func (t *transaction) leavesDataCentre(a attempt) bool {
+	return a.Server.DataCentre != t.gateway.dataCentre
+}
+
 // recoverPanic ends a request whose processing panics. The caller gets no complete
 // answer; its server, memory and tasks are released.
 func (t *transaction) recoverPanic() {
@@ -156,6 +164,7 @@
 	t.open = &attempt{assignment: as}
 	t.gateway.logger.Info("placed", "request_id", t.call.ID, "route", t.route.Name, "instance", as.Server.Instance, "prompt", t.call.PromptTokens,
 		"helpers", as.helpers(), "predicted_ms", int64(as.TTFT), "cost", as.Cost, "backlog_ms", int64(as.Backlog), "writers", as.ActiveStreams,
+		"data_centre", as.Server.DataCentre, "crossing", string(as.Crossing), "delay_ms", as.Delay,
 		"sends", t.sends, "version", t.snapshot.Configuration.Version, "confirmed_ms", int64(t.confirmationAge), "left_ms", int64(t.remaining()))
 	forwarded := oleanderspool.ForwardHeader{
 		Instance: as.Server.Instance, Account: t.account.Name, Remaining: max(1, t.remaining()),
@@ -245,6 +254,8 @@
 	t.gateway.metrics.Attempted(a.outcome.String())
 	if a.outcome != notSent {
 		t.sends++
+		t.gateway.metrics.SentToDataCentre(t.leavesDataCentre(a))
+		t.gateway.metrics.ExchangedWithDataCentre(t.leavesDataCentre(a), observe.DirectionSent, int64(t.body.Len()))
 	}
 	if a.outcome == answered {
 		t.execution = oleanderspool.MayHaveRun
@@ -257,6 +268,9 @@
 		return // the caller closed the connection or the deadline passed
 	}
 	t.gateway.shared.recordFailure(t.failedServer(a))
+	if a.outcome != rejected {
+		t.gateway.shared.recordLinkFailure(a.assignment)
+	}
 	text := ""
 	if err != nil {
 		text = err.Error()
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -67,6 +67,8 @@
 	running         prometheus.Gauge
 	engineMemory    *prometheus.GaugeVec
 	panics          *prometheus.CounterVec
+	dataCentreSends *prometheus.CounterVec
+	dataCentreBytes *prometheus.CounterVec
 }
 
 // NewMetrics returns the metrics of one process. The counters of every refusal
@@ -96,6 +98,9 @@
 		}, []string{"length"}),
 		panics:   counter("panics_total", "Unexpected panics by the task that they ended.", "task"),
 		attempts: counter("attempts_total", "Requests sent to backend servers by outcome.", "outcome"),
+
+		dataCentreSends: counter("data_centre_requests_total", "Requests sent to backend servers by their data centre: own or other.", "data_centre"),
+		dataCentreBytes: counter("data_centre_bytes_total", "Bytes of bodies exchanged with backend servers by their data centre, own or other, and direction.", "data_centre", "direction"),
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "configuration_revision", Help: "Revision of the configuration in force.",
 		}),
@@ -120,6 +125,7 @@
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.admitted, m.finished, m.refused, m.retried, m.piecesDropped, m.stateChanges, m.orders, m.transfers,
 		m.firstToken, m.predictionError, m.attempts, m.revision, m.running, m.engineMemory, m.panics,
+		m.dataCentreSends, m.dataCentreBytes,
 	)
 	for _, r := range oleanderspool.RefusalReasons {
 		m.refused.WithLabelValues(string(r), oleanderspool.NotRun.String())
@@ -226,6 +232,31 @@
 	m.attempts.WithLabelValues(outcome).Inc()
 }
 
+// Directions of bytes between an entry and the backend servers.
+const (
+	DirectionSent     = "sent"
+	DirectionReceived = "received"
+)
+
+// SentToDataCentre counts a request that was sent to a backend server, by whether that is
+// in another data centre.
+func (m *Metrics) SentToDataCentre(other bool) {
+	m.dataCentreSends.WithLabelValues(dataCentreLabel(other)).Inc()
+}
+
+// ExchangedWithDataCentre counts bytes of a body that were exchanged with a backend server.
+// direction is DirectionSent or DirectionReceived.
+func (m *Metrics) ExchangedWithDataCentre(other bool, direction string, bytes int64) {
+	m.dataCentreBytes.WithLabelValues(dataCentreLabel(other), direction).Add(float64(bytes))
+}
+
+func dataCentreLabel(other bool) string {
+	if other {
+		return "other"
+	}
+	return "own"
+}
+
 // SetRevision sets the revision of the configuration in force.
 func (m *Metrics) SetRevision(r oleanderspool.Revision) {
 	m.revision.Set(float64(r))
--- a/internal/placement/data_centres_test.go
+++ b/internal/placement/data_centres_test.go
@@ -208,6 +208,20 @@
 	// Answers loads at which servers anywhere are late. Guards against a preference that
 	// makes a request late or refused which another data centre would serve in time.
 	It("serve each request in time that one of them can serve in time", func() {
+		inTime := 0
+		for backlog := range 300 {
+			f := newTestFleet(2)
+			f.servers[1].DataCentre = "b"
+			for i, s := range f.servers {
+				f.scheduler.Add(placement.Task{ID: placement.TaskID(i + 1), Server: s.Instance, OutputTokens: 1, PrefillMillis: float64(backlog + 6 - 6*i), Value: 1})
+			}
+			d, _ := f.scheduler.Choose(f.servers, engine, shortRequest, 0)
+			if other, _ := f.scheduler.Choose(f.servers[1:], engine, shortRequest, 0); other.TTFT <= shortRequest.TTFTGoal {
+				Expect(d.TTFT).To(BeNumerically("<=", shortRequest.TTFTGoal), "backlog %d", backlog)
+				inTime++
+			}
+		}
+		Expect(inTime).To(BeNumerically("~", 200, 99), "the goal lies within the backlogs")
 		random := rand.New(rand.NewPCG(1, 1))
 		for i := range 3000 {
 			near, equal := newTestFleet(6), newTestFleet(6)
