Follow evacuations of data centres

Cause: the operator orders an evacuation by a record of the topic of the configuration, and entries ignored all its records but the configuration.

A complete list ends the evacuations that it lacks and that are older than its end; what it has settled is not begun again by an older list. A record with another value than {} evacuates all the same, with a warning, since an evacuation lasts until its record is removed.

--- a/internal/command/forward.go
+++ b/internal/command/forward.go
@@ -93,6 +93,7 @@
 		directory.WithConfirmationTTL(gateway.EffectiveMaxKeyAge()),
 		directory.WithCoordinator(gateway.Coordinator()),
 		directory.WithGuard(guard),
+		directory.WithMetrics(metrics),
 	}
 	if s.Heartbeat > 0 {
 		followerOptions = append(followerOptions, directory.WithHeartbeat(s.Heartbeat))
@@ -105,6 +106,9 @@
 	metrics.ObserveAge("servers_age_seconds", "Time since the last read of the registry of backend servers that was answered.",
 		func() oleanderspool.Millis { return view.ServersAge(clock.Now()) })
 
+	metrics.ObserveCount("evacuated_data_centres", "Number of evacuated data centres.",
+		func() int { return len(view.Snapshot().Evacuated()) })
+
 	listeners, err := listenForward(s)
 	if err != nil {
 		return err
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -17,11 +17,14 @@
 // Change is one decoded record of a feed.
 type Change struct {
 	Offset        oleanderspool.Offset
-	Configuration *Configuration           // of a configuration feed; nil when it cannot be decoded
-	Instance      oleanderspool.InstanceID // of a server feed
-	Server        *Server                  // nil when it was removed or cannot be decoded
-	Removed       bool
-	Err           error // why the record cannot be decoded
+	Configuration *Configuration // of the operator's feed; nil for another record and when it cannot be decoded
+	// Evacuation is, in the operator's feed, the data centre that the record evacuates,
+	// or whose evacuation it ends if Removed is set; empty for another record.
+	Evacuation oleanderspool.DataCentreID
+	Instance   oleanderspool.InstanceID // of a server feed
+	Server     *Server                  // nil when it was removed or cannot be decoded
+	Removed    bool
+	Err        error // why the record, or the value of an evacuation, cannot be decoded
 }
 
 // Batch is the reply to a read of a feed.
@@ -95,6 +98,7 @@
 	confirmations  chan Confirmation
 	changeReadAt   oleanderspool.Millis // last read of an announced configuration
 	guard          *observe.Guard
+	metrics        *observe.Metrics
 }
 
 // FollowerOption configures a [Follower].
@@ -131,6 +135,11 @@
 	return func(f *Follower) { f.guard = guard }
 }
 
+// WithMetrics sets the metrics.
+func WithMetrics(metrics *observe.Metrics) FollowerOption {
+	return func(f *Follower) { f.metrics = metrics }
+}
+
 // maxReceived is the number of updates from other entries that may wait to be
 // applied.
 const maxReceived = 16
@@ -155,9 +164,11 @@
 // [Follower.RunConfigurations] and [Follower.RunServers] run.
 func NewFollower(view *View, configurations, servers Feed, clock oleanderspool.Clock, logger *slog.Logger, options ...FollowerOption) *Follower {
 	budget, _ := NewBudget(0, 0) // no delay is too short
+	metrics := observe.NewMetrics()
 	f := &Follower{
 		view: view, clock: clock, logger: logger, budget: budget, expiryOutage: part(defaultHeartbeat, expiryHeartbeats),
-		guard:       observe.NewGuard(logger, observe.NewMetrics()),
+		guard:       observe.NewGuard(logger, metrics),
+		metrics:     metrics,
 		coordinator: noCoordinator{}, received: make(chan receivedUpdate, maxReceived), confirmations: make(chan Confirmation, maxReceived),
 		configurations: feedState{name: "configuration", feed: configurations},
 		servers:        feedState{name: "servers", feed: servers},
@@ -202,9 +213,7 @@
 		sentAt, from, incremental := f.clock.Now(), f.configurations.next, f.configurations.synced
 		batch, ok := f.read(ctx, &f.configurations, wait)
 		confirmed, changed = ok && incremental && !batch.More, len(batch.Changes) > 0
-		for _, c := range batch.Changes {
-			f.configure(c)
-		}
+		f.configure(batch.Changes, ok && !incremental)
 		if confirmed {
 			// A reply without a record that came after the whole wait shows that there
 			// was no new record until the end of the wait.
@@ -442,13 +451,39 @@
 	return batch, true
 }
 
-func (f *Follower) configure(c Change) {
-	if c.Err != nil {
-		f.logger.Warn("cannot decode configuration", "offset", c.Offset, "error", c.Err.Error())
+// configure applies records of the operator; complete says that they are the newest of
+// each key.
+func (f *Follower) configure(records []Change, complete bool) {
+	for _, c := range records {
+		switch {
+		case c.Err == nil:
+		case c.Evacuation != "":
+			f.logger.Warn("unexpected value of an evacuation", "data_centre", c.Evacuation, "offset", c.Offset, "error", c.Err.Error())
+		default:
+			f.logger.Warn("cannot decode configuration", "offset", c.Offset, "error", c.Err.Error())
+		}
+	}
+	if !complete {
+		f.logConfigured(f.view.Configure(records...), "removed")
 		return
 	}
-	if f.view.Configure(c.Configuration, c.Offset) {
-		f.logger.Info("configuration in force", "version", c.Configuration.Version, "offset", c.Offset)
+	f.logConfigured(f.view.ConfigureFromList(records, f.configurations.listEnd), "not listed")
+}
+
+// logConfigured logs and counts the changes that took effect. endCause says why
+// evacuations ended.
+func (f *Follower) logConfigured(applied []Change, endCause string) {
+	for _, c := range applied {
+		switch {
+		case c.Configuration != nil:
+			f.logger.Info("configuration in force", "version", c.Configuration.Version, "offset", c.Offset)
+		case c.Removed:
+			f.metrics.StateChanged("evacuation_ended")
+			f.logger.Info("evacuation ended", "data_centre", c.Evacuation, "cause", endCause, "offset", c.Offset, "servers", f.view.UsableServers(c.Evacuation))
+		default:
+			f.metrics.StateChanged("data_centre_evacuated")
+			f.logger.Info("data centre evacuated", "data_centre", c.Evacuation, "offset", c.Offset, "servers", f.view.UsableServers(c.Evacuation))
+		}
 	}
 }
 
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -14,26 +14,48 @@
 type Snapshot struct {
 	Configuration *Configuration // nil before the first read
 	servers       map[string][]Server
+	evacuated     []oleanderspool.DataCentreID // ordered by name
+	// withheld is the number of usable servers of each service that are in evacuated
+	// data centres.
+	withheld map[string]int
 }
 
-// Servers returns the usable servers of a service, ordered by instance. The result
-// must not be modified.
+// Servers returns the usable servers of a service outside evacuated data centres,
+// ordered by instance. The result must not be modified.
 func (s *Snapshot) Servers(service string) []Server {
 	return s.servers[service]
 }
 
-// View merges the records of the configuration and of the registry. Records may
-// arrive out of order and more than once; an older one never replaces a newer one.
-// It is safe for concurrent use.
+// Evacuated returns the evacuated data centres, ordered by name. The result must not be
+// modified.
+func (s *Snapshot) Evacuated() []oleanderspool.DataCentreID {
+	return s.evacuated
+}
+
+// IsEvacuated reports whether a data centre is evacuated.
+func (s *Snapshot) IsEvacuated(dc oleanderspool.DataCentreID) bool {
+	return slices.Contains(s.evacuated, dc)
+}
+
+// AllEvacuated reports whether a service has usable servers, all of them in evacuated
+// data centres.
+func (s *Snapshot) AllEvacuated(service string) bool {
+	return len(s.servers[service]) == 0 && s.withheld[service] > 0
+}
+
+// View merges the records of the operator (configuration and evacuations) and of the
+// registry. Records may arrive out of order and more than once; an older one never
+// replaces a newer one. It is safe for concurrent use.
 type View struct {
-	mu        sync.Mutex
-	offset    oleanderspool.Offset // of the current configuration
-	records   map[oleanderspool.InstanceID]registration
-	snapshot  atomic.Pointer[Snapshot]
-	confirmed atomic.Int64 // instant; 0 before the first read
-	readAt    atomic.Int64 // of the registry; instant, 0 before the first read
-	ready     chan struct{}
-	isReady   bool
+	mu          sync.Mutex
+	offset      oleanderspool.Offset // of the current configuration
+	evacuations evacuations
+	records     map[oleanderspool.InstanceID]registration
+	snapshot    atomic.Pointer[Snapshot]
+	confirmed   atomic.Int64 // instant; 0 before the first read
+	readAt      atomic.Int64 // of the registry; instant, 0 before the first read
+	ready       chan struct{}
+	isReady     bool
 }
 
 // registration is the newest record of a server.
@@ -46,6 +68,7 @@
 // NewView returns a view without a configuration and servers.
 func NewView() *View {
 	v := &View{records: make(map[oleanderspool.InstanceID]registration), ready: make(chan struct{})}
+	v.evacuations.records = make(map[oleanderspool.DataCentreID]evacuation)
 	v.snapshot.Store(&Snapshot{servers: make(map[string][]Server)})
 	return v
 }
@@ -109,19 +132,66 @@
 	return math.MaxInt32
 }
 
-// Configure replaces the current configuration if the given one is newer, and
-// reports whether it did.
-func (v *View) Configure(c *Configuration, offset oleanderspool.Offset) bool {
+// Configure applies records of the operator, each unless a newer one is known, and
+// returns those that change the configuration or an evacuation. All records become
+// visible together.
+func (v *View) Configure(records ...Change) []Change {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.configure(records, func() []Change { return nil })
+}
+
+// ConfigureFromList is [View.Configure] for a complete list of the newest records, which
+// may be seconds old. It also ends the evacuations that the list lacks and that are older
+// than end, the offset after its newest record, and returns a change for each.
+func (v *View) ConfigureFromList(list []Change, end oleanderspool.Offset) []Change {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.configure(list, func() []Change { return v.evacuations.endUnlisted(list, end) })
+}
+
+func (v *View) configure(records []Change, endUnlisted func() []Change) []Change {
 	old := v.snapshot.Load()
-	if old.Configuration != nil && (offset <= v.offset || c.Version <= old.Configuration.Version) {
-		return false
+	configuration, evacuated := old.Configuration, false
+	var applied []Change
+	for _, c := range records {
+		switch {
+		case c.Evacuation != "":
+			if !v.evacuations.apply(c) {
+				continue
+			}
+			evacuated = true
+		case c.Configuration == nil || configuration != nil && (c.Offset <= v.offset || c.Configuration.Version <= configuration.Version):
+			continue
+		default:
+			v.offset, configuration = c.Offset, c.Configuration
+		}
+		applied = append(applied, c)
 	}
-	v.offset = offset
-	v.snapshot.Store(&Snapshot{Configuration: c, servers: old.servers})
-	v.closeIfReady()
-	return true
+	ended := endUnlisted()
+	switch {
+	case evacuated || len(ended) > 0:
+		v.publish(configuration)
+	case configuration != old.Configuration:
+		next := *old
+		next.Configuration = configuration
+		v.snapshot.Store(&next)
+		v.closeIfReady()
+	}
+	return append(applied, ended...)
+}
+
+// UsableServers returns the number of usable servers in a data centre, evacuated or not.
+func (v *View) UsableServers(dc oleanderspool.DataCentreID) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	count := 0
+	for _, r := range v.records {
+		if r.usable && r.server.DataCentre == dc {
+			count++
+		}
+	}
+	return count
 }
 
 // Registered is the effect of a record of a server.
@@ -147,7 +217,7 @@
 		changed = changed || effects[i].Changed
 	}
 	if changed {
-		v.publish()
+		v.publish(v.snapshot.Load().Configuration)
 	}
 	return effects
 }
@@ -185,18 +255,23 @@
 		delete(v.records, id)
 	}
 	if len(removed) > 0 {
-		v.publish()
+		v.publish(v.snapshot.Load().Configuration)
 	}
 	return removed
 }
 
-func (v *View) publish() {
-	servers := make(map[string][]Server)
+func (v *View) publish(configuration *Configuration) {
+	s := &Snapshot{Configuration: configuration, servers: make(map[string][]Server), evacuated: v.evacuations.active(), withheld: make(map[string]int)}
 	for _, id := range slices.Sorted(maps.Keys(v.records)) {
-		if r := v.records[id]; r.usable {
-			servers[r.server.Service] = append(servers[r.server.Service], r.server)
+		r := v.records[id]
+		switch {
+		case !r.usable:
+		case s.IsEvacuated(r.server.DataCentre):
+			s.withheld[r.server.Service]++
+		default:
+			s.servers[r.server.Service] = append(s.servers[r.server.Service], r.server)
 		}
 	}
-	v.snapshot.Store(&Snapshot{Configuration: v.snapshot.Load().Configuration, servers: servers})
+	v.snapshot.Store(s)
 	v.closeIfReady()
 }
--- a/internal/directory/view_test.go
+++ b/internal/directory/view_test.go
@@ -31,7 +31,8 @@
 		}
 		v := directory.NewView()
 		for _, s := range steps {
-			Expect(v.Configure(version(s.version), s.offset)).To(Equal(s.applied), "%+v", s)
+			applied := v.Configure(directory.Change{Configuration: version(s.version), Offset: s.offset})
+			Expect(len(applied) == 1).To(Equal(s.applied), "%+v", s)
 		}
 		Expect(v.Snapshot().Configuration.Version).To(Equal(int64(7)))
 	})
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -136,6 +136,13 @@
 	}))
 }
 
+// ObserveCount adds a gauge of a number.
+func (m *Metrics) ObserveCount(name, help string, count func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, func() float64 {
+		return float64(count())
+	}))
+}
+
 // Handler serves the metrics over HTTP.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
