Place requests again whose data centre was evacuated

Cause: memory reservations may take hundreds of ms between the placement of a request and its sending, and a data centre may be evacuated meanwhile.

When all servers of a service are in evacuated data centres, a request is refused at once with 503, not_run and Retry-After; the line "all servers evacuated" says so.

--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -180,11 +180,17 @@
 		}
 		a.memory, t.open.memory = memory, memory
 	}
+	if dc, evacuated := t.evacuated(as); evacuated {
+		// The servers remain eligible for another attempt, in case the evacuation ends.
+		a.outcome = notSent
+		t.gateway.logger.Info("attempt not sent", "request_id", t.call.ID, "instance", as.Server.Instance, "cause", "evacuated", "data_centre", dc, "sends", t.sends)
+		return a, true
+	}
 	if t.gateway.shared.excluded(as.Server.Run()) {
 		// The server has said so since it was chosen, for example while memory was reserved.
 		a.outcome = notSent
 		t.tried = append(t.tried, as.Server.Instance)
-		t.gateway.logger.Info("attempt not sent", "request_id", t.call.ID, "instance", as.Server.Instance, "sends", t.sends)
+		t.gateway.logger.Info("attempt not sent", "request_id", t.call.ID, "instance", as.Server.Instance, "cause", "excluded", "sends", t.sends)
 		return a, true
 	}
 	exchange, err := t.gateway.pool.Do(ctx, as.Server, backend.Request{
@@ -198,6 +204,21 @@
 	return a, true
 }
 
+// evacuated returns a data centre of a placement that has been evacuated since, for
+// example while memory was reserved.
+func (t *transaction) evacuated(as assignment) (oleanderspool.DataCentreID, bool) {
+	s := t.gateway.view.Snapshot()
+	if s.IsEvacuated(as.Server.DataCentre) {
+		return as.Server.DataCentre, true
+	}
+	for _, h := range as.Helpers {
+		if s.IsEvacuated(h.Server.DataCentre) {
+			return h.Server.DataCentre, true
+		}
+	}
+	return "", false
+}
+
 func (t *transaction) classify(a attempt, err error) outcome {
 	switch {
 	case err == nil && a.exchange.Answer.NotRun:
@@ -382,6 +403,10 @@
 		t.gateway.shared.recordRefusal(t.subject.Request)
 		return oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "each backend server asked for time").WithRetryAfter(a.availableIn + rand.N(meanRetryAfter))
 	}
+	if t.snapshot.AllEvacuated(t.service.Name) {
+		t.gateway.logger.Info("all servers evacuated", "request_id", t.call.ID, "service", t.service.Name, "evacuated", t.snapshot.Evacuated(),
+			"execution", t.execution.String(), "sends", t.sends)
+	}
 	return t.failureRefusal()
 }
 
@@ -407,6 +432,8 @@
 		return t.gateway.stoppingRefusal()
 	case t.gateway.ended.Err() != nil:
 		return oleanderspool.Refuse(oleanderspool.RefusalStopping, "the entry stopped before the answer was complete").WithExecution(t.execution)
+	case t.execution == oleanderspool.NotRun && t.snapshot.AllEvacuated(t.service.Name):
+		return t.gateway.unavailableRefusal(oleanderspool.RefusalNoBackendServer, "all backend servers are in evacuated data centres")
 	case t.execution == oleanderspool.NotRun:
 		return t.gateway.unavailableRefusal(oleanderspool.RefusalNoBackendServer, "no backend server accepted the request")
 	default:
