Validate a configuration of the platform before it is sent

Findings have a severity; that of existing ones is error.

placement.MaxRank is exported, since priorities above it are not told apart.

--- a/finding.go
+++ b/finding.go
@@ -5,16 +5,42 @@
 	"strings"
 )
 
-// Finding is one error in an input, with its position.
+// Severity is how serious a finding is.
+type Severity int
+
+// The severities, the most serious one first. The zero value is an error.
+const (
+	SeverityError   Severity = iota // the input must not be used
+	SeverityWarning                 // the input can be used, but probably does not do what was meant
+	SeverityInfo                    // a statement about the input
+)
+
+// String returns the name that is printed.
+func (s Severity) String() string {
+	switch s {
+	case SeverityError:
+		return "error"
+	case SeverityWarning:
+		return "warning"
+	default:
+		return "info"
+	}
+}
+
+// Finding is an error in an input, or something else that is worth knowing about it,
+// with its position.
 type Finding struct {
 	File    string // empty when the input is not a file
 	Line    int    // from 1; 0 when unknown
 	Key     string // path of the key within the input
 	Message string
+
+	Severity Severity
 }
 
 // String returns the finding as "file:line: key: message", without the parts
-// that are unknown.
+// that are unknown. The message of a finding that is not an error is preceded by
+// its severity.
 func (f Finding) String() string {
 	var b strings.Builder
 	if f.File != "" {
@@ -31,6 +57,10 @@
 		b.WriteString(f.Key)
 		b.WriteString(": ")
 	}
+	if f.Severity != SeverityError {
+		b.WriteString(f.Severity.String())
+		b.WriteString(": ")
+	}
 	b.WriteString(f.Message)
 	return b.String()
 }
--- a/internal/command/forward.go
+++ b/internal/command/forward.go
@@ -27,6 +27,12 @@
 // answers. Buffers that grow leave garbage of the same size behind.
 const bufferPart = 0.2
 
+// bufferMemory returns the bytes for the buffers of requests and answers; 0 if the
+// memory of the instance is unknown.
+func bufferMemory(s platform.Settings) int64 {
+	return int64(float64(s.MemoryBytes) * bufferPart)
+}
+
 // forwardCommand runs an entry on the platform.
 type forwardCommand struct {
 	LogLevel string `long:"log-level" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info" description:"Lowest level of log lines"`
@@ -76,7 +82,7 @@
 		forward.WithMaxKeyAge(s.KeyFreshness),
 	}
 	if s.MemoryBytes > 0 {
-		options = append(options, forward.WithBufferMemory(int64(float64(s.MemoryBytes)*bufferPart)))
+		options = append(options, forward.WithBufferMemory(bufferMemory(s)))
 	}
 	if s.MemoryIdleTimeout > 0 {
 		options = append(options, forward.WithMemoryIdleTimeout(s.MemoryIdleTimeout))
--- a/internal/command/registrations.go
+++ b/internal/command/registrations.go
@@ -16,7 +16,7 @@
 			&agentCommand{},
 		},
 		{
-			"check", "Check settings or a configuration", "Checks settings or configuration files and prints every finding with its file, line and key. Exits 3 when there is one.",
+			"check", "Check settings or a configuration", "Checks settings or configuration files and prints every finding with its file, line and key, and with --against what differs from the configuration in force. Exits 3 when there is an error, with --strict also when there is a warning.",
 			&checkCommand{},
 		},
 		{
--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -44,8 +44,8 @@
 	rankTolerance = 0.05
 	// outcomeWindow is the time over which outcomes and shares are averaged.
 	outcomeWindow = 3 * oleanderspool.Second
-	// maxRank is the least urgent rank that is told from others.
-	maxRank = 7
+	// MaxRank is the least urgent rank that is told from others.
+	MaxRank = 7
 	// maxGoals bounds the TTFT goals that are told from others.
 	maxGoals = 64
 	// maxAccounts bounds the accounts whose shares are tracked for a service.
@@ -91,7 +91,7 @@
 	// that is busy with prefills has room for those with a long goal only.
 	since    map[oleanderspool.Millis]oleanderspool.Millis
 	all      outcomes
-	ranks    [maxRank + 1]outcomes
+	ranks    [MaxRank + 1]outcomes
 	accounts map[string]decayingCount
 	admitted decayingCount // of all accounts
 }
@@ -254,7 +254,7 @@
 }
 
 func clampRank(rank int) int {
-	return min(max(0, rank), maxRank)
+	return min(max(0, rank), MaxRank)
 }
 
 // record counts a decision. Accounts are counted while requests contend for slots.
