Count a platform response after the call's deadline as none

Cause: the client relied on the end of the context alone. The goroutine that ends it can run after the one that reads the response, and then an append whose timeout of 300 ms had passed returned the offset that the stand-in sent after 600 ms. The stand-in measures its delay from a later instant than the client, on the same monotonic clock, on a connection of its own, so no other order of events gives a result without an error. Change: Append, Reserve, Read and Instances compare the deadline with the time once the response is read. A deadline of the caller within 1 s is still no failure of the platform. Measured: with a context whose deadline passes without ending it, the append returned no error before the change and ErrUncertain after it. The new spec also fails without the check of a caller's deadline in abandoned and with ErrUncertain for a late read. The package passes with -race.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -8,6 +8,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -63,7 +64,7 @@
 }
 
 // WithTimeout sets the timeout of each call. The wait of a long poll is added to
-// it.
+// it. A response that arrives later counts as none.
 func WithTimeout(timeout oleanderspool.Millis) Option {
 	return func(p *Client) { p.timeout = timeout }
 }
@@ -248,7 +249,15 @@
 // deadline that passed within slowCall, which is no evidence about the platform.
 func abandoned(ctx context.Context, elapsed oleanderspool.Millis) bool {
 	err := ctx.Err()
-	return errors.Is(err, context.Canceled) || err != nil && elapsed < slowCall
+	return errors.Is(err, context.Canceled) || (err != nil || expired(ctx)) && elapsed < slowCall
+}
+
+// expired reports whether the deadline of a call has passed. The goroutine that ends
+// the context may run late on a busy machine, so that a response that arrives after
+// the deadline is read without an error.
+func expired(ctx context.Context) bool {
+	deadline, bounded := ctx.Deadline()
+	return bounded && !time.Now().Before(deadline)
 }
 
 func (p *Client) send(ctx context.Context, c call) result {
@@ -268,6 +277,9 @@
 	if err != nil {
 		return result{err: err}
 	}
+	if expired(ctx) {
+		return result{err: oleanderspool.ErrUncertain.New("response of %s arrived after the timeout", c.path)}
+	}
 	return result{body: body, alive: alive(response.StatusCode), err: postError(response.StatusCode, body)}
 }
 
@@ -308,6 +320,9 @@
 	if err != nil {
 		return result{err: oleanderspool.ErrUnavailable.Wrap(err, "request to %s failed", c.path)}
 	}
+	if expired(ctx) {
+		return result{err: oleanderspool.ErrUnavailable.New("response of %s arrived after the timeout", c.path)}
+	}
 	if response.StatusCode != http.StatusOK {
 		message, _ := decodeError(body)
 		err := oleanderspool.ErrUnavailable.New("platform answered %d: %s", response.StatusCode, message)
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -71,6 +71,34 @@
 	Expect(errorx.IsOfType(err, t)).To(BeTrue(), "%v", err)
 }
 
+// lateContext has a deadline and does not end when it passes, like a context on a
+// busy machine whose timer runs late.
+type lateContext struct {
+	context.Context
+	deadline time.Time
+}
+
+// Deadline returns the deadline.
+func (c lateContext) Deadline() (time.Time, bool) { return c.deadline, true }
+
+var _ = Describe("A response after the deadline of its call", func() {
+	// Guards against a result that depends on whether the timer of the call or the
+	// late response is handled first.
+	It("counts as none, and as no failure of the platform if the caller set the deadline", func(ctx context.Context) {
+		f := start(platformstandin.WithFault(standin.Fault{Kind: standin.FaultSlow, Delay: 600, Count: 2}))
+		client := platform.NewClient(f.address, platform.WithClock(f.clock))
+		late := func() context.Context { return lateContext{ctx, time.Now().Add(500 * time.Millisecond)} }
+		_, err := client.Append(late(), stream, [][]byte{[]byte("a")})
+		expectType(err, oleanderspool.ErrUncertain)
+		Expect(f.texts()).To(Equal([]string{"a"}))
+		_, _, err = client.Read(late(), stream, 1, 1, 0)
+		expectType(err, oleanderspool.ErrUnavailable)
+		Expect(client.Append(ctx, stream, [][]byte{[]byte("b")})).To(Equal(oleanderspool.Offset(2)))
+		_, _, err = client.Read(ctx, stream, 1, 1, 0)
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
+
 var _ = Describe("Append", func() {
 	// Guards against an append of unknown outcome that is reported as without
 	// effect, so that a key could be claimed twice, and against the reverse, which
