Let a stopping agent wait for the reader of an exported answer

Cause: a stopping agent waited for the reader of an answer that had ended only while the transfer was within its time limits, at the most TransferTimeout + SwitchTimeout after the export. The entry gives up a destination that sends no piece after 5 s, and the limits of the spec are 3 s + 1 s: an answer that ended in between was lost with its agent. In the case "start hangs" every new start hangs, so that the request was refused with time_limit after its 30 s.

--- a/internal/entry/move_test.go
+++ b/internal/entry/move_test.go
@@ -129,6 +129,25 @@
 			Eventually(r.freeTokens, eventualTimeout, pollInterval).Should(BeNumerically("==", standengine.DefaultSizeTokens))
 		}
 	})
+	// Guards against a stopping agent that does not wait for the reader of an answer
+	// that has ended after the transfer's time limits and before the reader returned
+	// from a destination that sent no piece. Every new start hangs, so an answer that
+	// is lost here is refused with time_limit.
+	It("is completed when it ends where it runs before the destination is given up", func() {
+		limits := shortLimits()
+		limits.TransferTimeout = 2 * oleanderspool.Second
+		// The answer ends about 3.6 s after the transfer: 3 s are its time limits, and
+		// after 5 s the entry gives up the destination.
+		const tokens = 200
+		h, s, source, target := startMove(limits, tokens)
+		for _, r := range []*runner{source, target} {
+			r.engine.AddFault(standin.Fault{Kind: standin.FaultHang, Path: "/v1/chat"})
+		}
+		source.stop()
+		expectWholeAnswer(s.waitForEnd(), longPrompt, tokens)
+		Expect(h.transferResults()).To(ContainElement("not_started"))
+		Eventually(source.stopped, eventualTimeout, pollInterval).Should(BeClosed())
+	})
 	It("is completed, on another server or where it runs, when the transfer fails", func() {
 		play := func(c transfer) {
 			h, s, source, target := startMove(shortLimits(), answerTokens)
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -55,6 +55,38 @@
 	Expect(s.problems).To(BeEmpty())
 }
 
+// Guards against an agent that forgets that another server has a stream's cache when
+// the stream does not switch in time: it would not wait for the reader of an answer
+// that ends before the reader returns from that server.
+func TestEndedAfterExport(t *testing.T) {
+	RegisterTestingT(t)
+	limits := handover.DefaultLimits
+	cases := []struct {
+		name     string
+		duration oleanderspool.Millis // of the export
+		wait     oleanderspool.Millis // from the end of the export to the end of the stream
+	}{
+		{"within the time limits", 1, 1},
+		{"switch timed out", 1, limits.TransferTimeout + limits.SwitchTimeout},
+		{"export timed out", limits.TransferTimeout, 1},
+	}
+	for _, c := range cases {
+		s := newSimulation()
+		r := s.start(40_000, 4000, true, false)
+		id := r.stream.Attempt
+		s.advance(500)
+		s.source.Leave()
+		s.offer(false)
+		Expect(s.source.BeginExport(id, s.now)).To(BeTrue(), c.name)
+		s.now += c.duration
+		s.source.NextOffer(prefillRate, s.now)
+		s.source.Exported(id, 1<<20, s.now)
+		s.now += c.wait
+		s.source.NextOffer(prefillRate, s.now)
+		Expect(s.source.Ended(id)).To(BeTrue(), c.name)
+	}
+}
+
 // Guards against transfers that never end or overlap, offers of streams that must
 // stay, streams that run without memory, and memory that is not released after a
 // lost message or when one side stops responding (P2).
--- a/internal/handover/source.go
+++ b/internal/handover/source.go
@@ -26,6 +26,7 @@
 	lastTokenAt  oleanderspool.Millis // instant of the latest token
 	offers       int
 	retryAt      oleanderspool.Millis
+	exported     bool // its cache was sent to another server
 }
 
 // phase is the phase of the transfer in progress.
@@ -78,18 +79,18 @@
 }
 
 // Ended removes a stream that has finished, failed or moved. It reports whether
-// its cache had been exported.
+// its cache had been exported. The result does not depend on the time limits of the
+// transfer: a reader may return from the target after they have passed.
 func (s *Source) Ended(id oleanderspool.AttemptID) (exported bool) {
 	st := s.streams[id]
 	if st == nil {
 		return false
 	}
 	delete(s.streams, id)
-	if s.current != st {
-		return false
+	if s.current == st {
+		s.current = nil
 	}
-	s.current = nil
-	return s.phase == phaseExported
+	return st.exported
 }
 
 // Leave marks the agent as leaving. Streams are offered only from then on.
@@ -206,6 +207,9 @@
 // Exported records that a cache of the given size has been sent. It returns false
 // if the transfer was abandoned before.
 func (s *Source) Exported(id oleanderspool.AttemptID, bytes int64, now oleanderspool.Millis) bool {
+	if st := s.streams[id]; st != nil {
+		st.exported = true
+	}
 	if !s.inPhase(id, phaseExporting) {
 		return false
 	}
