Limit what misbehaving clients can hold of an entry

Crowds of clients that send or read slowly, stop partway, pipeline or send many short header fields exhausted the descriptors and the memory of an entry, and kept ordinary callers out.

internal/clientlimit decides which connection, body or unread bytes give way; internal/clientconn applies it to net/http, at the callers' address and at the readiness and metrics addresses. Answers have a write deadline, bodies of a stated length over the limit are not read, and connections to backend servers are bounded by the descriptors.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/oleanderspool/oleanderspool"
@@ -30,6 +31,8 @@
 	// rejected holds the IDs of the requests that the server did not run. A faulty
 	// server may repeat such an answer.
 	rejected []oleanderspool.RequestID
+	closed   atomic.Bool
+	onClose  func() // nil for none
 }
 
 // maxRejected is the number of rejected requests after which a connection is not
@@ -92,6 +95,9 @@
 }
 
 func (c *connection) close() {
+	if c.closed.CompareAndSwap(false, true) && c.onClose != nil {
+		defer c.onClose()
+	}
 	_ = c.conn.Close() // nothing can be done about a connection that fails to close
 }
 
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -55,6 +56,9 @@
 	idle    map[directory.ServerRun][]*connection
 	observe func(directory.Server, oleanderspool.RequestID, oleanderspool.AnswerHeader)
 	budget  *buffer.Budget
+	// open counts the connections, if maxOpen bounds them.
+	open    atomic.Int64
+	maxOpen int64 // 0 for no bound
 }
 
 // Option configures a [Pool].
@@ -74,6 +78,12 @@
 	return func(p *Pool) { p.budget = b }
 }
 
+// WithMaxConnections bounds the open connections of the pool; 0 for no bound. At the
+// bound idle connections are closed for new ones.
+func WithMaxConnections(connections int) Option {
+	return func(p *Pool) { p.maxOpen = int64(connections) }
+}
+
 // NewPool returns a pool without connections.
 func NewPool(clock oleanderspool.Clock, options ...Option) *Pool {
 	p := &Pool{
@@ -108,11 +118,43 @@
 	if c := p.takeIdle(s.Run(), maxIdle, id); c != nil {
 		return c, nil
 	}
+	if !p.claim() {
+		return nil, oleanderspool.ErrNotSent.New("cannot connect to %s: %d connections are open", s.Instance, p.maxOpen)
+	}
 	conn, err := p.dialer.DialContext(ctx, "tcp", s.Address)
 	if err != nil {
+		p.open.Add(-1)
 		return nil, oleanderspool.ErrNotSent.Wrap(err, "cannot connect to %s", s.Instance)
 	}
-	return newConnection(conn, s.Run(), p.budget), nil
+	c := newConnection(conn, s.Run(), p.budget)
+	c.onClose = func() { p.open.Add(-1) }
+	return c, nil
+}
+
+// claim reports whether a new connection may be opened, and counts it.
+func (p *Pool) claim() bool {
+	for p.open.Add(1) > p.maxOpen && p.maxOpen > 0 {
+		p.open.Add(-1)
+		if !p.closeAnyIdle() {
+			return false
+		}
+	}
+	return true
+}
+
+// closeAnyIdle closes an idle connection and reports whether there was one.
+func (p *Pool) closeAnyIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, list := range p.idle {
+		if len(list) == 0 {
+			continue
+		}
+		list[0].close()
+		p.idle[key] = slices.Delete(list, 0, 1)
+		return true
+	}
+	return false
 }
 
 func (p *Pool) takeIdle(key directory.ServerRun, maxIdle oleanderspool.Millis, id oleanderspool.RequestID) *connection {
--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -3,6 +3,7 @@
 package buffer
 
 import (
+	"context"
 	"io"
 
 	"golang.org/x/sync/semaphore"
@@ -37,22 +38,44 @@
 	return b.left.TryAcquire(int64(bytes))
 }
 
+// ReserveWithin is [Budget.Reserve] that waits until ctx ends for other buffers to
+// return theirs.
+func (b *Budget) ReserveWithin(ctx context.Context, bytes int) bool {
+	return b.left.Acquire(ctx, int64(bytes)) == nil
+}
+
 // Release returns reserved bytes.
 func (b *Budget) Release(bytes int) {
 	b.left.Release(int64(bytes))
 }
 
-// Buffer holds bytes. What exceeds [Unreserved] is taken from a budget until
+// Memory is where buffers take their memory from.
+type Memory interface {
+	// Reserve takes a number of bytes and reports whether they were left.
+	Reserve(bytes int) bool
+	// Release returns reserved bytes.
+	Release(bytes int)
+}
+
+// Buffer holds bytes. What exceeds its unreserved part is taken from a memory until
 // [Buffer.Reset].
 type Buffer struct {
-	budget   *Budget
-	data     []byte
-	reserved int
+	memory      Memory
+	unreserved  int
+	maxCapacity int // 0 for none
+	data        []byte
+	reserved    int
 }
 
-// New returns an empty buffer.
-func New(budget *Budget) *Buffer {
-	return &Buffer{budget: budget}
+// New returns an empty buffer. Its first [Unreserved] bytes are not counted.
+func New(memory Memory) *Buffer {
+	return &Buffer{memory: memory, unreserved: Unreserved}
+}
+
+// NewCounted returns an empty buffer that is counted from its first byte on. It
+// allocates no more than maxCapacity bytes for a content that fits into them.
+func NewCounted(memory Memory, maxCapacity int) *Buffer {
+	return &Buffer{memory: memory, maxCapacity: maxCapacity}
 }
 
 // Bytes returns the content. It is valid until the next change of the buffer.
@@ -97,7 +120,7 @@
 func (b *Buffer) Reset() {
 	b.data = b.data[:0]
 	if b.reserved > 0 {
-		b.budget.Release(b.reserved)
+		b.memory.Release(b.reserved)
 		b.data, b.reserved = nil, 0
 	}
 }
@@ -109,13 +132,16 @@
 		return nil
 	}
 	capacity := max(minCapacity, 2*cap(b.data), needed)
-	reserved := max(0, capacity-Unreserved)
-	if reserved > 0 && !b.budget.Reserve(reserved) {
+	if needed <= b.maxCapacity {
+		capacity = min(capacity, b.maxCapacity)
+	}
+	reserved := max(0, capacity-b.unreserved)
+	if reserved > 0 && !b.memory.Reserve(reserved) {
 		return ErrExhausted.New("no memory for a buffer of %d bytes", capacity)
 	}
 	grown := make([]byte, len(b.data), capacity)
 	copy(grown, b.data)
-	b.budget.Release(b.reserved)
+	b.memory.Release(b.reserved)
 	b.data, b.reserved = grown, reserved
 	return nil
 }
--- a/internal/command/clients_test.go
+++ b/internal/command/clients_test.go
@@ -46,7 +46,7 @@
 	session  *gexec.Session
 }
 
-func startCrowdServer(behaviour platformtest.Behaviour) *crowdServer {
+func startCrowdServer(behaviour platformtest.Behaviour, memoryMb, maxBody int) *crowdServer {
 	store := platformtest.NewStore(10)
 	DeferCleanup(store.Close)
 	for i := range 4 {
@@ -61,11 +61,11 @@
 			{Name: "ask", Host: "h", Prefix: "/ask/", Kind: platformtest.KindStream, Service: "llm", TimeoutMs: 20000, TTFTGoalMs: 5000, Attempts: 2, Resumable: true},
 			{Name: "lookup", Host: "h", Prefix: "/lookup/", Kind: platformtest.KindIdempotent, Service: "app", TimeoutMs: 20000, TTFTGoalMs: 5000, Attempts: 2},
 		},
-		Engines: []string{"llm"}, Services: []string{"app"}, MaxBodyBytes: crowdBody,
+		Engines: []string{"llm"}, Services: []string{"app"}, MaxBodyBytes: maxBody,
 	})
 	s := &crowdServer{instance: platformtest.Instance{
 		Name: "front-1", Listen: freeAddress(), Ready: freeAddress(), Control: freeAddress(), Peer: freeAddress(),
-		MemoryMb: crowdMemoryMb, MaxDescriptors: crowdDescriptors,
+		MemoryMb: memoryMb, MaxDescriptors: crowdDescriptors,
 	}}
 	variable, err := store.WriteSettings(GinkgoT().TempDir(), s.instance)
 	Expect(err).NotTo(HaveOccurred())
@@ -333,6 +333,27 @@
 	return true
 }
 
+var _ = Describe("The smallest entry", Serial, func() {
+	// Guards against limits that a single request inside those of the configuration meets.
+	for _, length := range []int64{4 << 20, -1} {
+		It(fmt.Sprintf("serves one request of the largest size, length %d", length), func() {
+			const smallestMb, body = 136, 4 << 20
+			s := startCrowdServer(nil, smallestMb, body)
+			r, err := http.NewRequest(http.MethodPost, "http://"+s.instance.Listen+"/lookup/ordinary", bytes.NewReader(make([]byte, body)))
+			Expect(err).NotTo(HaveOccurred())
+			r.Host, r.ContentLength, r.Header = "h", length, platformtest.CallerHeader{ID: "ordinary"}.Encode()
+			for i := range 1800 {
+				r.Header["X"+strconv.FormatInt(int64(i), 36)] = []string{""}
+			}
+			response, err := http.DefaultClient.Do(r)
+			Expect(err).NotTo(HaveOccurred())
+			defer response.Body.Close()
+			Expect(response.StatusCode).To(Equal(http.StatusOK))
+			Expect(s.peakMemory() >> 20).To(BeNumerically("<", smallestMb))
+		})
+	}
+})
+
 var _ = Describe("An entry with clients that misbehave", Serial, func() {
 	legal := shortFields(crowdHeader - 512)
 	// Each case guards against a crowd that exhausts the memory or the descriptors of an
@@ -375,7 +396,7 @@
 	}
 	for _, c := range cases {
 		It("stays within its limits and serves others: "+c.name, func() {
-			s := startCrowdServer(largeAnswer)
+			s := startCrowdServer(largeAnswer, crowdMemoryMb, crowdBody)
 			address := s.instance.Listen
 			if c.ready {
 				address = s.instance.Ready
--- a/internal/command/forward.go
+++ b/internal/command/forward.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/clientlimit"
 	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/forward"
@@ -23,8 +24,8 @@
 // works harder. The rest covers memory outside the heap.
 const memoryPart = 0.6
 
-// bufferPart is the part of an instance's memory for the buffers of requests and
-// answers. Buffers that grow leave garbage of the same size behind.
+// bufferPart is the part of an instance's memory for the buffers of answers; that for
+// requests is set by [clientlimit.ForInstance]. Buffers that grow leave garbage of the same size behind.
 const bufferPart = 0.2
 
 // forwardCommand runs an entry on the platform.
@@ -77,6 +78,7 @@
 	if s.MemoryBytes > 0 {
 		options = append(options, forward.WithBufferMemory(int64(float64(s.MemoryBytes)*bufferPart)))
 	}
+	options = append(options, forward.WithClientLimits(clientlimit.ForInstance(s.MemoryBytes, s.Descriptors)))
 	if s.MemoryIdleTimeout > 0 {
 		options = append(options, forward.WithMemoryIdleTimeout(s.MemoryIdleTimeout))
 	}
@@ -130,9 +132,11 @@
 	run(gateway.Run)
 	run(node.Run)
 	group.Go(func() error { return env.runReloads(after, logger) })
-	group.Go(func() error { return serveHTTP(after, listeners.ready, readyHandler(gateway), logger) })
+	group.Go(func() error {
+		return serveLimited(after, listeners.ready, readyHandler(gateway), clock, logger, metrics)
+	})
 	if listeners.admin != nil {
-		group.Go(func() error { return serveHTTP(after, listeners.admin, metrics.Handler(), logger) })
+		group.Go(func() error { return serveLimited(after, listeners.admin, metrics.Handler(), clock, logger, metrics) })
 	}
 	group.Go(func() error {
 		defer stop()
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -13,6 +13,10 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/clientconn"
+	"github.com/oleanderspool/oleanderspool/internal/clientlimit"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/observe"
 )
 
@@ -78,6 +82,44 @@
 		ReadHeaderTimeout: stopBound,
 		ErrorLog:          slog.NewLogLogger(logger.Handler(), slog.LevelDebug),
 	}
+	return runHTTP(ctx, server, l)
+}
+
+const (
+	// adminHeader bounds the header of a request to an address that serves only probes
+	// or metrics, in bytes.
+	adminHeader = 8 << 10
+	// adminIdleTimeout is the idle timeout of its connections.
+	adminIdleTimeout = 30 * time.Second
+	// adminSweepInterval is the interval between two checks of its connections.
+	adminSweepInterval = oleanderspool.Second
+)
+
+// serveLimited is serveHTTP for an address that callers out of control may reach.
+func serveLimited(ctx context.Context, l net.Listener, h http.Handler, time oleanderspool.Clock, logger *slog.Logger, metrics *observe.Metrics) error {
+	guard := clientconn.NewGuard(clientlimit.ForAdmin(), time, observe.NewTally(time, logger, metrics, "client limit of a probe or metrics address reached"))
+	server := &http.Server{
+		Handler:        h,
+		ReadTimeout:    stopBound,
+		WriteTimeout:   2 * stopBound,
+		IdleTimeout:    adminIdleTimeout,
+		MaxHeaderBytes: adminHeader,
+		ErrorLog:       slog.NewLogLogger(logger.Handler(), slog.LevelDebug),
+	}
+	guard.Install(server)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return runHTTP(ctx, server, guard.Listen(l)) })
+	group.Go(func() error {
+		clock.Every(ctx, adminSweepInterval, nil, func() {
+			guard.Sweep(oleanderspool.MillisOf(stopBound), oleanderspool.MillisOf(adminIdleTimeout))
+		})
+		return nil
+	})
+	return group.Wait()
+}
+
+// runHTTP runs a server on l until ctx ends.
+func runHTTP(ctx context.Context, server *http.Server, l net.Listener) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		err := server.Serve(l)
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -15,6 +15,7 @@
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/buffer"
+	"github.com/oleanderspool/oleanderspool/internal/clientconn"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/quarantine"
 )
@@ -48,6 +49,10 @@
 		gateway: g, request: r, call: g.format.DecodeCallHeader(r.Header),
 		receivedAt: g.clock.Now(), body: buffer.New(g.buffers),
 	}
+	conn := clientconn.FromContext(r.Context())
+	if conn != nil && !conn.StartRequest(r) {
+		return t, g.unavailableRefusal(oleanderspool.RefusalOverloaded, "the entry has no memory for the header")
+	}
 	g.awaitConfiguration(r.Context())
 	t.snapshot = g.view.Snapshot()
 	t.confirmationAge = g.view.ConfirmationAge(t.receivedAt)
@@ -170,14 +175,22 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
+	if t.request.ContentLength > limit {
+		return oleanderspool.Refuse(oleanderspool.RefusalBodyTooLarge, "the body is too large")
+	}
 	controller := http.NewResponseController(w)
 	t.setReadDeadline(controller, time.Now().Add(t.remaining().Duration()))
 	defer context.AfterFunc(t.gateway.ended, func() { t.setReadDeadline(controller, time.Now()) })()
-	_, err := t.body.ReadUpTo(http.MaxBytesReader(nil, t.request.Body, limit), math.MaxInt)
+	t.upload = t.gateway.bodies.start(t.request.Context(), func() { t.setReadDeadline(controller, time.Now()) })
+	t.body = t.upload.newBuffer(t.request.ContentLength, limit)
+	_, err := t.body.ReadUpTo(t.upload.reader(http.MaxBytesReader(nil, t.request.Body, limit)), math.MaxInt)
+	refused := t.upload.finish()
 	var tooLarge *http.MaxBytesError
 	switch {
+	case refused && t.gateway.ended.Err() == nil:
+		return oleanderspool.Refuse(oleanderspool.RefusalSlowSender, "the body arrived too slowly while the entry has no memory").WithRetryAfter(jitter(meanRetryAfter))
 	case errorx.IsOfType(err, buffer.ErrExhausted):
-		t.recordExhausted("request", err)
+		t.gateway.tally.Record(kindBodyMemory)
 		return t.gateway.unavailableRefusal(oleanderspool.RefusalOverloaded, "the entry has no memory for the body")
 	case errors.Is(err, os.ErrDeadlineExceeded) && t.gateway.ended.Err() != nil:
 		return t.gateway.stoppingRefusal()
@@ -191,6 +204,9 @@
 	}
 	t.setReadDeadline(controller, time.Time{})
 	t.received = true
+	if conn := clientconn.FromContext(t.request.Context()); conn != nil {
+		conn.Run()
+	}
 	h := xxhash.New()
 	for _, part := range []string{t.account.Name, "\x00", t.request.Method, "\x00", t.request.RequestURI, "\x00"} {
 		_, _ = h.WriteString(part) // hashing does not fail
--- a/internal/forward/caller_answer.go
+++ b/internal/forward/caller_answer.go
@@ -1,6 +1,20 @@
 package forward
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+
+	"github.com/oleanderspool/oleanderspool"
+)
+
+const (
+	// ownAnswerTimeout bounds the time in which a caller reads a refusal, or what is left
+	// of an answer at the deadline of its request.
+	ownAnswerTimeout = 5 * oleanderspool.Second
+	// drainTimeout bounds the time in which the rest of the body of a refused request may
+	// arrive, so that its connection can be reused.
+	drainTimeout = oleanderspool.Second
+)
 
 // callerAnswer is the answer of a request to its caller. net/http completes an answer
 // that a handler leaves unfinished, and the caller would take it for a success. So each
@@ -25,6 +39,23 @@
 	return a.ResponseWriter
 }
 
+// limitWrites sets the time in which the caller must read the answer, so that one that
+// reads nothing does not hold the request's memory and server.
+func (a *callerAnswer) limitWrites(timeout oleanderspool.Millis) {
+	// Without a connection there is nothing to limit.
+	_ = http.NewResponseController(a).SetWriteDeadline(time.Now().Add(max(0, timeout).Duration()))
+}
+
+// abandonBody limits what is still read of the body of a refused request. A body that is
+// too large or too slow is not read on.
+func (a *callerAnswer) abandonBody(reason oleanderspool.RefusalReason) {
+	switch reason {
+	case oleanderspool.RefusalBodyTooLarge, oleanderspool.RefusalSlowSender, oleanderspool.RefusalOverloaded:
+		a.Header().Set("Connection", "close")
+	}
+	_ = http.NewResponseController(a).SetReadDeadline(time.Now().Add(drainTimeout.Duration())) // as in limitWrites
+}
+
 // finish marks the answer as whole, after all of it was written.
 func (a *callerAnswer) finish() {
 	a.state = finished
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -13,6 +13,8 @@
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/backend"
 	"github.com/oleanderspool/oleanderspool/internal/buffer"
+	"github.com/oleanderspool/oleanderspool/internal/clientconn"
+	"github.com/oleanderspool/oleanderspool/internal/clientlimit"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/gossip"
 	"github.com/oleanderspool/oleanderspool/internal/observe"
@@ -58,10 +60,16 @@
 	return func(g *Gateway) { g.memoryIdleTimeout = limit }
 }
 
-// WithBufferMemory sets how many bytes of requests and answers the entry holds in
-// memory, over all requests. Small ones are not counted.
+// WithBufferMemory sets how many bytes of answers, and how many of bodies of requests,
+// the entry holds in memory, over all requests. Small ones are not counted.
+// [WithClientLimits] after it sets another bound for bodies.
 func WithBufferMemory(bytes int64) Option {
-	return func(g *Gateway) { g.buffers = buffer.NewBudget(bytes) }
+	return func(g *Gateway) { g.buffers, g.limits.BodyMemory = buffer.NewBudget(bytes), bytes }
+}
+
+// WithClientLimits sets what clients may hold together.
+func WithClientLimits(limits clientlimit.Limits) Option {
+	return func(g *Gateway) { g.limits = limits }
 }
 
 // defaultBufferMemory applies without [WithBufferMemory].
@@ -84,6 +92,9 @@
 	memoryIdleTimeout oleanderspool.Millis
 	quarantineStore   oleanderspool.QuarantineStore // nil for none
 	buffers           *buffer.Budget
+	limits            clientlimit.Limits
+	tally             *observe.Tally
+	bodies            *bodies
 	shared            *sharedState
 	startedAt         oleanderspool.Millis
 	stoppingAt        atomic.Int64    // instant of Stop; 0 before it
@@ -99,6 +110,7 @@
 		view: view, format: format, clock: clock,
 		logger: slog.New(slog.DiscardHandler), metrics: observe.NewMetrics(), memoryIdleTimeout: defaultMemoryIdleTimeout,
 		startedAt: clock.Now(), buffers: buffer.NewBudget(defaultBufferMemory),
+		limits: clientlimit.ForInstance(0, 0),
 		shared: &sharedState{
 			clock: clock, entry: entry, peers: noPeers{},
 			onRegistryUpdate: func(directory.RegistryUpdate) {}, onConfirmation: func(directory.Confirmation) {},
@@ -112,8 +124,10 @@
 		o(g)
 	}
 	g.guard = observe.NewGuard(g.logger, g.metrics)
+	g.tally = observe.NewTally(clock, g.logger, g.metrics, "client limit reached")
+	g.bodies = newBodies(g.limits, clock, g.tally)
 	g.shared.onQuarantine = g.reportQuarantine
-	g.pool = backend.NewPool(clock, backend.WithObserver(g.observeAnswer), backend.WithBudget(g.buffers))
+	g.pool = backend.NewPool(clock, backend.WithObserver(g.observeAnswer), backend.WithBudget(g.buffers), backend.WithMaxConnections(g.limits.BackendConnections))
 	return g
 }
 
@@ -258,9 +272,12 @@
 	if g.stopping() {
 		w.Header().Set("Connection", "close")
 	}
+	if conn := clientconn.FromContext(r.Context()); conn != nil {
+		defer conn.EndRequest()
+	}
 	answer := &callerAnswer{ResponseWriter: w}
 	t, refusal := g.admit(answer, r)
-	defer t.body.Reset()
+	defer t.resetBody()
 	defer t.recoverPanic()
 	if refusal == nil {
 		refusal = t.run(answer)
@@ -277,6 +294,7 @@
 	defer cancel()
 	defer context.AfterFunc(t.gateway.ended, cancel)()
 	t.ctx = ctx
+	answer.limitWrites(t.remaining() + ownAnswerTimeout)
 	if t.route.Kind == directory.KindStream {
 		return t.runStream(answer)
 	}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -6,11 +6,10 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/clientconn"
 )
 
 const (
@@ -58,48 +57,28 @@
 	server  *http.Server
 	clock   oleanderspool.Clock
 	logger  *slog.Logger
-
-	accepted atomic.Int64 // number of connections so far
-
-	mu      sync.Mutex
-	waiting map[net.Conn]oleanderspool.Millis // connections without a request, and since when
+	guard   *clientconn.Guard
 }
 
 // NewServer returns a server of a gateway.
 func NewServer(g *Gateway) *Server {
-	s := &Server{gateway: g, clock: g.clock, logger: g.logger, waiting: make(map[net.Conn]oleanderspool.Millis)}
+	s := &Server{gateway: g, clock: g.clock, logger: g.logger, guard: clientconn.NewGuard(g.limits, g.clock, g.tally)}
 	s.server = &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: maxConnWait.Duration(), // sweep applies the configured timeouts, which are shorter
 		IdleTimeout:       maxConnWait.Duration(),
 		MaxHeaderBytes:    maxHeader,
-		ConnState:         s.track,
 		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
 	}
+	s.guard.Install(s.server)
 	return s
 }
 
-func (s *Server) track(conn net.Conn, state http.ConnState) {
-	if state == http.StateNew {
-		s.accepted.Add(1)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state == http.StateIdle || state == http.StateNew {
-		s.waiting[conn] = s.clock.Now()
-		if c, ok := conn.(*callerConn); ok {
-			c.headerStartedAt.Store(0)
-		}
-	} else {
-		delete(s.waiting, conn)
-	}
-}
-
 // Serve serves callers until ctx ends, and then stops within the grace period.
 // It aborts only requests that do not end within it.
 func (s *Server) Serve(ctx context.Context, listener net.Listener, grace oleanderspool.Millis) error {
 	done := make(chan error, 1)
-	go func() { done <- s.server.Serve(callerListener{listener, s.clock}) }()
+	go func() { done <- s.server.Serve(s.guard.Listen(listener)) }()
 	ticker := time.NewTicker(sweepInterval.Duration())
 	defer ticker.Stop()
 	for {
@@ -115,7 +94,8 @@
 }
 
 // sweep closes connections that have waited for a request, or for the rest of
-// its header, for longer than the configuration allows.
+// its header, for longer than the configuration allows, and those with too many
+// unread bytes.
 func (s *Server) sweep() {
 	header, idle := defaultHeaderTimeout, defaultIdleTimeout
 	if c := s.gateway.view.Snapshot().Configuration; c != nil {
@@ -126,15 +106,7 @@
 			idle = oleanderspool.Millis(float64(c.Limits.IdleTimeout) * idleFactor)
 		}
 	}
-	now := s.clock.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for conn, since := range s.waiting {
-		if waitsTooLong(conn, now-since, header, idle, now) {
-			_ = conn.Close() // no request is in progress on it
-			delete(s.waiting, conn)
-		}
-	}
+	s.guard.Sweep(header, idle)
 }
 
 // stop keeps serving until the load balancer no longer opens connections, then
@@ -169,9 +141,9 @@
 // instant.
 func (s *Server) awaitQuiet(until oleanderspool.Millis) {
 	for quiet := 0; quiet < quietChecks && s.clock.Now() < until; quiet++ {
-		before := s.accepted.Load()
+		before := s.guard.Opened()
 		time.Sleep(quietCheckInterval.Duration())
-		if s.accepted.Load() != before {
+		if s.guard.Opened() != before {
 			quiet = -1
 		}
 	}
--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -29,7 +29,8 @@
 	service         directory.Service
 	account         directory.Account
 	body            *buffer.Buffer
-	received        bool // the whole request has arrived
+	upload          *upload // nil until the body is read
+	received        bool    // the whole request has arrived
 	subject         quarantine.Subject
 	receivedAt      oleanderspool.Millis
 	deadline        oleanderspool.Millis
@@ -423,6 +424,7 @@
 	oleanderspool.RefusalHeaderTooLarge: http.StatusRequestHeaderFieldsTooLarge,
 	oleanderspool.RefusalBadRequest:     http.StatusBadRequest,
 	oleanderspool.RefusalTimeLimit:      http.StatusGatewayTimeout,
+	oleanderspool.RefusalSlowSender:     http.StatusRequestTimeout,
 }
 
 func statusOf(r *oleanderspool.Refusal) int {
@@ -452,6 +454,10 @@
 		panic(err) // strings always encode
 	}
 	w.Header().Set("Content-Type", "application/json")
+	if !t.received && t.request.ContentLength != 0 {
+		w.abandonBody(r.Reason)
+	}
+	w.limitWrites(ownAnswerTimeout)
 	w.WriteHeader(status)
 	_, _ = w.Write(body) // a caller that closed the connection needs no answer
 	w.finish()
