--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"io"
+	"math/bits"
+	"sync"
 
 	"golang.org/x/sync/semaphore"
 
@@ -125,6 +127,42 @@
 	}
 }
 
+// spare holds the memory of counted buffers that nobody uses, by the binary logarithm of
+// its size. Bodies that arrive fast would otherwise leave garbage faster than the
+// collector of a busy process frees it.
+var spare [bits.UintSize]sync.Pool
+
+func sizeClass(capacity int) int {
+	return bits.Len(uint(capacity - 1))
+}
+
+// allocate returns memory of the given capacity.
+func (b *Buffer) allocate(capacity int) []byte {
+	if b.unreserved == 0 {
+		if p, ok := spare[sizeClass(capacity)].Get().(*[]byte); ok && cap(*p) >= capacity {
+			return (*p)[:0:capacity]
+		}
+	}
+	return make([]byte, 0, capacity)
+}
+
+// recycle gives the memory of a counted buffer to later ones.
+func (b *Buffer) recycle() {
+	if b.unreserved > 0 || cap(b.data) == 0 {
+		return
+	}
+	data := b.data[:0]
+	spare[sizeClass(cap(data))].Put(&data)
+}
+
+// Discard is [Buffer.Reset] for a content that nobody else has seen, so that its memory
+// can be used again.
+func (b *Buffer) Discard() {
+	b.recycle()
+	b.data = nil
+	b.Reset()
+}
+
 // grow makes room for a number of bytes.
 func (b *Buffer) grow(bytes int) error {
 	needed := len(b.data) + bytes
@@ -139,8 +177,9 @@
 	if reserved > 0 && !b.memory.Reserve(reserved) {
 		return ErrExhausted.New("no memory for a buffer of %d bytes", capacity)
 	}
-	grown := make([]byte, len(b.data), capacity)
+	grown := b.allocate(capacity)[:len(b.data)]
 	copy(grown, b.data)
+	b.recycle()
 	b.memory.Release(b.reserved)
 	b.data, b.reserved = grown, reserved
 	return nil
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -185,6 +185,9 @@
 	t.body = t.upload.newBuffer(t.request.ContentLength, limit)
 	_, err := t.body.ReadUpTo(t.upload.reader(http.MaxBytesReader(nil, t.request.Body, limit)), math.MaxInt)
 	refused := t.upload.finish()
+	if err != nil || refused {
+		defer t.body.Discard()
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case refused && t.gateway.ended.Err() == nil:
