Do not wait for a reader that already has the whole answer

Cause: the final piece is readable before the attempt ends. If the reader took it in between, the stopping agent still recorded an exported answer as unread and waited for ReaderTimeout (10 s). Change: markRead is remembered until the attempt ends.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -79,6 +79,7 @@
 	target           *handover.Target                                      // tracks the streams moved here from other agents
 	imports          map[oleanderspool.AttemptID]*cacheImport              // imported KV caches whose attempts have not been handed to the engine
 	awaitReaderUntil map[oleanderspool.AttemptID]oleanderspool.Millis      // until when drain waits for a reader of an answer that finished after its KV cache was exported
+	readBeforeEnd    map[oleanderspool.AttemptID]bool                      // attempts that have not ended and whose finished answer was read in full
 	running          int                                                   // attempts that have not ended
 	serviceCalls     int                                                   // calls of the plain service that are in progress
 	leaving          bool
@@ -184,6 +185,7 @@
 		cancels:          make(map[oleanderspool.AttemptID]context.CancelFunc),
 		imports:          make(map[oleanderspool.AttemptID]*cacheImport),
 		awaitReaderUntil: make(map[oleanderspool.AttemptID]oleanderspool.Millis),
+		readBeforeEnd:    make(map[oleanderspool.AttemptID]bool),
 		readers:          make(map[oleanderspool.AttemptID]*attemptReaders),
 		wakeQueue:        make(chan struct{}, 1),
 		wakePlanner:      make(chan struct{}, 1),
@@ -329,12 +331,13 @@
 	}
 	if a.source.Ended(id) {
 		a.metrics.Transferred(observe.TransferExport, observe.TransferDone)
-		if a.attempts.Pieces(id, math.MaxInt64).State == attempt.StateFinished {
+		if !a.readBeforeEnd[id] && a.attempts.Pieces(id, math.MaxInt64).State == attempt.StateFinished {
 			// It has no reader while another backend server is expected to
 			// continue it, but a reader may still come back for the answer.
 			a.awaitReaderUntil[id] = a.clock.Now() + a.attemptLimits.ReaderTimeout
 		}
 	}
+	delete(a.readBeforeEnd, id)
 	a.releaseClaimedImport(id)
 	a.running--
 	a.metrics.Ended()
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -147,11 +147,14 @@
 }
 
 // markRead records that an answer was read in full, so that drain does not wait
-// for a reader of it.
+// for a reader of it. The reader can get the final piece before the attempt ends.
 func (a *Agent) markRead(id oleanderspool.AttemptID) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.awaitReaderUntil, id)
+	if _, running := a.calls[id]; running {
+		a.readBeforeEnd[id] = true
+	}
 }
 
 // lease counts the reader of a new stream for half of the reader timeout. The
--- a/internal/agent/work_test.go
+++ b/internal/agent/work_test.go
@@ -5,6 +5,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/attempt"
 	"github.com/oleanderspool/oleanderspool/internal/peer"
 	"github.com/oleanderspool/oleanderspool/internal/queue"
 )
@@ -82,3 +83,28 @@
 		})
 	}
 })
+
+// Guards against a stopping agent that loses an answer whose reader has yet to return
+// from another server, and against one that waits for a reader who got the final piece
+// before the attempt ended.
+var _ = Describe("A stopping agent with an exported answer", func() {
+	for name, read := range map[string]bool{"waits for its reader": false, "does not wait once it was read": true} {
+		It(name, func() {
+			a := New("i-1", "dc-a")
+			now := a.clock.Now()
+			id := attempt.NewID(attempt.ClassUnkeyed, now, "a")
+			a.offerTestStream(id)
+			a.running++
+			_, ok := a.attempts.Start(attempt.Start{Attempt: id, Incarnation: a.incarnation, Idempotent: true, Remaining: oleanderspool.Hour}, now)
+			Expect(ok && a.attempts.Begin(id, now) && a.source.BeginExport(id, now) && a.source.Exported(id, 1, now)).To(BeTrue())
+			a.appendPiece(id, oleanderspool.Piece{Final: true})
+			if read {
+				a.markRead(id)
+			}
+			a.mu.Lock()
+			a.endAttempt(id)
+			a.mu.Unlock()
+			Expect(a.busy()).To(Equal(!read))
+		})
+	}
+})
