--- a/internal/command/clients_test.go
+++ b/internal/command/clients_test.go
@@ -272,7 +272,10 @@
 
 // head returns the head of a request without the blank line that ends it.
 func head(path, fields string) string {
-	return "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: crowd\r\nX-Token-Count: 100,80\r\n" + fields
+	var lines strings.Builder
+	err := platformtest.CallerHeader{ID: "crowd", PromptTokens: 100}.Encode().Write(&lines)
+	Expect(err).NotTo(HaveOccurred())
+	return "POST " + path + " HTTP/1.1\r\nHost: h\r\n" + lines.String() + fields
 }
 
 // unfinishedBody is a request whose body of legal size lacks its last bytes.
@@ -316,7 +319,7 @@
 // largeAnswer answers plain requests with more than the sockets hold, and streams with
 // many large events. Ordinary requests get a short answer.
 func largeAnswer(r *platformtest.Runner, w http.ResponseWriter, q *http.Request) bool {
-	if q.Header.Get("X-Request-Id") == "ordinary" {
+	if platformtest.AnswerRequestID(q.Header) == "ordinary" {
 		return false
 	}
 	r.Sign(w, q)
--- a/internal/forward/cold_limit_test.go
+++ b/internal/forward/cold_limit_test.go
@@ -36,11 +36,11 @@
 	const share = 2
 
 	// newLimited starts a settled entry that knows two others.
-	newLimited := func(apps, engines int, coldPerS float64, options ...forward.Option) *harness {
+	newLimited := func(apps, engines int, rate float64, options ...forward.Option) *harness {
 		// The jump of the clock makes the keys old.
 		h := newHarness(apps, engines, append(options, forward.WithMaxKeyAge(0))...)
 		limited := configuration
-		limited.ColdPerS = coldPerS
+		limited.ColdPerS = rate
 		h.store.Configure(limited)
 		Eventually(func() int64 { return h.view.Snapshot().Configuration.Version }, waitTimeout, pollInterval).Should(Equal(int64(2)))
 		h.gateway.SetPeers(fixedPeers{live: 2}, func(directory.RegistryUpdate) {}, func(directory.Confirmation) {})
@@ -128,8 +128,8 @@
 	})
 
 	// Guards against a limit where the configuration or the settings do not call for it.
-	DescribeTable("does not apply", func(coldPerS float64, options ...forward.Option) {
-		h := newLimited(1, 0, coldPerS, options...)
+	DescribeTable("does not apply", func(rate float64, options ...forward.Option) {
+		h := newLimited(1, 0, rate, options...)
 		for range 60 {
 			Expect(h.send(query{path: "/lookup/1"}).status).To(Equal(http.StatusOK))
 		}
--- a/internal/placement/data_centres.go
+++ b/internal/placement/data_centres.go
@@ -91,7 +91,8 @@
 	changes   []LinkChange
 }
 
-// of returns the data centre with a name. known is a guess.
+// of returns the data centre with a name. known is returned if it is that one, which
+// saves the search.
 func (ds *dataCentres) of(name oleanderspool.DataCentreID, known *dataCentre) *dataCentre {
 	if known != nil && known.name == name {
 		return known
@@ -256,7 +257,9 @@
 	d.Crossing = ds.reason(chosen, own, r)
 }
 
-func (ds *dataCentres) reason(chosen, own *dataCentre, r Request) CrossingReason {
+// commonReason returns the reason of a decision that does not depend on the engine; empty
+// if it is another one.
+func commonReason(chosen, own *dataCentre) CrossingReason {
 	switch {
 	case chosen == own:
 		return CrossingNone
@@ -264,6 +267,16 @@
 		return CrossingNoServer
 	case own.linkCost > chosen.linkCost:
 		return CrossingLink
+	default:
+		return ""
+	}
+}
+
+func (ds *dataCentres) reason(chosen, own *dataCentre, r Request) CrossingReason {
+	common := commonReason(chosen, own)
+	switch {
+	case common != "":
+		return common
 	case chosen.drawn:
 		return CrossingLoad
 	case r.TTFTGoal > 0 && own.minWait+prefillMillis(ds.engine, r.PromptTokens)+deliveryDelay > goalFraction*float64(r.TTFTGoal):
@@ -313,14 +326,10 @@
 // leastLoadedReason returns the reason of a decision for a service without an engine.
 // ownIsFull says that no server of the own data centre has a free slot.
 func (ds *dataCentres) leastLoadedReason(s *directory.Server, ownIsFull bool) CrossingReason {
-	chosen, own := ds.of(s.DataCentre, nil), ds.of(ds.own, nil)
+	common := commonReason(ds.of(s.DataCentre, nil), ds.of(ds.own, nil))
 	switch {
-	case chosen == own:
-		return CrossingNone
-	case own.servers == 0:
-		return CrossingNoServer
-	case own.linkCost > chosen.linkCost:
-		return CrossingLink
+	case common != "":
+		return common
 	case ownIsFull:
 		return CrossingFullServer
 	default:
--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -44,9 +44,9 @@
 	rankTolerance = 0.05
 	// outcomeWindow is the time over which outcomes and shares are averaged.
 	outcomeWindow = 3 * oleanderspool.Second
-	// MaxRank is the least urgent rank that is told from others.
+	// MaxRank is the least urgent rank that is distinguished.
 	MaxRank = 7
-	// maxGoals bounds the TTFT goals that are told from others.
+	// maxGoals bounds the TTFT goals that are distinguished.
 	maxGoals = 64
 	// maxAccounts bounds the accounts whose shares are tracked for a service.
 	maxAccounts = 20_000
--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -45,7 +45,7 @@
 	schedulers []*placement.Scheduler
 	list       []directory.Server
 	servers    map[oleanderspool.InstanceID]*batchServer
-	news       []delivery
+	deliveries []delivery
 	returns    []playedRequest
 	done       []playedRequest
 	lastID     placement.TaskID
@@ -107,16 +107,16 @@
 	}
 }
 
-// deliver tells the entries of the placements that others have made.
+// deliver applies the placements of other entries that have arrived.
 func (p *play) deliver(now oleanderspool.Millis) {
-	for len(p.news) > 0 && p.news[0].at <= now {
+	for len(p.deliveries) > 0 && p.deliveries[0].at <= now {
 		for i, sc := range p.schedulers {
-			if uint64(i+1) != p.news[0].task.Entry {
-				sc.Add(p.news[0].task)
+			if uint64(i+1) != p.deliveries[0].task.Entry {
+				sc.Add(p.deliveries[0].task)
 				sc.ObserveDelay(overloadDelay, now)
 			}
 		}
-		p.news = p.news[1:]
+		p.deliveries = p.deliveries[1:]
 	}
 }
 
@@ -133,12 +133,12 @@
 	p.lastID++
 	r.task.ID, r.task.Entry, r.left = p.lastID, uint64(entry+1), overloadEvents/3+p.random.IntN(overloadEvents*4/3+1)
 	p.schedulers[entry].Add(r.task)
-	p.news = append(p.news, delivery{now + overloadDelay, r.task})
+	p.deliveries = append(p.deliveries, delivery{now + overloadDelay, r.task})
 	s := p.servers[r.task.Server]
 	s.waiting = append(s.waiting, r)
 }
 
-// refuse records a refusal. Its caller comes back once, after the time that it is told.
+// refuse records a refusal. Its caller comes back once, after the delay of the refusal.
 func (p *play) refuse(r playedRequest, d placement.Decision, now oleanderspool.Millis) {
 	if r.returned {
 		return
--- a/internal/validation/check.go
+++ b/internal/validation/check.go
@@ -14,7 +14,7 @@
 // compared with.
 type Bounds struct {
 	BufferBytes int64 // memory of an instance for the buffers of all requests; 0 if unknown
-	MaxRank     int   // least urgent priority that is told from others
+	MaxRank     int   // least urgent priority that is distinguished
 }
 
 // checker collects the problems of one document.
