Close the connections of callers whose keys cannot be confirmed

Cause: a caller that was refused kept its connection to an entry that is cut off from the store, so its later requests were refused there too, although the load balancer no longer sends new connections to it. Change: these refusals end the connection.

--- a/internal/forward/configuration_test.go
+++ b/internal/forward/configuration_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"net/http/httptest"
 	"strings"
 	"time"
@@ -112,8 +113,9 @@
 	}
 
 	// Guards against callers that are refused in the first seconds of an
-	// outage of the store although their keys are confirmed, and against keys
-	// that are accepted beyond the limit of 5 s.
+	// outage of the store although their keys are confirmed, against keys
+	// that are accepted beyond the limit of 5 s, and against callers that come back to
+	// an entry that refuses them, or so late that another entry cannot meet their goal.
 	for _, c := range []struct {
 		age    oleanderspool.Millis
 		status int
@@ -123,7 +125,13 @@
 			Expect(h.send(query{path: "/lookup/1"}).status).To(Equal(200), "confirmed")
 			h.store.SetOutage(platformtest.Unresponsive)
 			h.clock.jump.Store(int64(c.age))
-			Expect(h.send(query{path: "/lookup/1"}).status).To(Equal(c.status))
+			answer := h.send(query{path: "/lookup/1"})
+			Expect(answer.status).To(Equal(c.status))
+			refused := c.status != http.StatusOK
+			Expect(answer.closes).To(Equal(refused))
+			if refused {
+				Expect(strconv.ParseFloat(answer.header.Get("Retry-After"), 64)).To(BeNumerically("<=", 0.05))
+			}
 		})
 	}
 
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -173,6 +173,7 @@
 	status int
 	header http.Header
 	body   string
+	closes bool  // the connection
 	err    error // of reading the body
 }
 
@@ -182,7 +183,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return reply{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), closes: response.Close, err: err}
 }
 
 func (h *harness) open(ctx context.Context, q query) (*http.Response, error) {
--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -533,6 +533,11 @@
 	} else {
 		g.recordRefused(t, r, status)
 	}
+	if r.Reason == oleanderspool.RefusalLogUnavailable {
+		// Later requests on the connection would be refused too; the load balancer gives
+		// the caller another entry.
+		w.Header().Set("Connection", "close")
+	}
 	for name, values := range g.format.EncodeRefusalHeader(t.call.ID, r.RetryAfter) {
 		w.Header()[name] = values
 	}
