--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -257,7 +257,8 @@
 	return min(max(0, rank), MaxRank)
 }
 
-// record counts a decision. Accounts are counted while requests contend for slots.
+// record counts a decision, also without a contention, so that the shares are known when
+// one begins.
 func (c *contention) record(r Request, refused bool, now oleanderspool.Millis) {
 	c.all.record(refused, now)
 	c.ranks[clampRank(r.Rank)].record(refused, now)
