Bound the send buffer of callers' connections

A crowd of slow readers from the address of an ordinary caller could hold all connections: the kernel took megabytes of each answer, and no write had waited for a second. The send buffer of a connection is now as small as its receive buffer, and a write that has waited for 20 ms gives way when nothing else does.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -76,20 +76,22 @@
 // Listen returns a listener that accepts the connections of l within the limits.
 func (g *Guard) Listen(l net.Listener) net.Listener {
 	if tcp, ok := l.(*net.TCPListener); ok {
-		g.limitUnread(tcp)
+		g.limitBuffers(tcp)
 	}
 	return listener{l, g}
 }
 
-// limitUnread bounds what the kernel receives for a connection that is not read. The
+// limitBuffers bounds what the kernel receives for a connection that is not read, and what
+// it keeps for a client that does not read, so that such a client shows at once. The
 // connections inherit it. If it fails, Sweep still closes those with unread bytes.
-func (g *Guard) limitUnread(l *net.TCPListener) {
+func (g *Guard) limitBuffers(l *net.TCPListener) {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return
 	}
 	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, g.limits.ReceiveBuffer)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, g.limits.SocketBuffer)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, g.limits.SocketBuffer)
 	})
 }
 
--- a/internal/clientlimit/clientlimit_test.go
+++ b/internal/clientlimit/clientlimit_test.go
@@ -62,6 +62,9 @@
 			t.Run(id, 2000)
 		}
 		Expect(t.Open(5, crowded, 4000).Accepted).To(BeFalse())
+		t.Send(3, 3990)
+		Expect(t.Open(5, crowded, 4000).Accepted).To(BeFalse(), "a write that has just begun")
+		t.Sent(3, 4000)
 		t.Send(3, 4000)
 		t.Sent(3, 4500)
 		t.Send(4, 4000)
--- a/internal/clientlimit/limits.go
+++ b/internal/clientlimit/limits.go
@@ -27,11 +27,11 @@
 	smallBodyPart = 0.03
 	// unreadPart is the part for bytes that the kernel has received and nobody has read.
 	unreadPart = 0.06
-	// receivePart is the part for the receive buffer of one connection: 68 KiB on the
-	// smallest entry, enough for 14 Mbit/s at a round trip of 35 ms.
-	receivePart = 1.0 / 2048
-	// maxReceiveBuffer serves 200 Mbit/s at a round trip of 10 ms.
-	maxReceiveBuffer = 256 << 10
+	// socketPart is the part for either buffer of one connection: 68 KiB on the smallest
+	// entry, enough for 14 Mbit/s at a round trip of 35 ms.
+	socketPart = 1.0 / 2048
+	// maxSocketBuffer serves 200 Mbit/s at a round trip of 10 ms.
+	maxSocketBuffer = 256 << 10
 	// addressPart is the part of the connections that one client address may have: many
 	// callers may share an address.
 	addressPart = 0.875
@@ -51,7 +51,7 @@
 	BodyMemory         int64 // bodies
 	SmallBodyMemory    int64 // bodies up to a few KiB, in addition to BodyMemory
 	UnreadBytes        int64 // bytes that arrived and were not read
-	ReceiveBuffer      int   // receive buffer of a connection in the kernel
+	SocketBuffer       int   // receive buffer and send buffer of a connection in the kernel
 }
 
 // ForInstance returns the limits of an instance with a number of bytes of memory and
@@ -63,7 +63,7 @@
 	part := func(p float64) int64 { return int64(float64(memory) * p) }
 	l := Limits{
 		HeaderMemory: part(headerPart), BodyMemory: max(minBodyMemory, part(bodyPart)), SmallBodyMemory: part(smallBodyPart),
-		UnreadBytes: part(unreadPart), ReceiveBuffer: int(min(maxReceiveBuffer, part(receivePart))), Connections: int(part(connectionPart) / connectionMemory),
+		UnreadBytes: part(unreadPart), SocketBuffer: int(min(maxSocketBuffer, part(socketPart))), Connections: int(part(connectionPart) / connectionMemory),
 	}
 	if descriptors > 0 {
 		free := max(2, descriptors-reservedDescriptors-ownDescriptors)
@@ -76,7 +76,7 @@
 // ForAdmin returns the limits of an address for readiness probes or metrics.
 func ForAdmin() Limits {
 	const kilobyte = 1 << 10
-	return Limits{Connections: adminConnections, HeaderMemory: 512 * kilobyte, UnreadBytes: 1024 * kilobyte, ReceiveBuffer: 16 * kilobyte}.withAddressPart()
+	return Limits{Connections: adminConnections, HeaderMemory: 512 * kilobyte, UnreadBytes: 1024 * kilobyte, SocketBuffer: 16 * kilobyte}.withAddressPart()
 }
 
 func (l Limits) withAddressPart() Limits {
--- a/internal/clientlimit/table.go
+++ b/internal/clientlimit/table.go
@@ -18,6 +18,9 @@
 	unfinishedGrace = oleanderspool.Second
 	// sendingGrace is the time after which a caller that reads nothing counts as stalled.
 	sendingGrace = oleanderspool.Second
+	// blockedGrace is the same when there is no other choice. The buffers in the kernel
+	// take an event of an ordinary stream at once.
+	blockedGrace = 20 * oleanderspool.Millis(1)
 )
 
 // phase is what a connection waits for.
@@ -103,7 +106,7 @@
 
 // victim returns the connection that has waited longest without completing a request,
 // then one that pipelines, the one that has been idle for longest, a stalled reader, and
-// one that was just opened; nil for none.
+// one that was just opened, and a reader that is behind; nil for none.
 func (t *Table) victim(now oleanderspool.Millis, eligible func(*connection) bool) *connection {
 	ranks := []struct {
 		phase     phase
@@ -116,6 +119,7 @@
 		{idle, 0, false},
 		{sending, sendingGrace, false},
 		{unfinished, 0, false},
+		{sending, blockedGrace, false},
 	}
 	for _, r := range ranks {
 		for e := t.order[r.phase].Front(); e != nil; e = e.Next() {
