Forget contentions for which no request asks any more

Cause: the start of a contention was kept by TTFT goal until a request with that goal found free slots. Goals that a new configuration has replaced stayed, and after 64 of them no contention was noticed. Found when the code was read. Change: a contention that no request has found to last for 12 s is forgotten.

--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -44,6 +44,8 @@
 	rankTolerance = 0.05
 	// outcomeWindow is the time over which outcomes and shares are averaged.
 	outcomeWindow = 3 * oleanderspool.Second
+	// retention is how long what no request has changed is kept.
+	retention = 4 * outcomeWindow
 	// MaxRank is the least urgent rank that is distinguished.
 	MaxRank = 7
 	// maxGoals bounds the TTFT goals that are distinguished.
@@ -87,15 +89,20 @@
 // slot from one that would have been in time, so that without refusals all are late.
 // It is not safe for concurrent use.
 type contention struct {
-	// since holds the start of the contention by the TTFT goal of the requests. A server
+	// periods holds the contentions that last by the TTFT goal of the requests. A server
 	// that is busy with prefills has room for those with a long goal only.
-	since    map[oleanderspool.Millis]oleanderspool.Millis
+	periods  map[oleanderspool.Millis]period
 	all      outcomes
 	ranks    [MaxRank + 1]outcomes
 	accounts map[string]decayingCount
 	admitted decayingCount // of all accounts
 }
 
+// period is the start of a contention and the last request that found it to last.
+type period struct {
+	since, seenAt oleanderspool.Millis
+}
+
 // outcomes counts recent requests.
 type outcomes struct {
 	offered, refused decayingCount
@@ -164,11 +171,15 @@
 // they have begun or ceased to contend for them.
 func (c *contention) observe(u slotUse, goal, now oleanderspool.Millis) (changed bool) {
 	free := u.freeFraction()
-	switch contended := c.lasts(goal); {
+	p, contended := c.periods[goal]
+	switch {
 	case contended && free >= settledFree:
-		delete(c.since, goal)
-	case !contended && free < contendedFree && len(c.since) < maxGoals:
-		c.since[goal] = now
+		delete(c.periods, goal)
+	case contended:
+		c.periods[goal] = period{since: p.since, seenAt: now}
+		return false
+	case free < contendedFree && len(c.periods) < maxGoals:
+		c.periods[goal] = period{since: now, seenAt: now}
 	default:
 		return false
 	}
@@ -177,7 +188,7 @@
 
 // lasts reports whether requests with a TTFT goal contend for slots.
 func (c *contention) lasts(goal oleanderspool.Millis) bool {
-	_, contended := c.since[goal]
+	_, contended := c.periods[goal]
 	return contended
 }
 
@@ -189,9 +200,9 @@
 	if d.Refused == "" {
 		d.Refused = c.cause(r, float64(d.Wait), float64(d.TTFT), u, now)
 	}
-	if since, contended := c.since[r.TTFTGoal]; contended && d.Refused != "" {
+	if p, contended := c.periods[r.TTFTGoal]; contended && d.Refused != "" {
 		// An overload that has lasted for some time is expected to last as long again.
-		d.ReturnDelay = now - since
+		d.ReturnDelay = now - p.since
 	}
 	c.record(r, d.Refused != "", now)
 }
@@ -199,7 +210,7 @@
 // cause returns why a request is refused that has to wait for the given time for a server
 // and then has its first token after the given one, both in ms; empty for none.
 func (c *contention) cause(r Request, wait, ttft float64, u slotUse, now oleanderspool.Millis) RefusalCause {
-	since, contended := c.since[r.TTFTGoal]
+	p, contended := c.periods[r.TTFTGoal]
 	if !contended {
 		return ""
 	}
@@ -208,9 +219,9 @@
 	left := float64(u.free) - c.margin(u, now)
 	reserved := reservedFree * float64(u.slots)
 	switch {
-	case late && (wait > maxGraceWait*goal || now-since >= contentionGrace):
+	case late && (wait > maxGraceWait*goal || now-p.since >= contentionGrace):
 		return RefusedLate
-	case now-since < contentionGrace || r.Resubmitted && !r.Overdue:
+	case now-p.since < contentionGrace || r.Resubmitted && !r.Overdue:
 		return ""
 	case r.Overdue && left < reserved:
 		return RefusedReturned
@@ -272,20 +283,26 @@
 	}
 }
 
-// expire forgets accounts without recent requests.
+// expire forgets accounts without recent requests, and contentions for which no request
+// has asked lately, for example because the goals in the configuration have changed.
 func (c *contention) expire(now oleanderspool.Millis) {
 	for account, own := range c.accounts {
-		if now-own.at > 4*outcomeWindow {
+		if now-own.at > retention {
 			delete(c.accounts, account)
 		}
 	}
+	for goal, p := range c.periods {
+		if now-p.seenAt > retention {
+			delete(c.periods, goal)
+		}
+	}
 }
 
 // contentionOf returns the contention for the slots of a service.
 func (sc *Scheduler) contentionOf(service string) *contention {
 	c := sc.contentions[service]
 	if c == nil {
-		c = &contention{since: make(map[oleanderspool.Millis]oleanderspool.Millis), accounts: make(map[string]decayingCount)}
+		c = &contention{periods: make(map[oleanderspool.Millis]period), accounts: make(map[string]decayingCount)}
 		sc.contentions[service] = c
 	}
 	return c
--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -280,3 +280,22 @@
 		t.Errorf("served by rank, most urgent first: %.3f", served)
 	}
 }
+
+// TestContentionIsForgotten guards against contentions that stay when the goals in the
+// configuration change, until no contention for another goal is noticed.
+func TestContentionIsForgotten(t *testing.T) {
+	sc, list := placement.NewScheduler(), servers(1)
+	for i := range oleanderspool.Millis(200) {
+		now := i * oleanderspool.Minute
+		for slot := range overloadEngine.Slots {
+			sc.Add(placement.Task{ID: placement.TaskID(slot + 1), Server: list[0].Instance, OutputTokens: 1, Decoding: true, PlacedAt: now})
+		}
+		r := overloadRequest
+		r.TTFTGoal += i
+		d, found := sc.Choose(list, overloadEngine, r, now)
+		if !found || !d.Contention.Changed || !d.Contention.Lasts {
+			t.Fatalf("no contention for the goal of %d ms", r.TTFTGoal)
+		}
+		sc.Expire(now + oleanderspool.Minute)
+	}
+}
