--- a/internal/forward/configuration_test.go
+++ b/internal/forward/configuration_test.go
@@ -6,8 +6,8 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"strconv"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"time"
 
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -131,6 +131,9 @@
 	for _, o := range options {
 		o(g)
 	}
+	for _, cause := range placement.RefusalCauses {
+		g.metrics.DeclareOverloadCauses(string(cause))
+	}
 	g.guard = observe.NewGuard(g.logger, g.metrics)
 	g.tally = observe.NewTally(clock, g.logger, g.metrics, "client limit reached")
 	g.bodies = newBodies(g.limits, clock, g.tally)
--- a/internal/forward/refusals.go
+++ b/internal/forward/refusals.go
@@ -20,8 +20,10 @@
 	return &refusalTracker{at: make(map[oleanderspool.Fingerprint]oleanderspool.Millis)}
 }
 
+// add records a refusal. Of several within refusalRetention the first one counts, so that
+// a caller that comes back sooner than it was asked to does not stay in time.
 func (r *refusalTracker) add(f oleanderspool.Fingerprint, now oleanderspool.Millis) {
-	if len(r.at) < maxRefusals {
+	if at, found := r.at[f]; len(r.at) < maxRefusals && (!found || now-at >= refusalRetention) {
 		r.at[f] = now
 	}
 }
@@ -32,8 +34,8 @@
 	r.unreported = append(r.unreported, f)
 }
 
-// refused reports whether a request was refused within refusalRetention, and how long
-// ago.
+// refused reports whether a request was first refused within refusalRetention, and how
+// long ago.
 func (r *refusalTracker) refused(f oleanderspool.Fingerprint, now oleanderspool.Millis) (refused bool, age oleanderspool.Millis) {
 	at, found := r.at[f]
 	return found && now-at < refusalRetention, now - at
--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -155,7 +155,7 @@
 		PromptTokens: t.call.PromptTokens, OutputTokens: answer, TTFTGoal: t.route.TTFTGoal, InterTokenGoal: t.route.InterTokenGoal,
 		CallerTimeout: t.remaining(), DataCentre: t.gateway.dataCentre, Tried: t.tried,
 		Rank: t.rank(), Account: t.account.Name,
-		Resubmitted: resubmitted, Overdue: resubmitted && age > t.route.TTFTGoal, Started: t.execution != oleanderspool.NotRun,
+		Resubmitted: resubmitted && age >= minRetryAfter, Overdue: resubmitted && t.route.TTFTGoal > 0 && age > t.route.TTFTGoal, Started: t.execution != oleanderspool.NotRun,
 	}
 }
 
@@ -462,6 +462,7 @@
 	t.gateway.metrics.RefusedForOverload(string(as.Refused))
 	t.gateway.shared.recordRefusal(t.subject.Request)
 	retryAfter := jitter(max(meanRetryAfter, min(max(as.MeanBacklog, as.ReturnDelay), t.remaining()/retryAfterDivisor)))
+	retryAfter = max(minRetryAfter, min(retryAfter, t.remaining()/maxRetryAfterDivisor))
 	return oleanderspool.Refuse(oleanderspool.RefusalOverloaded, "the backend servers are busy").WithRetryAfter(retryAfter)
 }
 
@@ -484,6 +485,15 @@
 // it, so that the retry can still end in time.
 const retryAfterDivisor = 4
 
+const (
+	// maxRetryAfterDivisor bounds the delay after it was spread by chance. Callers do not
+	// wait for more than a third of the time that they have left.
+	maxRetryAfterDivisor = 3
+	// minRetryAfter is the shortest delay after an overload. A caller that comes back
+	// sooner is treated like a new one.
+	minRetryAfter = meanRetryAfter / 2
+)
+
 // failureRefusal returns the refusal after the last attempt.
 func (t *transaction) failureRefusal() *oleanderspool.Refusal {
 	switch {
--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -245,6 +245,13 @@
 	m.attempts.WithLabelValues(outcome).Inc()
 }
 
+// DeclareOverloadCauses makes the counters of the causes present at 0.
+func (m *Metrics) DeclareOverloadCauses(causes ...string) {
+	for _, c := range causes {
+		m.unplaced.WithLabelValues(c)
+	}
+}
+
 // RefusedForOverload counts a request that was refused because the backend servers are
 // busy.
 func (m *Metrics) RefusedForOverload(cause string) {
--- a/internal/placement/alternatives.go
+++ b/internal/placement/alternatives.go
@@ -63,7 +63,7 @@
 }
 
 // draw returns one of a number of candidates with the lowest costs by chance, all of them
-// with a free slot and within alternativeMargin of the best. Those that stay below
+// with a free slot and within a margin of cost of the best. Those that stay below
 // packedFraction with the request precede the others. Without a candidate it returns the
 // best. It changes their order.
 func (sc *Scheduler) draw(candidates []wholeCandidate, e *directory.Engine, count int, margin float64) wholeCandidate {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -128,25 +128,49 @@
 	if prefillMillis(e, r.PromptTokens) >= longPrefill {
 		tieBreak = longTieBreakCost
 	}
+	sc.unknown.decay(now)
 	c, slots := sc.contentionOf(loads[0].server.Service), sc.slotUseOf(loads, e, r.TTFTGoal)
-	changed := c.observe(slots, r.TTFTGoal, now)
+	changed := false
+	if len(r.Tried) == 0 && !r.Started { // others do not compare all servers
+		changed = c.observe(slots, r.TTFTGoal, now)
+	}
 	best := sc.choosePriced(loads, e, r, tieBreak, c.lasts(r.TTFTGoal), now)
-	if math.IsInf(best.Cost, 1) {
+	switch {
+	case !math.IsInf(best.Cost, 1):
+		sc.refuseByCost(&best, loads, e, r)
+	case r.Started || !queuesFull(loads, e):
 		return Decision{}, false
+	default:
+		best = Decision{Refused: RefusedLate}
 	}
+	best.Contention = Contention{Changed: changed, Lasts: c.lasts(r.TTFTGoal), Slots: slots.slots, Free: slots.free}
+	c.decide(&best, r, slots, now)
+	return best, true
+}
+
+// refuseByCost adds the cost of the prefill to a decision, and refuses a long prompt that
+// would lose more than it is worth.
+func (sc *Scheduler) refuseByCost(d *Decision, loads []*serverLoad, e *directory.Engine, r Request) {
 	meanBacklog := 0.0
 	for _, l := range loads {
 		meanBacklog += l.backlog / float64(len(loads))
 	}
-	best.MeanBacklog = millis(meanBacklog)
+	d.MeanBacklog = millis(meanBacklog)
 	prefill := prefillMillis(e, r.PromptTokens)
-	best.Cost += r.prefillCost(prefill, meanBacklog)
-	if !r.Started && prefill >= longPrefill && best.Cost > refusalFraction*r.Value() {
-		best.Refused = RefusedCost
+	d.Cost += r.prefillCost(prefill, meanBacklog)
+	if !r.Started && prefill >= longPrefill && d.Cost > refusalFraction*r.Value() {
+		d.Refused = RefusedCost
 	}
-	best.Contention = Contention{Changed: changed, Lasts: c.lasts(r.TTFTGoal), Slots: slots.slots, Free: slots.free}
-	c.decide(&best, r, slots, now)
-	return best, true
+}
+
+// queuesFull reports whether no server has room in its queue.
+func queuesFull(loads []*serverLoad, e *directory.Engine) bool {
+	for _, l := range loads {
+		if !math.IsInf(l.slotWait(e), 1) {
+			return false
+		}
+	}
+	return true
 }
 
 // chooseUnpriced returns the better placement of the prompt as a whole and in shards, by
@@ -477,7 +501,11 @@
 	case float64(waiting) > queueFraction*float64(e.Slots):
 		return math.Inf(1)
 	}
-	answer := math.Ceil(e.MeanAnswerTokens/float64(e.StepsPerPass)) * s.passDuration
+	pass := s.passDuration
+	if pass == 0 { // all requests are still prefilled
+		pass = passMillis(e, e.Slots, 0)
+	}
+	answer := math.Ceil(e.MeanAnswerTokens/float64(e.StepsPerPass)) * pass
 	return float64(waiting) * answer / float64(e.Slots)
 }
 
--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -42,6 +42,9 @@
 	// rankTolerance is by how much a larger fraction of the requests of a more urgent
 	// rank may be refused than of a less urgent one.
 	rankTolerance = 0.05
+	// minOffered is the number of recent requests of a rank from which on its outcomes
+	// count for others.
+	minOffered = 2
 	// outcomeWindow is the time over which outcomes and shares are averaged.
 	outcomeWindow = 3 * oleanderspool.Second
 	// retention is how long what no request has changed is kept.
@@ -50,6 +53,9 @@
 	MaxRank = 7
 	// maxGoals bounds the TTFT goals that are distinguished.
 	maxGoals = 64
+	// activeInterval is the time between two counts of the active accounts. A count takes
+	// some 0.7 ms for 20,000 accounts.
+	activeInterval = 100 * oleanderspool.Millis(1)
 	// maxAccounts bounds the accounts whose shares are tracked for a service.
 	maxAccounts = 20_000
 )
@@ -96,6 +102,9 @@
 	ranks    [MaxRank + 1]outcomes
 	accounts map[string]decayingCount
 	admitted decayingCount // of all accounts
+	// active is the number of accounts with recent requests as of activeAt.
+	active   float64
+	activeAt oleanderspool.Millis
 }
 
 // period is the start of a contention and the last request that found it to last.
@@ -204,7 +213,9 @@
 		// An overload that has lasted for some time is expected to last as long again.
 		d.ReturnDelay = now - p.since
 	}
-	c.record(r, d.Refused != "", now)
+	if len(r.Tried) == 0 {
+		c.record(r, d.Refused, now)
+	}
 }
 
 // cause returns why a request is refused that has to wait for the given time for a server
@@ -229,7 +240,7 @@
 		return RefusedShare
 	case left < 0:
 		return RefusedMargin
-	case c.precedesUrgent(r.Rank, now):
+	case left < reserved && c.precedesUrgent(r.Rank, now):
 		return RefusedRank
 	}
 	return ""
@@ -244,11 +255,13 @@
 // exceedsShare reports whether more of the recently admitted requests are of an account
 // than its fair share, an equal part for each account that has any.
 func (c *contention) exceedsShare(account string, now oleanderspool.Millis) bool {
-	active := 0.0
-	for _, own := range c.accounts {
-		active += min(1, own.value(now))
+	if now-c.activeAt >= activeInterval {
+		c.active, c.activeAt = 0, now
+		for _, own := range c.accounts {
+			c.active += min(1, own.value(now))
+		}
 	}
-	return c.accounts[account].value(now) > 1+c.admitted.value(now)/max(1, active)
+	return c.accounts[account].value(now) > 1+c.admitted.value(now)/max(1, c.active)
 }
 
 // precedesUrgent reports whether requests of a rank are refused more rarely than those
@@ -257,7 +270,8 @@
 	rank = clampRank(rank)
 	own := c.ranks[rank].refusedFraction(now)
 	for i := range rank {
-		if c.ranks[i].refusedFraction(now) > own+rankTolerance {
+		urgent := &c.ranks[i]
+		if urgent.offered.value(now) >= minOffered && urgent.refusedFraction(now) > own+rankTolerance {
 			return true
 		}
 	}
@@ -270,9 +284,14 @@
 
 // record counts a decision, also without a contention, so that the shares are known when
 // one begins.
-func (c *contention) record(r Request, refused bool, now oleanderspool.Millis) {
+func (c *contention) record(r Request, cause RefusalCause, now oleanderspool.Millis) {
+	refused := cause != ""
 	c.all.record(refused, now)
-	c.ranks[clampRank(r.Rank)].record(refused, now)
+	// What an account sends beyond its share, or what comes back late, does not hold the
+	// other ranks back.
+	if cause != RefusedShare && cause != RefusedReturned {
+		c.ranks[clampRank(r.Rank)].record(refused, now)
+	}
 	if refused {
 		return
 	}
