--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -42,9 +42,6 @@
 	// rankTolerance is by how much a larger fraction of the requests of a more urgent
 	// rank may be refused than of a less urgent one.
 	rankTolerance = 0.05
-	// minOffered is the number of recent requests of a rank from which on its outcomes
-	// count for others.
-	minOffered = 2
 	// outcomeWindow is the time over which outcomes and shares are averaged.
 	outcomeWindow = 3 * oleanderspool.Second
 	// retention is how long what no request has changed is kept.
@@ -240,7 +237,7 @@
 		return RefusedShare
 	case left < 0:
 		return RefusedMargin
-	case left < reserved && c.precedesUrgent(r.Rank, now):
+	case c.precedesUrgent(r.Rank, now):
 		return RefusedRank
 	}
 	return ""
@@ -265,13 +262,13 @@
 }
 
 // precedesUrgent reports whether requests of a rank are refused more rarely than those
-// of a more urgent one.
+// of a more urgent one that still asks.
 func (c *contention) precedesUrgent(rank int, now oleanderspool.Millis) bool {
 	rank = clampRank(rank)
 	own := c.ranks[rank].refusedFraction(now)
 	for i := range rank {
 		urgent := &c.ranks[i]
-		if urgent.offered.value(now) >= minOffered && urgent.refusedFraction(now) > own+rankTolerance {
+		if now-urgent.offered.at < outcomeWindow && urgent.refusedFraction(now) > own+rankTolerance {
 			return true
 		}
 	}
