Share the flood of an account between two tests, and reword two comments

Cause: two tests of the overload control repeated the same load, and two comments had to be read twice. No product code. Measured: internal/placement passes.

--- a/internal/clientlimit/table.go
+++ b/internal/clientlimit/table.go
@@ -63,7 +63,7 @@
 	return t
 }
 
-// Decision is what happens to a new connection.
+// Decision says whether a new connection is accepted, and which one is closed for it.
 type Decision struct {
 	Accepted bool
 	Evicted  ID // connection that is closed for it; 0 for none
--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -13,7 +13,7 @@
 	"github.com/oleanderspool/oleanderspool/platform"
 )
 
-// The roles that can be told by the content of a file.
+// The roles that the content of a file identifies.
 const (
 	// roleForward is the role of the platform's settings file.
 	roleForward = "forward"
--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -259,6 +259,15 @@
 // overload and takes the slots of the accounts that send little.
 func TestOverloadSharesFairly(t *testing.T) {
 	p := newPlay()
+	if got, all := p.runFlood(); got < 0.8*all {
+		t.Errorf("%.0f of %.0f requests of small accounts in time", got, all)
+	}
+}
+
+// runFlood plays the jump with an account that sends nine tenths of the requests, and
+// returns how many of those of the other accounts are in time, and all of them, from 2 s
+// after the start of the jump on.
+func (p *play) runFlood() (inTime, all float64) {
 	p.account = func(r *rand.Rand) string {
 		if r.Float64() < 0.9 {
 			return "large"
@@ -268,10 +277,7 @@
 	p.runJump()
 	from, until := jumpStart+2*oleanderspool.Second, jumpEnd
 	small := func(r playedRequest) bool { return r.account != "large" && !r.returned }
-	got, all := p.count(from, until, func(r playedRequest) bool { return small(r) && r.inTime() }), p.count(from, until, small)
-	if got < 0.8*all {
-		t.Errorf("%.0f of %.0f requests of small accounts in time", got, all)
-	}
+	return p.count(from, until, func(r playedRequest) bool { return small(r) && r.inTime() }), p.count(from, until, small)
 }
 
 // TestOverloadKeepsRanks guards against requests of a less urgent rank that are served
@@ -297,18 +303,13 @@
 // requests and, since these are refused, shuts out the less urgent requests of others.
 func TestOverloadSharesDoNotBlockRanks(t *testing.T) {
 	p := newPlay()
-	p.account = func(r *rand.Rand) string {
-		if r.Float64() < 0.9 {
-			return "large"
+	p.rankOf = func(account string) int {
+		if account == "large" {
+			return 0
 		}
-		return fmt.Sprintf("small-%d", r.IntN(6))
+		return 1
 	}
-	p.rankOf = func(account string) int { return min(1, len(account)-len("large")) }
-	p.runJump()
-	from, until := jumpStart+2*oleanderspool.Second, jumpEnd
-	small := func(r playedRequest) bool { return r.account != "large" && !r.returned }
-	got, all := p.count(from, until, func(r playedRequest) bool { return small(r) && r.inTime() }), p.count(from, until, small)
-	if got < 0.8*all {
+	if got, all := p.runFlood(); got < 0.8*all {
 		t.Errorf("%.0f of %.0f less urgent requests of small accounts in time", got, all)
 	}
 }
