Let an entry send nothing to limited servers when it starts

Cause: the worst case of the slow-start limit counts the entries that run at the same time. When 25 of 26 entries ended and 28 started within the same second, 54 entries sent one request each to a server that tolerates 53 (TestSumOverEntries).

Change: an entry allows no request in its first window of 1.1 s and is not ready meanwhile, so all entries that send within a second were running at its beginning. The draws of the servers are kept for the list that was filtered last. The seed of the property test is fixed.

Ruled out: a smaller worst case (37 entries that start together exceed it), and letting early requests wait (their goal has passed by then).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -139,6 +139,7 @@
 	Version      int64
 	Limits       Limits
 	requiresKeys bool
+	limitsCold   bool
 	accounts     map[string]Account // by API key
 	services     map[string]Service
 	hosts        map[string][]Route
@@ -157,6 +158,7 @@
 	}
 	for _, s := range services {
 		c.services[s.Name] = s
+		c.limitsCold = c.limitsCold || s.ColdRate > 0
 	}
 	for _, r := range routes {
 		r.Host = HostName(r.Host)
@@ -193,6 +195,11 @@
 	return c.requiresKeys
 }
 
+// LimitsColdServers reports whether the requests to cold servers of a service are limited.
+func (c *Configuration) LimitsColdServers() bool {
+	return c.limitsCold
+}
+
 // Account returns the client account that an API key belongs to.
 func (c *Configuration) Account(key string) (Account, bool) {
 	a, found := c.accounts[key]
--- a/internal/forward/cold_limit.go
+++ b/internal/forward/cold_limit.go
@@ -14,13 +14,20 @@
 type coldLimits struct {
 	factor, slack float64 // see [WithColdLimit]
 	seed          uint64
+	startedAt     oleanderspool.Millis // of this entry
 	fleet         *warmup.Fleet
 	limiters      map[string]*warmup.Limiter // by service
 	cold          *warmup.ColdServers
 }
 
 func newColdLimits(seed uint64, now oleanderspool.Millis) coldLimits {
-	return coldLimits{seed: seed, fleet: warmup.NewFleet(now), limiters: make(map[string]*warmup.Limiter), cold: warmup.NewColdServers()}
+	return coldLimits{seed: seed, startedAt: now, fleet: warmup.NewFleet(now), limiters: make(map[string]*warmup.Limiter), cold: warmup.NewColdServers()}
+}
+
+// closed reports whether the entry started so recently that it may not send requests
+// to services with a limit.
+func (c *coldLimits) closed(now oleanderspool.Millis) bool {
+	return c.factor > 0 && now-c.startedAt < warmup.Window
 }
 
 // expire records the number of the other entries and forgets what no longer counts. It
@@ -39,7 +46,8 @@
 type limitEffect struct {
 	limiter  *warmup.Limiter
 	excluded int // servers that the limit excludes
-	// untried says that the limit excludes a server that the request was not sent to.
+	// untried says that the limit excludes a usable server that the request was not
+	// sent to. It is set when no server was found.
 	untried bool
 	// size and share are the inputs of the limit.
 	size  warmup.Size
@@ -54,7 +62,7 @@
 	}
 	l := c.limiters[service.Name]
 	if l == nil {
-		l = warmup.NewLimiter(c.seed)
+		l = warmup.NewLimiter(c.seed, c.startedAt)
 		c.limiters[service.Name] = l
 	}
 	c.fleet.Observe(s.peers.LivePeers(), now)
@@ -62,28 +70,22 @@
 	return l
 }
 
-// limit returns the servers that may get a request now.
-func limit(l *warmup.Limiter, servers []directory.Server, tried []oleanderspool.InstanceID, now oleanderspool.Millis) ([]directory.Server, limitEffect) {
+// limit returns the servers that may get a request now. l is nil for a service without
+// a limit.
+func limit(l *warmup.Limiter, servers []directory.Server, now oleanderspool.Millis) ([]directory.Server, limitEffect) {
 	if l == nil {
 		return servers, limitEffect{}
 	}
 	allowed := l.Filter(servers, now)
-	effect := limitEffect{limiter: l, excluded: len(servers) - len(allowed), size: l.Size(), share: l.Share()}
-	if effect.excluded > 0 {
-		untried := func(s directory.Server) bool { return !slices.Contains(tried, s.Instance) }
-		effect.untried = countServers(servers, untried) > countServers(allowed, untried)
-	}
-	return allowed, effect
+	return allowed, limitEffect{limiter: l, excluded: len(servers) - len(allowed), size: l.Size(), share: l.Share()}
 }
 
-func countServers(servers []directory.Server, matches func(directory.Server) bool) int {
-	n := 0
-	for _, s := range servers {
-		if matches(s) {
-			n++
-		}
-	}
-	return n
+// excludesUntried reports whether the limit excludes a server that a request was not
+// sent to.
+func (e limitEffect) excludesUntried(servers []directory.Server, tried []oleanderspool.InstanceID, now oleanderspool.Millis) bool {
+	return e.excluded > 0 && slices.ContainsFunc(servers, func(s directory.Server) bool {
+		return !slices.Contains(tried, s.Instance) && !e.limiter.Allows(s.Instance, now)
+	})
 }
 
 // limitedSend is a send that a limiter has recorded.
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -233,11 +233,11 @@
 }
 
 // Ready reports whether the entry can serve: it has a configuration, its
-// confirmation of keys is recent enough, and it is not stopping. A load
-// balancer should prefer such an entry.
+// confirmation of keys is recent enough, it may send requests to all services, and it
+// is not stopping. A load balancer should prefer such an entry.
 func (g *Gateway) Ready() bool {
 	c := g.view.Snapshot().Configuration
-	if g.stopping() || c == nil {
+	if g.stopping() || c == nil || c.LimitsColdServers() && g.shared.coldLimits.closed(g.clock.Now()) {
 		return false
 	}
 	return !c.RequiresKeys() || !g.keysExpired(g.view.ConfirmationAge(g.clock.Now()))
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -55,6 +55,8 @@
 	stop    context.CancelFunc
 	stopped chan error
 	lastID  int
+	// startedAt is the start of the entry on its clock.
+	startedAt oleanderspool.Millis
 }
 
 var configuration = platformtest.Configuration{
@@ -112,6 +114,7 @@
 		forward.WithLogger(logger), forward.WithDataCentre("dc-a"),
 		forward.WithRetryBudget(0.2, 20), forward.WithMaxKeyAge(5 * oleanderspool.Second),
 	}, options...)...)
+	h.startedAt = h.clock.Now()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	h.address = listener.Addr().String()
--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -85,16 +85,16 @@
 	now, servers, e := s.clock.Now(), snapshot.Servers(service.Name), service.Engine
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	usable := s.exclusions.Filter(servers, now)
 	limiter := s.coldLimiter(snapshot, service, now)
-	allowed, effect := limit(limiter, usable, r.Tried, now)
-	d, found := s.scheduler.Choose(allowed, e, r, now)
+	allowed, effect := limit(limiter, servers, now)
+	d, found := s.scheduler.Choose(s.exclusions.Filter(allowed, now), e, r, now)
 	for _, c := range s.scheduler.TakeLinkChanges() {
 		s.onLinkChange(c)
 	}
 	if !found || d.Refused != "" {
 		wait, _ := s.exclusions.AvailableIn(servers, now)
-		if effect.untried {
+		usable := s.exclusions.Filter(servers, now)
+		if effect.untried = effect.excludesUntried(usable, r.Tried, now); effect.untried {
 			wait = limiter.AvailableIn(usable, now)
 		}
 		return assignment{Decision: d, availableIn: wait, limit: effect}, false
--- a/internal/warmup/benchmark_test.go
+++ b/internal/warmup/benchmark_test.go
@@ -17,7 +17,7 @@
 			for i := range size.servers {
 				servers = append(servers, directory.Server{Instance: oleanderspool.InstanceID(fmt.Sprintf("i-%08x", i))})
 			}
-			l, now := warmup.NewLimiter(3), oleanderspool.Millis(0)
+			l, now := warmup.NewLimiter(3, -warmup.Window), oleanderspool.Millis(0)
 			l.SetLimit(bound, warmup.Size{Entries: size.entries, WorstCase: max(64, size.servers), Settled: true})
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -32,17 +32,33 @@
 // counts by instance: a request sent to an earlier run of a server may reach the
 // current one. It is not safe for concurrent use.
 type Limiter struct {
-	seed  uint64
-	bound int
-	size  Size
-	share Share
-	sends map[oleanderspool.InstanceID][]oleanderspool.Millis // ascending instants within Window
+	seed    uint64
+	opensAt oleanderspool.Millis
+	bound   int
+	size    Size
+	share   Share
+	sends   map[oleanderspool.InstanceID][]oleanderspool.Millis // ascending instants within Window
+
+	filtered []directory.Server // the servers that were filtered last
+	draws    []draw             // for each of them
 }
 
-// NewLimiter returns a limiter that allows no request before [Limiter.SetLimit]. Each
-// entry needs a seed of its own.
-func NewLimiter(seed uint64) *Limiter {
-	return &Limiter{seed: mix(seed), sends: make(map[oleanderspool.InstanceID][]oleanderspool.Millis)}
+// draw says whether a server gets the part of the share until an instant. Computing it
+// for 12,000 servers takes most of the time of a placement.
+type draw struct {
+	hash   uint64
+	drawn  bool
+	endsAt oleanderspool.Millis
+}
+
+// NewLimiter returns the limiter of an entry that started at an instant. It allows no
+// request before [Limiter.SetLimit]. Each entry needs a seed of its own.
+//
+// It allows no request in the first [Window] either. So all entries that send within
+// a second were running at its beginning, and entries that start do not add to those
+// that have just ended.
+func NewLimiter(seed uint64, startedAt oleanderspool.Millis) *Limiter {
+	return &Limiter{seed: mix(seed), opensAt: startedAt + Window, sends: make(map[oleanderspool.InstanceID][]oleanderspool.Millis)}
 }
 
 // SetLimit sets the number of requests that may reach a server within one second from
@@ -52,6 +68,7 @@
 		return
 	}
 	l.bound, l.size, l.share = bound, s, NewShare(bound, s)
+	l.filtered, l.draws = nil, nil
 }
 
 // Share returns the share of this entry.
@@ -66,8 +83,15 @@
 
 // Allows reports whether a server may get a request now.
 func (l *Limiter) Allows(server oleanderspool.InstanceID, now oleanderspool.Millis) bool {
-	if l.share.Whole == 0 && !l.drawn(server, now) {
-		return false // most servers of a large fleet; saves the look-up
+	return l.allows(server, l.hash(server), now)
+}
+
+func (l *Limiter) allows(server oleanderspool.InstanceID, hash uint64, now oleanderspool.Millis) bool {
+	if now < l.opensAt {
+		return false
+	}
+	if l.share.Whole == 0 && !l.drawn(hash, now) {
+		return false // saves the look-up
 	}
 	count := 0
 	for _, at := range l.sends[server] {
@@ -75,14 +99,18 @@
 			count++
 		}
 	}
-	return count < l.share.Whole || count == l.share.Whole && l.share.Part > 0 && l.drawn(server, now)
+	return count < l.share.Whole || count == l.share.Whole && l.share.Part > 0 && l.drawn(hash, now)
+}
+
+// drawn reports whether the server with a hash gets the part of the share in the current
+// interval.
+func (l *Limiter) drawn(hash uint64, now oleanderspool.Millis) bool {
+	return float64(mix(hash+interval(hash, now))) < l.share.Part*math.MaxUint64
 }
 
-// drawn reports whether the server gets the part of the share in the current interval.
-func (l *Limiter) drawn(server oleanderspool.InstanceID, now oleanderspool.Millis) bool {
-	hash := l.hash(server)
-	interval := uint64(now+phase(hash)) / uint64(drawInterval)
-	return float64(mix(hash+interval)) < l.share.Part*math.MaxUint64
+// interval returns the number of the current interval of a server.
+func interval(hash uint64, now oleanderspool.Millis) uint64 {
+	return uint64(now+phase(hash)) / uint64(drawInterval)
 }
 
 // phase returns the offset of the intervals of a server, which differs between entries.
@@ -154,15 +182,16 @@
 }
 
 // Filter returns the servers that may get a request now. It returns the given slice if
-// all may.
+// all may. The slice must not be modified afterwards.
 func (l *Limiter) Filter(servers []directory.Server, now oleanderspool.Millis) []directory.Server {
+	l.draw(servers, now)
 	for i := range servers {
-		if l.Allows(servers[i].Instance, now) {
+		if l.allowsFiltered(i, now) {
 			continue
 		}
 		allowed := slices.Clone(servers[:i])
 		for j := i + 1; j < len(servers); j++ {
-			if l.Allows(servers[j].Instance, now) {
+			if l.allowsFiltered(j, now) {
 				allowed = append(allowed, servers[j])
 			}
 		}
@@ -171,6 +200,31 @@
 	return servers
 }
 
+// draw updates the draws of the servers whose intervals have ended, or all of them for
+// other servers than before.
+func (l *Limiter) draw(servers []directory.Server, now oleanderspool.Millis) {
+	if len(servers) != len(l.filtered) || len(servers) > 0 && &servers[0] != &l.filtered[0] {
+		l.filtered, l.draws = servers, make([]draw, len(servers))
+		for i := range servers {
+			l.draws[i] = draw{hash: l.hash(servers[i].Instance), endsAt: now}
+		}
+	}
+	for i := range l.draws {
+		if d := &l.draws[i]; now >= d.endsAt {
+			d.drawn = l.drawn(d.hash, now)
+			d.endsAt = oleanderspool.Millis(interval(d.hash, now)+1)*drawInterval - phase(d.hash)
+		}
+	}
+}
+
+func (l *Limiter) allowsFiltered(i int, now oleanderspool.Millis) bool {
+	d := &l.draws[i]
+	if l.share.Whole == 0 && !d.drawn {
+		return false
+	}
+	return l.allows(l.filtered[i].Instance, d.hash, now)
+}
+
 // AvailableIn returns the time until the first of the servers may get a request, or
 // an upper limit if that is not known.
 func (l *Limiter) AvailableIn(servers []directory.Server, now oleanderspool.Millis) oleanderspool.Millis {
@@ -192,6 +246,7 @@
 		}
 	}
 	check(now)
+	check(l.opensAt)
 	for _, at := range list {
 		check(at + Window)
 	}
--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -4,15 +4,19 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
+	"github.com/oleanderspool/oleanderspool/internal/fuzz"
 	"github.com/oleanderspool/oleanderspool/internal/warmup"
 )
 
+func init() { fuzz.Configure(0, 0) }
+
 const (
 	step   = 100 * oleanderspool.Millis(1)
 	second = oleanderspool.Second
@@ -52,7 +56,7 @@
 func (w *world) start(group int) *entry {
 	w.seed++
 	e := &entry{
-		fleet: warmup.NewFleet(w.now), limiter: warmup.NewLimiter(w.seed), group: group,
+		fleet: warmup.NewFleet(w.now), limiter: warmup.NewLimiter(w.seed, w.now), group: group,
 		heardAt: make(map[*entry]oleanderspool.Millis), pending: make(map[oleanderspool.InstanceID][]oleanderspool.Millis),
 	}
 	w.entries = append(w.entries, e)
@@ -277,7 +281,7 @@
 // wait that is wrong.
 func TestOnlyEntryAndServer(t *testing.T) {
 	for seed := range uint64(20) {
-		l, fleet, server := warmup.NewLimiter(seed), warmup.NewFleet(0), []directory.Server{{Instance: "only"}}
+		l, fleet, server := warmup.NewLimiter(seed, 0), warmup.NewFleet(0), []directory.Server{{Instance: "only"}}
 		served, misled := 0, 0
 		for now := 10 * second; now < oleanderspool.Hour; {
 			fleet.Observe(0, now)
@@ -336,7 +340,7 @@
 
 // Guards against memory that grows with the servers used since the start.
 func TestMemory(t *testing.T) {
-	l := warmup.NewLimiter(1)
+	l := warmup.NewLimiter(1, 0)
 	for i := range 1000 {
 		l.RecordSend(oleanderspool.InstanceID(fmt.Sprint(i)), oleanderspool.Millis(i))
 	}
@@ -366,7 +370,7 @@
 // Guards against a request that is sent although its server has got its share since the
 // request was placed, and against one that counts twice.
 func TestRenew(t *testing.T) {
-	l := warmup.NewLimiter(1)
+	l := warmup.NewLimiter(1, -warmup.Window)
 	l.SetLimit(bound, warmup.Size{Entries: 29, WorstCase: maxEntries, Settled: true}) // one request
 	l.RecordSend("s", 0)
 	if !l.Renew("s", 0, 500) || l.Allows("s", 500+warmup.Window-1) || !l.Allows("s", 500+warmup.Window) {
@@ -390,3 +394,60 @@
 		}
 	}
 }
+
+// Guards against entries that start and send while the requests of those that they
+// replace still count: 25 of 26 leave and 28 start within the same second. Without the
+// initial pause of an entry, 54 requests reached a server.
+func TestEntriesReplacedAtOnce(t *testing.T) {
+	w := newWorld(54)
+	target := w.servers[0]
+	for range 26 {
+		w.start(0)
+	}
+	w.pass(10*second, func() { w.press(target) })
+	w.entries = w.entries[:1]
+	for range 28 {
+		w.start(0)
+	}
+	w.pass(5*second, func() { w.press(target) })
+	if w.largest > bound {
+		t.Errorf("%d requests within a second", w.largest)
+	}
+}
+
+// Guards against an entry that sends at once when it starts, or later than it may, or
+// that tells callers to come back too early.
+func TestStart(t *testing.T) {
+	const startedAt = 5 * second
+	l, servers := warmup.NewLimiter(1, startedAt), []directory.Server{{Instance: "s"}}
+	l.SetLimit(bound, warmup.Size{Entries: 29, WorstCase: maxEntries, Settled: true})
+	if opens := startedAt + warmup.Window; l.Allows("s", opens-1) || !l.Allows("s", opens) {
+		t.Errorf("the first request is not allowed from %d on", opens)
+	}
+	if len(l.Filter(servers, startedAt)) > 0 || l.AvailableIn(servers, startedAt+100) != warmup.Window-100 {
+		t.Errorf("available after %d ms", l.AvailableIn(servers, startedAt+100))
+	}
+}
+
+// Guards against draws that are kept after their interval has ended, or for other
+// servers, or after the share has changed.
+func TestFilter(t *testing.T) {
+	var servers []directory.Server
+	for i := range 200 {
+		servers = append(servers, directory.Server{Instance: oleanderspool.InstanceID(fmt.Sprint(i))})
+	}
+	l := warmup.NewLimiter(1, 0)
+	for now := 2 * second; now < 60*second; now += 250 {
+		l.SetLimit(bound, warmup.Size{Entries: 100 + int(now/(20*second)), WorstCase: 600, Settled: true})
+		listed := servers[now/second:]
+		var want []directory.Server
+		for _, s := range listed {
+			if l.Allows(s.Instance, now) {
+				want = append(want, s)
+			}
+		}
+		if got := l.Filter(listed, now); len(want) == 0 || !slices.Equal(got, want) {
+			t.Fatalf("at %d: %d servers, want %d", now, len(got), len(want))
+		}
+	}
+}
