Let requests wait for the end of an entry's first window

Cause: requests that reach an entry in its first window were refused.

The entry is not ready meanwhile.

--- a/internal/forward/cold_limit.go
+++ b/internal/forward/cold_limit.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/warmup"
 )
@@ -24,10 +25,26 @@
 	return coldLimits{seed: seed, startedAt: now, fleet: warmup.NewFleet(now), limiters: make(map[string]*warmup.Limiter), cold: warmup.NewColdServers()}
 }
 
-// closed reports whether the entry started so recently that it may not send requests
-// to services with a limit.
-func (c *coldLimits) closed(now oleanderspool.Millis) bool {
-	return c.factor > 0 && now-c.startedAt < warmup.Window
+// opensIn returns the time until the entry, which started recently, may send requests to
+// services with a limit; 0 if it may.
+func (c *coldLimits) opensIn(now oleanderspool.Millis) oleanderspool.Millis {
+	if c.factor <= 0 {
+		return 0
+	}
+	return max(0, c.startedAt+warmup.Window-now)
+}
+
+// awaitColdLimit waits until the entry may send requests to the service. All entries
+// may have started together, so that no other one could serve a refused request sooner.
+func (t *transaction) awaitColdLimit() {
+	g := t.gateway
+	wait := g.shared.coldLimits.opensIn(g.clock.Now())
+	if wait == 0 || t.service.ColdRate <= 0 {
+		return
+	}
+	g.metrics.StateChanged("slow_start_wait")
+	g.logger.Info("waiting", "request_id", t.call.ID, "cause", "slow-start limit", "wait_ms", int64(wait))
+	clock.Sleep(t.ctx, wait)
 }
 
 // expire records the number of the other entries and forgets what no longer counts. It
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -237,7 +237,7 @@
 // is not stopping. A load balancer should prefer such an entry.
 func (g *Gateway) Ready() bool {
 	c := g.view.Snapshot().Configuration
-	if g.stopping() || c == nil || c.LimitsColdServers() && g.shared.coldLimits.closed(g.clock.Now()) {
+	if g.stopping() || c == nil || c.LimitsColdServers() && g.shared.coldLimits.opensIn(g.clock.Now()) > 0 {
 		return false
 	}
 	return !c.RequiresKeys() || !g.keysExpired(g.view.ConfirmationAge(g.clock.Now()))
@@ -321,6 +321,7 @@
 	defer context.AfterFunc(t.gateway.ended, cancel)()
 	t.ctx = ctx
 	answer.limitWrites(t.remaining() + ownAnswerTimeout)
+	t.awaitColdLimit()
 	if t.route.Kind == directory.KindStream {
 		return t.runStream(answer)
 	}
