--- a/internal/forward/cold_limit_test.go
+++ b/internal/forward/cold_limit_test.go
@@ -11,6 +11,7 @@
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
 	"github.com/oleanderspool/oleanderspool/internal/forward"
+	"github.com/oleanderspool/oleanderspool/internal/warmup"
 	"github.com/oleanderspool/oleanderspool/platform/platformtest"
 )
 
@@ -72,6 +73,29 @@
 		Expect(h.send(query{path: "/lookup/1"}).status).To(Equal(http.StatusOK))
 	})
 
+	// Guards against an entry that has just started and adds its share to that of the
+	// entry that it replaces, and against a load balancer that prefers it meanwhile.
+	DescribeTable("of an entry that has just started", func(rate float64, waits bool, options ...forward.Option) {
+		h := newHarness(1, 0, append(options, forward.WithMaxKeyAge(0))...)
+		limited := configuration
+		limited.ColdPerS = rate
+		h.store.Configure(limited)
+		Eventually(func() int64 { return h.view.Snapshot().Configuration.Version }, waitTimeout, pollInterval).Should(Equal(int64(2)))
+		start := func() { h.clock.jump.Add(int64(h.startedAt - h.clock.Now())) }
+		start()
+		Expect(h.gateway.Ready()).To(Equal(!waits))
+		start()
+		Expect(h.send(query{path: "/lookup/1"}).status).To(Equal(http.StatusOK))
+		if waits {
+			Expect(h.clock.Now()).To(BeNumerically(">=", h.startedAt+warmup.Window))
+			Expect(h.gateway.Ready()).To(BeTrue())
+		}
+	},
+		Entry("lets requests wait", 32.0, true, on),
+		Entry("does not apply to a service without it", 0.0, false, on),
+		Entry("does not apply without the settings", 32.0, false),
+	)
+
 	// Guards against retries and resumed streams that the limit does not count.
 	It("counts retries and resumed streams", func() {
 		h := newLimited(0, 2, 32, on)
--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -233,11 +233,11 @@
 }
 
 // Ready reports whether the entry can serve: it has a configuration, its
-// confirmation of keys is recent enough, and it is not stopping. A load
-// balancer should prefer such an entry.
+// confirmation of keys is recent enough, it may send requests to all services, and it
+// is not stopping. A load balancer should prefer such an entry.
 func (g *Gateway) Ready() bool {
 	c := g.view.Snapshot().Configuration
-	if g.stopping() || c == nil {
+	if g.stopping() || c == nil || c.LimitsColdServers() && g.shared.coldLimits.opensIn(g.clock.Now()) > 0 {
 		return false
 	}
 	return !c.RequiresKeys() || !g.keysExpired(g.view.ConfirmationAge(g.clock.Now()))
@@ -321,6 +321,7 @@
 	defer context.AfterFunc(t.gateway.ended, cancel)()
 	t.ctx = ctx
 	answer.limitWrites(t.remaining() + ownAnswerTimeout)
+	t.awaitColdLimit()
 	if t.route.Kind == directory.KindStream {
 		return t.runStream(answer)
 	}
