--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -416,7 +416,7 @@
 }
 
 // Guards against an entry that sends at once when it starts, or later than it may, or
-// that tells callers to come back too early.
+// that states a wait which is too short.
 func TestStart(t *testing.T) {
 	const startedAt = 5 * second
 	l, servers := warmup.NewLimiter(1, startedAt), []directory.Server{{Instance: "s"}}
