Use the list of servers part by part while it is read

Cause: an entry used no server before it had read the whole list, and began the list again after a call that failed and during the grace period after each failure. 300 entries with 3,000 servers read 270 MB at 80 MB/s.

Change: Feed.Newest reads one part. Each part is published at once, a failed part is read again after a delay with jitter, and the changes since the first part are read between the parts. Unlisted servers are removed when the list is complete and the grace period has ended. The server count that the slow-start limit uses is an upper bound while the first list is incomplete. An entry sends no update from a read that begins before the newest record of its list, since records that the list contained would be missing in it.

Not reached: the bytes of the complete lists still grow with entries times servers (276 MB).

Ruled out: a random first key (only the first part is known to have an end offset), and the rest of the list from the relay (needs a new protocol).

Changed tests: the feeds of the existing tests take the new parameter of Newest.

--- a/internal/directory/confirmation_test.go
+++ b/internal/directory/confirmation_test.go
@@ -43,7 +43,7 @@
 	failures atomic.Int32
 }
 
-func (f *growingFeed) Newest(context.Context) (directory.Batch, error) {
+func (f *growingFeed) Newest(context.Context, string) (directory.Batch, error) {
 	return directory.Batch{Next: oleanderspool.Offset(f.end.Load())}, nil
 }
 
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -32,15 +32,18 @@
 	Changes []Change
 	Next    oleanderspool.Offset // to read from next
 	// More reports that the feed already had later changes that did not fit into the
-	// reply.
+	// reply. Of a part of the newest changes it says that there are further parts.
 	More bool
+	// After is, in a part of the newest changes, the key after which the next part begins.
+	After string
 }
 
 // Feed reads a sequence of changes.
 type Feed interface {
-	// Newest returns the newest change of each key. Some changes may be newer than
-	// the offset to read from next.
-	Newest(ctx context.Context) (Batch, error)
+	// Newest returns a part of the newest changes of each key: those of the keys after
+	// a key, or of the first ones if it is empty. Next of the first part is the offset
+	// to read from next; some changes of any part may be newer.
+	Newest(ctx context.Context, after string) (Batch, error)
 	// Read returns the changes from an offset on. If there is none, it waits for one
 	// up to the given duration.
 	Read(ctx context.Context, from oleanderspool.Offset, wait oleanderspool.Millis) (Batch, error)
@@ -65,6 +68,11 @@
 	// maxChangeReadDelay bounds the random delay after which an entry reads a
 	// configuration that another one has announced. It spreads the load on the store.
 	maxChangeReadDelay = 150 * oleanderspool.Millis(1)
+	// minListRetryDelay and maxListRetryDelay bound the delay after a part of the list of
+	// servers that could not be read: it doubles with each failure. Half of it is random,
+	// since the entries of a fleet that starts fail at the same time.
+	minListRetryDelay = 50 * oleanderspool.Millis(1)
+	maxListRetryDelay = 800 * oleanderspool.Millis(1)
 	// expiryGrace is the time after an outage of the store during which a removed
 	// server is still used: its registration may have expired only because the
 	// server could not renew it. It is shorter than the time after which a server
@@ -92,13 +100,18 @@
 	expiryOutage   oleanderspool.Millis
 	configurations feedState
 	servers        feedState
-	expired        []Change // removals that are deferred to the end of the grace period
-	coordinator    Coordinator
-	received       chan receivedUpdate
-	confirmations  chan Confirmation
-	changeReadAt   oleanderspool.Millis // last read of an announced configuration
-	guard          *observe.Guard
-	metrics        *observe.Metrics
+	list           *serverList // the list of servers that is being read; nil for none
+	// listedEnd is the offset after the newest record of the lists that were read.
+	listedEnd oleanderspool.Offset
+	expired   []Change // removals that are deferred to the end of the grace period
+	// unlisted is the last complete list, until the servers that it lacks are removed.
+	unlisted      *serverList
+	coordinator   Coordinator
+	received      chan receivedUpdate
+	confirmations chan Confirmation
+	changeReadAt  oleanderspool.Millis // last read of an announced configuration
+	guard         *observe.Guard
+	metrics       *observe.Metrics
 }
 
 // FollowerOption configures a [Follower].
@@ -298,7 +311,7 @@
 func (f *Follower) RunServers(ctx context.Context) {
 	for ctx.Err() == nil {
 		if f.guard.Run("registry", func() { f.followServers(ctx) }) {
-			f.servers.synced = false // records may have been applied in part
+			f.servers.synced, f.list = false, nil // records may have been applied in part
 			clock.Sleep(ctx, retryInterval)
 		}
 	}
@@ -308,42 +321,74 @@
 	failures := 0
 	for ctx.Err() == nil {
 		f.applyReceived()
-		if f.readServers(ctx) {
-			failures = 0
-			f.awaitRead(ctx)
-		} else {
+		var ok bool
+		switch now := f.clock.Now(); {
+		case f.servers.synced:
+			ok = f.readServers(ctx)
+		case f.list.readsChanges(now, f.budget.ServerInterval):
+			ok = f.readListChanges(ctx)
+		default:
+			ok = f.readListPart(ctx)
+		}
+		switch {
+		case !ok && f.servers.synced:
 			clock.Sleep(ctx, f.retryDelay(failures, f.coordinator.ReadDelay(f.budget.ReadDelay) > 0))
 			failures++
+		case !ok:
+			clock.Sleep(ctx, listRetryDelay(failures))
+			failures++
+		default:
+			failures = 0
+			// The other parts of a list, and the records after it, are read at once.
+			if f.list == nil {
+				f.awaitRead(ctx)
+			}
 		}
 	}
 }
 
+// listRetryDelay returns the delay after a number of failed reads before this one while
+// the list of servers is incomplete.
+func listRetryDelay(failures int) oleanderspool.Millis {
+	d := min(minListRetryDelay<<min(failures, 8), maxListRetryDelay)
+	return d/2 + rand.N(d/2)
+}
+
 // readServers reads the registry once, applies the changes and passes them on to
 // the other entries. It reports whether the read succeeded.
 func (f *Follower) readServers(ctx context.Context) bool {
-	full, from, sentAt := !f.servers.synced, f.servers.next, f.clock.Now()
+	from, sentAt := f.servers.next, f.clock.Now()
 	batch, ok := f.read(ctx, &f.servers, 0)
-	current := batch.Changes
+	if !ok {
+		f.removeExpired()
+		return false
+	}
+	applied := f.applyRead(batch.Changes)
+	if batch.More {
+		return true
+	}
+	f.servers.lastReadAt = sentAt
+	f.view.ServersRead(sentAt)
+	// The list may contain later records. They change nothing here and would be missing
+	// in the update.
+	if from >= f.listedEnd {
+		f.publish(from, applied, sentAt)
+	}
+	return true
+}
+
+// applyRead applies records of the registry and returns those that change a server.
+// During the grace period removals are deferred.
+func (f *Follower) applyRead(changes []Change) []Change {
+	current := changes
 	if f.inGrace() {
-		current = slices.DeleteFunc(slices.Clone(current), func(c Change) bool { return c.Removed })
-		f.expired = append(f.expired, slices.DeleteFunc(slices.Clone(batch.Changes), func(c Change) bool { return !c.Removed })...)
+		removed := func(c Change) bool { return c.Removed }
+		current = slices.DeleteFunc(slices.Clone(changes), removed)
+		f.expired = append(f.expired, slices.DeleteFunc(slices.Clone(changes), func(c Change) bool { return !removed(c) })...)
 	}
 	applied := f.register(current)
-	if ok && full {
-		f.removeUnlisted(batch.Changes)
-	}
 	f.removeExpired()
-	// The newest records may be seconds old, so the records after them are read at
-	// once, as are those that did not fit into a reply. A list that came during the
-	// grace period may lack expired registrations and is read again after the interval.
-	if ok && !batch.More && (!full || !f.servers.synced) {
-		f.servers.lastReadAt = sentAt
-		f.view.ServersRead(sentAt)
-	}
-	if ok && !batch.More && !full {
-		f.publish(from, applied, sentAt)
-	}
-	return ok
+	return applied
 }
 
 // awaitRead waits until this entry has to read the registry again, and applies the
@@ -391,22 +436,18 @@
 	}
 	f.register(f.expired)
 	f.expired = nil
-}
-
-// removeUnlisted removes the servers that are missing from a complete list. During
-// the grace period the list is read again instead.
-func (f *Follower) removeUnlisted(list []Change) {
-	if f.inGrace() {
-		f.servers.synced = false
+	if f.unlisted == nil {
 		return
 	}
-	listed := make(map[oleanderspool.InstanceID]bool, len(list))
-	for _, c := range list {
-		listed[c.Instance] = true
-	}
-	for _, id := range f.view.RemoveUnlisted(listed, f.servers.listEnd) {
-		f.logger.Info("server removed", "instance", id, "cause", "not listed", "offset", f.servers.listEnd)
+	for _, id := range f.view.RemoveUnlisted(f.unlisted.listed, f.unlisted.end) {
+		f.logger.Info("server removed", "instance", id, "cause", "not listed", "offset", f.unlisted.end)
 	}
+	f.unlisted = nil
+}
+
+// defersRemovals reports whether this entry keeps servers that others may have removed.
+func (f *Follower) defersRemovals() bool {
+	return f.inGrace() || len(f.expired) > 0 || f.unlisted != nil
 }
 
 // read reads the next changes of a feed. It reads the newest record of each key
@@ -417,8 +458,41 @@
 	if s.synced {
 		batch, err = s.feed.Read(ctx, s.next, wait)
 	} else {
-		batch, err = s.feed.Newest(ctx)
+		batch, err = readNewest(ctx, s.feed)
 	}
+	if !f.recordReply(ctx, s, err) {
+		return Batch{}, false
+	}
+	if !s.synced {
+		s.listEnd = batch.Next
+	}
+	s.synced = true
+	// A reply of Newest may be older than the records that were read before.
+	s.next = max(s.next, batch.Next)
+	return batch, true
+}
+
+// maxNewestParts bounds the parts of the newest changes of the operator's feed, which
+// usually has one.
+const maxNewestParts = 1000
+
+// readNewest reads all parts of the newest changes of a feed.
+func readNewest(ctx context.Context, feed Feed) (Batch, error) {
+	all, err := feed.Newest(ctx, "")
+	for parts := 1; err == nil && all.More; parts++ {
+		if parts == maxNewestParts {
+			return Batch{}, oleanderspool.ErrUnavailable.New("the newest records have no end after %d parts", parts)
+		}
+		var part Batch
+		part, err = feed.Newest(ctx, all.After)
+		all.Changes = append(all.Changes, part.Changes...)
+		all.More, all.After = part.More, part.After
+	}
+	return all, err
+}
+
+// recordReply records whether the store answered a read of a feed, and reports it.
+func (f *Follower) recordReply(ctx context.Context, s *feedState, err error) bool {
 	now := f.clock.Now()
 	if err != nil {
 		if s.feed.Compacted(err) {
@@ -431,7 +505,7 @@
 			s.failingSince = now
 			f.logger.Warn("store unreachable", "feed", s.name, "error", err.Error())
 		}
-		return Batch{}, false
+		return false
 	}
 	if s.failingSince != 0 {
 		f.logger.Info("store reachable again", "feed", s.name, "after_ms", int64(now-s.failingSince), "last_read_ms", int64(now-s.lastReadAt))
@@ -442,13 +516,7 @@
 			s.recoveredAt = now
 		}
 	}
-	if !s.synced {
-		s.listEnd = batch.Next
-	}
-	s.synced = true
-	// A reply of Newest may be older than the records that were read before.
-	s.next = max(s.next, batch.Next)
-	return batch, true
+	return true
 }
 
 // configure applies records of the operator; complete says that they are the newest of
--- a/internal/directory/follower_test.go
+++ b/internal/directory/follower_test.go
@@ -30,7 +30,7 @@
 	more     bool // the reply leaves out later records
 }
 
-func (f *scriptedFeed) Newest(context.Context) (directory.Batch, error) {
+func (f *scriptedFeed) Newest(context.Context, string) (directory.Batch, error) {
 	return f.reply(0)
 }
 
@@ -98,7 +98,7 @@
 	fails  bool // the second read fails
 }
 
-func (f *waitingFeed) Newest(context.Context) (directory.Batch, error) {
+func (f *waitingFeed) Newest(context.Context, string) (directory.Batch, error) {
 	return directory.Batch{}, nil
 }
 
@@ -123,7 +123,7 @@
 	waits  []oleanderspool.Millis
 }
 
-func (f *changingFeed) Newest(context.Context) (directory.Batch, error) {
+func (f *changingFeed) Newest(context.Context, string) (directory.Batch, error) {
 	return directory.Batch{}, nil
 }
 
--- a/internal/directory/registry_update.go
+++ b/internal/directory/registry_update.go
@@ -88,7 +88,7 @@
 // during the grace period after an outage.
 func (f *Follower) apply(u receivedUpdate) {
 	s := &f.servers
-	if !s.synced || f.inGrace() || len(f.expired) > 0 || u.From > s.next {
+	if !s.synced || f.defersRemovals() || u.From > s.next {
 		return
 	}
 	changes := make([]Change, len(u.Changes))
@@ -106,7 +106,7 @@
 // missing. During the grace period, while registrations may have expired because of the
 // outage, each entry reads for itself.
 func (f *Follower) publish(from oleanderspool.Offset, changes []Change, sentAt oleanderspool.Millis) {
-	if f.inGrace() || len(f.expired) > 0 || len(changes) > maxPublishedChanges {
+	if f.defersRemovals() || len(changes) > maxPublishedChanges {
 		return
 	}
 	now := f.clock.Now()
--- a/internal/directory/registry_update_test.go
+++ b/internal/directory/registry_update_test.go
@@ -21,7 +21,7 @@
 	next  oleanderspool.Offset
 }
 
-func (f *countingFeed) Newest(context.Context) (directory.Batch, error) {
+func (f *countingFeed) Newest(context.Context, string) (directory.Batch, error) {
 	server := directory.Server{Instance: "s", Service: "llm", Address: "10.0.0.1:80"}
 	return directory.Batch{Changes: []directory.Change{{Offset: 9, Instance: "s", Server: &server}}, Next: f.next}, nil
 }
@@ -38,7 +38,7 @@
 	count int
 }
 
-func (f *manyChanges) Newest(context.Context) (directory.Batch, error) {
+func (f *manyChanges) Newest(context.Context, string) (directory.Batch, error) {
 	return directory.Batch{}, nil
 }
 
--- /dev/null
+++ b/internal/directory/server_list.go
@@ -0,0 +1,107 @@
+package directory
+
+import (
+	"context"
+
+	"github.com/oleanderspool/oleanderspool"
+)
+
+// serverList is the progress of a read of the newest record of each server, which the
+// store sends in parts. It has no I/O.
+type serverList struct {
+	startedAt oleanderspool.Millis
+	after     string // key after which the next part begins
+	listed    map[oleanderspool.InstanceID]bool
+	end       oleanderspool.Offset // Next of the first part; older records that are not listed are obsolete
+	// changesReadAt is the instant at which the last read of the records after the
+	// first part was sent; 0 for none.
+	changesReadAt oleanderspool.Millis
+}
+
+// maxListed bounds the servers of a list, and so the memory that a store can make an entry
+// use whose parts have no end.
+const maxListed = 10 * maxServers
+
+// add adds a part. It reports whether the list may go on: a part that has no new server
+// although others follow would be read forever.
+func (l *serverList) add(part Batch) bool {
+	before := len(l.listed)
+	for _, c := range part.Changes {
+		l.listed[c.Instance] = true
+	}
+	l.after = part.After
+	return !part.More || len(l.listed) > before && len(l.listed) <= maxListed
+}
+
+// readsChanges reports whether the records after the first part have to be read before
+// the next part. The servers of the parts so far are in use, so that their changes must
+// be known in time.
+func (l *serverList) readsChanges(now, interval oleanderspool.Millis) bool {
+	return l != nil && (l.changesReadAt == 0 || now-l.changesReadAt >= interval)
+}
+
+// readListPart reads and applies the next part of the list of servers. It reports whether
+// the read succeeded; after a failure the same part is read again.
+func (f *Follower) readListPart(ctx context.Context) bool {
+	after := ""
+	if f.list != nil {
+		after = f.list.after
+	}
+	sentAt := f.clock.Now()
+	part, err := f.servers.feed.Newest(ctx, after)
+	if !f.recordReply(ctx, &f.servers, err) {
+		return false
+	}
+	if f.list == nil {
+		f.list = &serverList{startedAt: sentAt, listed: make(map[oleanderspool.InstanceID]bool), end: part.Next}
+		// The first part may be older than the records that were read before.
+		f.servers.next = max(f.servers.next, part.Next)
+		if part.More {
+			f.view.SetIncomplete(part.Next)
+		}
+	}
+	if !f.list.add(part) {
+		f.logger.Warn("server list has no end", "servers", len(f.list.listed))
+		f.list = nil
+		return false
+	}
+	for _, c := range part.Changes {
+		f.listedEnd = max(f.listedEnd, c.Offset+1)
+	}
+	f.register(part.Changes)
+	if !part.More {
+		f.completeList()
+	}
+	return true
+}
+
+// completeList removes the servers that the complete list lacks, after the grace period
+// if there is one: the list may lack registrations that expired because of the outage.
+func (f *Follower) completeList() {
+	f.logger.Info("server list complete", "servers", len(f.list.listed), "after_ms", int64(f.clock.Now()-f.list.startedAt), "offset", f.list.end)
+	f.metrics.StateChanged("server_list_complete")
+	f.view.SetComplete()
+	f.servers.synced = true
+	f.list, f.unlisted = nil, f.list
+	f.removeExpired()
+}
+
+// readListChanges reads and applies the records after the first part of the list. It
+// reports whether the read succeeded.
+func (f *Follower) readListChanges(ctx context.Context) bool {
+	sentAt := f.clock.Now()
+	batch, err := f.servers.feed.Read(ctx, f.servers.next, 0)
+	if !f.recordReply(ctx, &f.servers, err) {
+		f.removeExpired()
+		if err != nil && f.servers.feed.Compacted(err) {
+			f.list = nil
+		}
+		return false
+	}
+	f.servers.next = max(f.servers.next, batch.Next)
+	f.applyRead(batch.Changes)
+	if !batch.More {
+		f.list.changesReadAt = sentAt
+	}
+	return true
+}
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -18,6 +18,9 @@
 	// withheld is the number of usable servers of each service that are in evacuated
 	// data centres.
 	withheld map[string]int
+	// serverLimit bounds the number of registered servers from above while the first list
+	// of them is incomplete; 0 otherwise.
+	serverLimit int
 }
 
 // Servers returns the usable servers of a service outside evacuated data centres,
@@ -26,8 +29,12 @@
 	return s.servers[service]
 }
 
+// maxServers is the number of servers of the largest deployment that the design covers.
+const maxServers = 12_000
+
 // ServerCount returns the number of usable servers of all services, also in evacuated data
-// centres.
+// centres. While the first list of servers is incomplete, it returns an upper bound: the
+// slow-start limit must not assume a smaller fleet than entries with a complete list.
 func (s *Snapshot) ServerCount() int {
 	n := 0
 	for _, servers := range s.servers {
@@ -36,7 +43,12 @@
 	for _, withheld := range s.withheld {
 		n += withheld
 	}
-	return n
+	return max(n, s.serverLimit)
+}
+
+// IsIncomplete reports whether the first list of servers has been read only in part.
+func (s *Snapshot) IsIncomplete() bool {
+	return s.serverLimit > 0
 }
 
 // Evacuated returns the evacuated data centres, ordered by name. The result must not be
@@ -64,6 +76,8 @@
 	offset      oleanderspool.Offset // of the current configuration
 	evacuations evacuations
 	records     map[oleanderspool.InstanceID]registration
+	serverLimit int  // see [Snapshot]
+	hadList     bool // a complete list of servers was read
 	snapshot    atomic.Pointer[Snapshot]
 	confirmed   atomic.Int64 // instant; 0 before the first read
 	readAt      atomic.Int64 // of the registry; instant, 0 before the first read
@@ -280,8 +294,36 @@
 	return removed
 }
 
+// SetIncomplete records that the list of servers is read in parts. end is the offset after
+// the newest record of a server: each server has at least one record before it. Once a
+// list has been read, the servers of the last one stay known while another is read.
+func (v *View) SetIncomplete(end oleanderspool.Offset) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.hadList {
+		v.limitServers(int(min(end, maxServers)))
+	}
+}
+
+// SetComplete records that all parts of a list of servers have been read and applied.
+func (v *View) SetComplete() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.hadList = true
+	if v.serverLimit > 0 {
+		v.limitServers(0)
+	}
+}
+
+func (v *View) limitServers(limit int) {
+	v.serverLimit = limit
+	next := *v.snapshot.Load()
+	next.serverLimit = limit
+	v.snapshot.Store(&next)
+}
+
 func (v *View) publish(configuration *Configuration) {
-	s := &Snapshot{Configuration: configuration, servers: make(map[string][]Server), evacuated: v.evacuations.active(), withheld: make(map[string]int)}
+	s := &Snapshot{Configuration: configuration, servers: make(map[string][]Server), evacuated: v.evacuations.active(), withheld: make(map[string]int), serverLimit: v.serverLimit}
 	for _, id := range slices.Sorted(maps.Keys(v.records)) {
 		r := v.records[id]
 		switch {
