Add evacuations and cold servers to the soak

Cause: the soak had no evacuations and no slow-start limit, so that neither was tested under faults of processes, of the store and of connections.

An application server turns cold, the registry says so up to a heartbeat later, and a crowd of 600 requests arrives meanwhile. Two checks use the arrivals at the servers without those answered with 421. Refusals by the limit and the crowd do not count in the share of served requests, and the requests after the faults are sent once more if the limit refuses them.

Ruled out: evacuating both data centres at once.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderspool/oleanderspool/platform/platformtest"
@@ -25,6 +26,7 @@
 	entry      int
 	sentAt     time.Time
 	endedAt    time.Time
+	crowd      bool // sent by [callers.crowd]
 	abandoned  bool // the caller cancelled, or ended its sending side, before the answer was complete
 	status     int  // 0 if there was no answer
 	answeredID string
@@ -112,6 +114,36 @@
 	}
 }
 
+const (
+	// The requests of a crowd exceed the bound of the slow-start limit at each of the
+	// application servers.
+	crowdSenders  = 30
+	crowdRequests = 20
+	crowdPause    = 15 * time.Millisecond
+)
+
+// crowd sends many requests to the application servers within about a second, through
+// all entries.
+func (c *callers) crowd(number int) {
+	var sending sync.WaitGroup
+	for i := range crowdSenders {
+		sending.Go(func() {
+			defer GinkgoRecover()
+			transport := &http.Transport{}
+			defer transport.CloseIdleConnections()
+			for j := range crowdRequests {
+				o := c.send(&http.Client{Transport: transport}, (i+j)%len(c.fleet.entries), routes[1], fmt.Sprintf("c-%d-%d-%d", number, i, j), "stays", false)
+				o.crowd = true
+				c.mu.Lock()
+				c.outcomes = append(c.outcomes, o)
+				c.mu.Unlock()
+				time.Sleep(crowdPause)
+			}
+		})
+	}
+	sending.Wait()
+}
+
 // maxKept is how many bytes of an answer a caller keeps. It exceeds every complete answer;
 // a caller that kept an answer without end would still be reading it long after the entry
 // has ended it.
@@ -158,6 +190,12 @@
 	return o.body == want.String()
 }
 
+// overLimit reports whether the request was refused because the slow-start limit left no
+// server.
+func (o outcome) overLimit() bool {
+	return o.status == http.StatusServiceUnavailable && strings.Contains(o.body, "share of requests")
+}
+
 // saysNotExecuted reports whether the status says that the request has not run and
 // will not run.
 func (o outcome) saysNotExecuted() bool {
