Flush the events of a stream that arrive together once

Cause: for each event the entry allocated two strings (one of them for a line without an ID), read the clock and flushed its answer, which is a system call. An entry that lacks processor time finds several events in one read of the backend server and paid for each of them.

Change: an event after which another whole one is already buffered is flushed together with that one; an incomplete one is not waited for, and what was written is flushed when the attempt ends early. The clock is read once for events that arrived together. Event IDs are kept as bytes and converted when the attempt ends. The bytes of the answer are the same; only the chunks that frame them differ.

Test: whole events are not held back because a part of another one has arrived with them; fails when events are flushed only once nothing is buffered.

Ruled out: a timer that collects events, since it delays the first one.

--- a/exchange.go
+++ b/exchange.go
@@ -73,8 +73,9 @@
 	// EncodeRefusalHeader returns the header of an answer that the entry itself
 	// generates. retryAfter is 0 when the caller should not retry.
 	EncodeRefusalHeader(id RequestID, retryAfter Millis) http.Header
-	// EventID returns the event id that a line of an event stream contains.
-	EventID(line []byte) (id string, found bool)
+	// EventID returns the event id that a line of an event stream contains. It refers
+	// to line.
+	EventID(line []byte) (id []byte, found bool)
 	// ReserveOrder and ReleaseOrder return orders that reserve and release memory
 	// of a backend server. The lease of a reservation starts when the order
 	// arrives; an order with the same id renews the lease.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -21,9 +21,10 @@
 	w           *callerAnswer
 	controller  *http.ResponseController
 	firstAt     oleanderspool.Millis
-	lastAt      oleanderspool.Millis // instant of the last event
+	lastAt      oleanderspool.Millis // instant of the last event, or the first of several that arrived together
 	maxPause    oleanderspool.Millis // longest pause between two events
 	contentType string               // of the answer that the caller receives
+	pending     bool                 // the last event was not flushed, since the next one has arrived too
 }
 
 // errCallerClosed means that the caller closed its connection.
@@ -123,7 +124,13 @@
 	reader := bufio.NewReaderSize(a.exchange, 4<<10)
 	event := buffer.New(o.transaction.gateway.buffers)
 	defer event.Reset()
-	id := ""
+	defer o.flushPending()
+	var id, written []byte
+	defer func() {
+		if len(written) > 0 {
+			o.transaction.lastEvent = string(written)
+		}
+	}()
 	for {
 		line, err := reader.ReadSlice('\n')
 		if event.Len()+len(line) > maxEvent {
@@ -141,22 +148,30 @@
 		case err != nil:
 			return err
 		}
-		if value, found := o.transaction.gateway.format.EventID(bytes.TrimRight(line, "\r\n")); found {
-			id = value
+		content := bytes.TrimRight(line, "\r\n")
+		if value, found := o.transaction.gateway.format.EventID(content); found {
+			id = append(id[:0], value...)
 		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+		if len(content) > 0 {
 			continue
 		}
-		if err := o.writeEvent(a, event.Bytes()); err != nil {
+		if err := o.writeEvent(a, event.Bytes(), eventBuffered(reader)); err != nil {
 			return err
 		}
-		if id != "" {
-			o.transaction.lastEvent = id
+		if len(id) > 0 {
+			written = append(written[:0], id...)
 		}
 		event.Reset()
 	}
 }
 
+// eventBuffered reports whether a whole event can be read without waiting, when all
+// before it has been read.
+func eventBuffered(reader *bufio.Reader) bool {
+	rest, _ := reader.Peek(reader.Buffered()) // what is buffered can always be read
+	return bytes.Contains(rest, []byte("\n\n")) || bytes.Contains(rest, []byte("\n\r\n"))
+}
+
 // checkEnd returns an error if the answer ended within an event, to which the
 // remaining bytes belong, or before the caller received any event.
 func (o *streamOutput) checkEnd(rest []byte) error {
@@ -169,17 +184,32 @@
 	return nil
 }
 
-// recordEvent counts an event that has arrived, and the pause before it.
+// recordEvent counts an event that has arrived, and the pause before it. There is none
+// between events that arrived together.
 func (o *streamOutput) recordEvent() {
+	o.transaction.events++
+	if o.pending {
+		return
+	}
 	now := o.transaction.gateway.clock.Now()
-	if o.transaction.events > 0 {
+	if o.transaction.events > 1 {
 		o.maxPause = max(o.maxPause, now-o.lastAt)
 	}
-	o.transaction.events++
 	o.lastAt = now
 }
 
-func (o *streamOutput) writeEvent(a *attempt, event []byte) error {
+// flushPending flushes events that were written and not flushed.
+func (o *streamOutput) flushPending() {
+	if o.pending {
+		_ = o.controller.Flush() // the attempt has failed already
+	}
+	o.pending = false
+}
+
+// writeEvent writes an event to the caller. If more says that another one follows at
+// once, it is flushed with that one: a late entry, which receives several events
+// together, then sends them together.
+func (o *streamOutput) writeEvent(a *attempt, event []byte, more bool) error {
 	if !o.transaction.committed {
 		o.transaction.copyHeader(o.w, a.exchange.Header)
 		o.w.WriteHeader(a.exchange.Answer.Status)
@@ -201,6 +231,9 @@
 	if _, err := o.w.Write(event); err != nil {
 		return errCallerClosed
 	}
+	if o.pending = more; more {
+		return nil
+	}
 	if err := o.controller.Flush(); err != nil {
 		return errCallerClosed
 	}
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -73,6 +73,30 @@
 		})
 	}
 
+	// Guards against whole events that are held back because more has arrived with them.
+	for _, rest := range []string{"", "id: 3\ndata: pie", "id: 3\r\ndata: c\r\n"} {
+		It("is passed on while the server pauses after several events and "+strconv.Quote(rest), func() {
+			h := newHarness(0, 1)
+			resume := make(chan struct{})
+			defer close(resume)
+			h.behave(platformtest.RawAnswer(func(c net.Conn, id string) {
+				platformtest.WriteRaw(c, id, true, "", "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"+rest)
+				<-resume
+			}))
+			// At the end of its time limit of 5 s the request is flushed in any case.
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			response, err := h.open(ctx, query{path: "/ask/1", prompt: prompt})
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = response.Body.Close() }()
+			whole := "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+			received := make([]byte, len(whole))
+			_, err = io.ReadFull(response.Body, received)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(received)).To(Equal(whole))
+		})
+	}
+
 	// Guards against a stream that is aborted because the server that should
 	// continue it is full. Seen in a fault-injection trial on versaria-cordel
 	// during a change of the configuration.
