Allocate less for messages of other entries

Cause: a complete message grew its list of tasks by doubling; each task was allocated for the scheduler also when it replaced the one with the same ID in place; and each message got a set of the tasks to keep, which only a complete one needs. A relay copied a message for each of its two queues.

Change: the list is grown once, after its first task, by the number of tasks in the message; a task is allocated only when it is new; the set is built for complete messages only; the queues share one copy, which they only read.

Ruled out: one clock reading for all messages of a datagram, since an update of the registry that waits in a frozen process would count as fresher than it is; counting the tasks before the first one, which costs messages with one task a pass.

--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -416,11 +416,9 @@
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	keep := make(map[placement.TaskID]bool, len(m.Tasks))
 	for _, g := range m.Tasks {
 		t := g.Task
 		t.Entry, t.PlacedAt = m.RunID, now-g.Age
-		keep[t.ID] = true
 		if _, known := s.scheduler.Task(t.ID); !known && t.OutputTokens > 0 {
 			s.scheduler.ObserveDelay(g.Age, now)
 		}
@@ -430,6 +428,10 @@
 		s.scheduler.Remove(id)
 	}
 	if m.Complete {
+		keep := make(map[placement.TaskID]bool, len(m.Tasks))
+		for _, g := range m.Tasks {
+			keep[g.ID] = true
+		}
 		s.scheduler.Retain(m.RunID, keep)
 	}
 	effect := s.crashes.apply(m, now)
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"google.golang.org/protobuf/encoding/protowire"
 
@@ -311,6 +312,22 @@
 	return oleanderspool.ErrInvalid.Wrap(protowire.ParseError(code), "cannot decode datagram")
 }
 
+// countFields returns how often a field occurs in a valid message.
+func countFields(data []byte, field protowire.Number) int {
+	count := 0
+	for len(data) > 0 {
+		n, _, size := protowire.ConsumeField(data)
+		if size < 0 {
+			break
+		}
+		if n == field {
+			count++
+		}
+		data = data[size:]
+	}
+	return count
+}
+
 // Decode decodes a message. Unknown fields are ignored.
 func Decode(data []byte) (Message, error) {
 	var m Message
@@ -329,9 +346,12 @@
 		case fieldLeaving:
 			m.Leaving = v.number == 1
 		case fieldTask:
-			t, err := decodeTask(v.bytes)
-			m.Tasks = append(m.Tasks, t)
-			return err
+			if len(m.Tasks) == 1 {
+				// Most messages have one task; the complete ones have all of their entry.
+				m.Tasks = slices.Grow(m.Tasks, countFields(data, fieldTask)-1)
+			}
+			m.Tasks = append(m.Tasks, Task{})
+			return decodeTask(v.bytes, &m.Tasks[len(m.Tasks)-1])
 		case fieldEndedTask:
 			m.EndedTasks = append(m.EndedTasks, placement.TaskID(v.number))
 		case fieldCrash:
@@ -468,9 +488,8 @@
 	return c, idle, err
 }
 
-func decodeTask(data []byte) (Task, error) {
-	var t Task
-	err := fields(data, func(n protowire.Number, v value) error {
+func decodeTask(data []byte, t *Task) error {
+	return fields(data, func(n protowire.Number, v value) error {
 		switch n {
 		case fieldTaskID:
 			t.ID = placement.TaskID(v.number)
@@ -501,5 +520,4 @@
 		}
 		return nil
 	})
-	return t, err
 }
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -565,18 +565,18 @@
 
 // queue queues a message for the entries that it is to be passed on to.
 func (n *Node) queue(k kind, data []byte, now oleanderspool.Millis) {
-	queued := false
-	if n.roster.hasSubscribers(now) {
-		n.toSubscribers = enqueue(n.toSubscribers, bytes.Clone(data))
-		queued = true
+	forward, relay := n.roster.hasSubscribers(now), k == kindHello || k == kindSubscription
+	if !forward && !relay {
+		return
 	}
-	if k == kindHello || k == kindSubscription {
-		n.toRelays = enqueue(n.toRelays, bytes.Clone(data))
-		queued = true
+	data = bytes.Clone(data) // the queues only read it
+	if forward {
+		n.toSubscribers = enqueue(n.toSubscribers, data)
 	}
-	if queued {
-		broadcast.Wake(n.relay)
+	if relay {
+		n.toRelays = enqueue(n.toRelays, data)
 	}
+	broadcast.Wake(n.relay)
 }
 
 // addDelay adds the delay of a message to its ages, since the message may have
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -125,15 +125,17 @@
 		}
 		sc.detach(old)
 	}
+	added := new(Task) // not &t, which would be allocated for a replaced task too
+	*added = t
 	st := sc.state(t.Server)
-	st.tasks, st.changed = append(st.tasks, &t), true
-	sc.tasks[t.ID] = &t
+	st.tasks, st.changed = append(st.tasks, added), true
+	sc.tasks[t.ID] = added
 	tasks := sc.byEntry[t.Entry]
 	if tasks == nil {
 		tasks = make(map[TaskID]*Task)
 		sc.byEntry[t.Entry] = tasks
 	}
-	tasks[t.ID] = &t
+	tasks[t.ID] = added
 }
 
 // state returns the state of a server.
