Write the log lines of requests with fewer allocations and system calls

Cause: the two log lines of each request took 12% of the processor time of BenchmarkRequest. Each attribute was converted to an interface, and each line was written to standard output on its own.

Change: "placed" and "answered" have typed attributes; their text is the same. Lines that wait are written together, up to 4,096 bytes, which Linux writes to a pipe as a whole. A line that comes alone is written at once, as before. The number of dropped lines is still logged before the next line.

Ruled out: leaving out empty attributes, which changes what operators read; a timer that collects lines, since lines of a killed process would be lost.

--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -198,8 +199,9 @@
 }
 
 func (t *transaction) logAnswered(a *attempt, size int) {
-	t.gateway.logger.Info("answered", "request_id", t.call.ID, "instance", a.Server.Instance, "status", a.exchange.Answer.Status,
-		"bytes", size, "age_ms", int64(t.gateway.clock.Now()-t.receivedAt), "sends", t.sends)
+	t.gateway.logger.LogAttrs(t.ctx, slog.LevelInfo, "answered", slog.String("request_id", string(t.call.ID)), slog.String("instance", string(a.Server.Instance)),
+		slog.Int("status", a.exchange.Answer.Status), slog.Int("bytes", size),
+		slog.Int64("age_ms", int64(t.gateway.clock.Now()-t.receivedAt)), slog.Int("sends", t.sends))
 }
 
 func (t *transaction) copyHeader(w *callerAnswer, header http.Header) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net/http"
 
 	"github.com/oleanderspool/oleanderspool"
@@ -91,9 +92,10 @@
 	case err == nil:
 		out.w.finish()
 		t.gateway.shared.recordAnswer(t.subject, a.Server.Instance)
-		t.gateway.logger.Info("answered", "request_id", t.call.ID, "instance", a.Server.Instance, "events", t.events,
-			"first_ms", int64(out.firstAt-t.receivedAt), "predicted_ms", int64(a.TTFT), "max_pause_ms", int64(out.maxPause), "helpers", len(a.Helpers),
-			"age_ms", int64(t.gateway.clock.Now()-t.receivedAt), "sends", t.sends)
+		t.gateway.logger.LogAttrs(t.ctx, slog.LevelInfo, "answered", slog.String("request_id", string(t.call.ID)), slog.String("instance", string(a.Server.Instance)),
+			slog.Int("events", t.events), slog.Int64("first_ms", int64(out.firstAt-t.receivedAt)), slog.Int64("predicted_ms", int64(a.TTFT)),
+			slog.Int64("max_pause_ms", int64(out.maxPause)), slog.Int("helpers", len(a.Helpers)),
+			slog.Int64("age_ms", int64(t.gateway.clock.Now()-t.receivedAt)), slog.Int("sends", t.sends))
 		return true
 	case errors.Is(err, errCallerClosed):
 		t.logCallerClosed(err)
--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -177,10 +178,7 @@
 	if a.send != nil {
 		defer func() { t.gateway.shared.endSend(a) }()
 	}
-	t.gateway.logger.Info("placed", "request_id", t.call.ID, "route", t.route.Name, "instance", as.Server.Instance, "prompt", t.call.PromptTokens,
-		"helpers", as.helpers(), "predicted_ms", int64(as.TTFT), "cost", as.Cost, "backlog_ms", int64(as.Backlog), "writers", as.ActiveStreams,
-		"data_centre", as.Server.DataCentre, "crossing", string(as.Crossing), "delay_ms", as.Delay,
-		"sends", t.sends, "version", t.snapshot.Configuration.Version, "confirmed_ms", int64(t.confirmationAge), "left_ms", int64(t.remaining()))
+	t.logPlaced(ctx, as)
 	forwarded := oleanderspool.ForwardHeader{
 		Instance: as.Server.Instance, Account: t.account.Name, Remaining: max(1, t.remaining()),
 		Priority: t.priority(), LastEventID: t.lastEvent,
@@ -236,6 +234,18 @@
 	return a, true
 }
 
+// logPlaced logs a placement with its inputs. The line of each request has typed
+// attributes, which unlike those of [slog.Logger.Info] need no allocation each.
+func (t *transaction) logPlaced(ctx context.Context, as assignment) {
+	t.gateway.logger.LogAttrs(ctx, slog.LevelInfo, "placed",
+		slog.String("request_id", string(t.call.ID)), slog.String("route", t.route.Name), slog.String("instance", string(as.Server.Instance)),
+		slog.Int64("prompt", t.call.PromptTokens), slog.Any("helpers", as.helpers()), slog.Int64("predicted_ms", int64(as.TTFT)),
+		slog.Float64("cost", as.Cost), slog.Int64("backlog_ms", int64(as.Backlog)), slog.Int("writers", as.ActiveStreams),
+		slog.String("data_centre", string(as.Server.DataCentre)), slog.String("crossing", string(as.Crossing)), slog.Float64("delay_ms", as.Delay),
+		slog.Int("sends", t.sends), slog.Int64("version", t.snapshot.Configuration.Version),
+		slog.Int64("confirmed_ms", int64(t.confirmationAge)), slog.Int64("left_ms", int64(t.remaining())))
+}
+
 // evacuated returns a data centre of a placement that has been evacuated since, for
 // example while memory was reserved.
 func (t *transaction) evacuated(as assignment) (oleanderspool.DataCentreID, bool) {
--- a/internal/observe/async.go
+++ b/internal/observe/async.go
@@ -11,6 +11,10 @@
 // dropped, so that a stalled reader of the log never blocks a request.
 const maxBufferedLines = 2048
 
+// maxBatch bounds the lines in bytes that are written at once. Linux writes up to 4096
+// bytes to a pipe without mixing them with those of another process.
+const maxBatch = 4096
+
 // AsyncWriter buffers lines and writes them to another writer without blocking
 // the caller. If the buffer is full, lines are dropped and counted; their number
 // is logged before the next line is written or when the writer is closed. It is
@@ -51,13 +55,31 @@
 
 func (w *AsyncWriter) run() {
 	defer close(w.done)
+	batch := make([]byte, 0, maxBatch)
 	for line := range w.lines {
-		w.reportDropped()
-		_, _ = w.next.Write(line) // nowhere else to report that the log cannot be written
+		if len(batch)+len(line) > maxBatch {
+			batch = w.write(batch)
+		}
+		batch = append(batch, line...)
+		if len(w.lines) == 0 || w.dropped.Load() > 0 {
+			batch = w.write(batch)
+		}
 	}
 	w.reportDropped()
 }
 
+// write writes lines that wait and returns an empty batch.
+func (w *AsyncWriter) write(batch []byte) []byte {
+	w.reportDropped()
+	if len(batch) > 0 {
+		_, _ = w.next.Write(batch) // nowhere else to report that the log cannot be written
+	}
+	if cap(batch) > maxBatch {
+		return make([]byte, 0, maxBatch)
+	}
+	return batch[:0]
+}
+
 // reportDropped logs the number of lines dropped since the last report, if any.
 func (w *AsyncWriter) reportDropped() {
 	if n := w.dropped.Swap(0); n > 0 {
--- a/internal/observe/async_test.go
+++ b/internal/observe/async_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 
@@ -23,12 +24,14 @@
 	unblock chan struct{}
 	mu      sync.Mutex
 	text    bytes.Buffer
+	sizes   []int // of the writes in bytes
 }
 
 func (w *blockedWriter) Write(b []byte) (int, error) {
 	<-w.unblock
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.sizes = append(w.sizes, len(b))
 	return w.text.Write(b)
 }
 
@@ -55,4 +58,30 @@
 		Expect(dropped).To(BeNumerically(">", 0))
 		Expect(written + dropped).To(Equal(lines))
 	})
+
+	// Guards against a system call for each line of a busy process, against writes of
+	// which another process may write into the middle, and against lost or reordered
+	// lines, also long ones.
+	It("writes lines that wait together", func() {
+		blocked := &blockedWriter{unblock: make(chan struct{})}
+		w := observe.NewAsyncWriter(blocked)
+		var expected bytes.Buffer
+		const lines = 400
+		for i := range lines {
+			line := strconv.Itoa(i) + strings.Repeat("x", 100) + "\n"
+			if i == lines/2 {
+				line = strings.Repeat("y", 5000) + "\n"
+			}
+			expected.WriteString(line)
+			_, err := w.Write([]byte(line))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		close(blocked.unblock)
+		w.Close()
+		Expect(blocked.text.String()).To(Equal(expected.String()))
+		Expect(len(blocked.sizes)).To(BeNumerically("<", lines/10))
+		for _, size := range blocked.sizes {
+			Expect(size).To(Or(BeNumerically("<=", 4096), Equal(5001)))
+		}
+	})
 })
