Reuse the readers of streams and allocate request buffers once

Cause: the 4 KiB reader of each stream was a quarter of the bytes that a request allocates, and the buffer of a request to a backend server grew several times while its header and body were written.

Change: readers of ended streams are kept in a pool and detached from their answer before; the buffer of a request starts with room for a usual header and the body that is sent with it.

No change of the processor time was visible on the busy machine.

Ruled out: a first size of 1 KiB for the header, which allocated 0.5 kB more for a call (trial).

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -17,6 +17,9 @@
 	// write with the header. A longer one is sent while the answer is read, since a
 	// server may answer before it has read the body.
 	maxInlineBody = 32 << 10
+	// usualHeader is the size in bytes of the header of most requests, so that its
+	// buffer need not grow.
+	usualHeader = 512
 	// maxSkippedAnswers is the maximum number of answers to other requests that are
 	// skipped.
 	maxSkippedAnswers = 2
@@ -96,6 +99,7 @@
 
 func (e *Exchange) send(r Request) error {
 	var b bytes.Buffer
+	b.Grow(usualHeader + min(len(r.Body), maxInlineBody))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if len(r.Body) > 0 || !slices.Contains([]string{http.MethodGet, http.MethodHead, http.MethodDelete}, r.Method) {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync"
 
 	"github.com/oleanderspool/oleanderspool"
 	"github.com/oleanderspool/oleanderspool/internal/buffer"
@@ -120,10 +121,19 @@
 	return contentType == "" || o.contentType == "" || contentType == o.contentType
 }
 
+// eventReaders holds the readers of streams that have ended. One of them is a quarter of
+// what a stream allocates.
+var eventReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4<<10) }}
+
 // copyEvents passes the events of an answer on as they arrive, each as a
 // whole. It returns nil after the end of a complete answer.
 func (o *streamOutput) copyEvents(a *attempt) error {
-	reader := bufio.NewReaderSize(a.exchange, 4<<10)
+	reader := eventReaders.Get().(*bufio.Reader)
+	reader.Reset(a.exchange)
+	defer func() {
+		reader.Reset(nil)
+		eventReaders.Put(reader)
+	}()
 	event := buffer.New(o.transaction.gateway.buffers)
 	defer event.Reset()
 	defer o.flushPending()
