Compare overload policies on simulated servers

Cause: the overload decision was only measured with short prompts and against no other policy, so that it was unknown for which prompts it is worse than a simple one.

--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -39,7 +40,18 @@
 // prefills of the requests that begin in it.
 const overloadCapacity = overloadServers * 12 * 1000.0 / (overloadEvents * (passMillis + 12.0*promptMillis/overloadEvents))
 
-// play is a load of short prompts on simulated servers that batch as the engine does.
+// requestKind is a kind of request of the first deployment.
+type requestKind struct {
+	name             string
+	request          placement.Request
+	events           int // mean of an answer
+	perSecond        float64
+	value, lateValue float64
+}
+
+var shortKind = &requestKind{name: "short", request: overloadRequest, events: overloadEvents, perSecond: 64, value: 1.8, lateValue: 0.19}
+
+// play is a load of prompts on simulated servers that batch as the engine does.
 type play struct {
 	random     *rand.Rand
 	schedulers []*placement.Scheduler
@@ -49,39 +61,61 @@
 	returns    []playedRequest
 	done       []playedRequest
 	lastID     placement.TaskID
-	contended  bool // a request found a contention
-	// account, rank, rankOf and goal describe the requests.
+	contended  bool                 // a request found a contention
+	turns      [overloadEntries]int // for round robin
+	// kind, account, rank, rankOf and goal describe the requests.
+	kind    func(*rand.Rand) *requestKind
 	account func(*rand.Rand) string
 	rank    func(*rand.Rand) int
 	rankOf  func(account string) int // nil for none
-	goal    func(rank int) oleanderspool.Millis
+	goal    func(k *requestKind, rank int) oleanderspool.Millis
+	// place decides on a request.
+	place func(p *play, entry int, r placement.Request, now oleanderspool.Millis) (placement.Decision, bool)
 }
 
 // playedRequest is a request and what its caller saw.
 type playedRequest struct {
+	kind              *requestKind
 	account           string
 	rank              int
-	at, first         oleanderspool.Millis // arrival and first event
+	made, at, first   oleanderspool.Millis // first arrival, last one and first event
+	lastEvent, pause  oleanderspool.Millis // the pause is the longest one
 	left              int                  // events until the end of the answer
+	prefills          int                  // that have not ended
 	returned, refused bool
-	task              placement.Task
+	tasks             []placement.Task
 }
 
 func (r playedRequest) inTime() bool {
-	return r.first > 0 && !r.returned && r.first-r.at+networkMillis <= overloadRequest.TTFTGoal
+	return r.first > 0 && !r.returned && r.first-r.at+networkMillis <= r.kind.request.TTFTGoal
 }
 
-// batchServer runs passes: the requests that a pass admits are prefilled in it.
+// batchServer runs passes: each prefills up to the engine's chunks and decodes the
+// requests whose prefills have ended.
 type batchServer struct {
-	waiting, running []playedRequest
-	passEnd          oleanderspool.Millis
+	waiting, admitted []*playedRequest
+	prefills, ending  []*prefill
+	memory            int64 // in tokens, of the admitted requests and of reservations
+	passEnd           oleanderspool.Millis
+}
+
+// prefill is a prompt, or a shard of one, that a server prefills.
+type prefill struct {
+	request     *playedRequest
+	sharded     bool
+	chunks      int // left
+	chunkMillis float64
 }
 
 func newPlay() *play {
 	p := &play{
 		random: rand.New(rand.NewPCG(7, 7)), list: servers(overloadServers), servers: make(map[oleanderspool.InstanceID]*batchServer),
 		account: func(*rand.Rand) string { return "" }, rank: func(*rand.Rand) int { return 0 },
-		goal: func(int) oleanderspool.Millis { return overloadRequest.TTFTGoal },
+		kind: func(*rand.Rand) *requestKind { return shortKind },
+		goal: func(k *requestKind, _ int) oleanderspool.Millis { return k.request.TTFTGoal },
+		place: func(p *play, entry int, r placement.Request, now oleanderspool.Millis) (placement.Decision, bool) {
+			return p.schedulers[entry].Choose(p.list, overloadEngine, r, now)
+		},
 	}
 	for i := range p.list {
 		p.list[i].Slots, p.list[i].Service = overloadEngine.Slots, "llm"
@@ -106,7 +140,7 @@
 			p.arrive(r, now)
 		}
 		if p.random.Float64()*1000 < perSecond {
-			p.arrive(playedRequest{at: now, account: p.account(p.random), rank: p.rank(p.random)}, now)
+			p.arrive(playedRequest{kind: p.kind(p.random), made: now, at: now, account: p.account(p.random), rank: p.rank(p.random)}, now)
 		}
 	}
 }
@@ -126,24 +160,32 @@
 
 func (p *play) arrive(r playedRequest, now oleanderspool.Millis) {
 	entry := p.random.IntN(overloadEntries)
-	request := overloadRequest
+	request := r.kind.request
 	if p.rankOf != nil {
 		r.rank = p.rankOf(r.account)
 	}
-	request.Account, request.Rank, request.TTFTGoal, request.Resubmitted, request.Overdue = r.account, r.rank, p.goal(r.rank), r.returned, r.returned
-	d, found := p.schedulers[entry].Choose(p.list, overloadEngine, request, now)
+	request.Account, request.Rank, request.TTFTGoal = r.account, r.rank, p.goal(r.kind, r.rank)
+	request.Resubmitted, request.Overdue = r.returned, r.returned && now-r.made > r.kind.request.TTFTGoal
+	d, found := p.place(p, entry, request, now)
 	p.contended = p.contended || d.Contention.Lasts
 	if !found || d.Refused != "" {
 		p.refuse(r, d, now)
 		return
 	}
-	r.task = placement.Tasks(d, overloadEngine, request, now)[0]
-	p.lastID++
-	r.task.ID, r.task.Entry, r.left = p.lastID, uint64(entry+1), overloadEvents/3+p.random.IntN(overloadEvents*4/3+1)
-	p.schedulers[entry].Add(r.task)
-	p.deliveries = append(p.deliveries, delivery{now + overloadDelay, r.task})
-	s := p.servers[r.task.Server]
-	s.waiting = append(s.waiting, r)
+	r.tasks = placement.Tasks(d, overloadEngine, request, now)
+	r.left, r.prefills = r.kind.events/3+p.random.IntN(r.kind.events*4/3+1), len(r.tasks)
+	for i := range r.tasks {
+		t := &r.tasks[i]
+		p.lastID++
+		t.ID, t.Entry = p.lastID, uint64(entry+1)
+		p.schedulers[entry].Add(*t)
+		p.deliveries = append(p.deliveries, delivery{now + overloadDelay, *t})
+		if i > 0 {
+			p.servers[t.Server].begin(&r, i)
+		}
+	}
+	s := p.servers[r.tasks[0].Server]
+	s.waiting = append(s.waiting, &r)
 }
 
 // refuse records a refusal. Its caller comes back once, after the delay of the refusal.
@@ -153,37 +195,122 @@
 	}
 	r.refused = true
 	p.done = append(p.done, r)
-	r.returned, r.at = true, now+max(400, min(d.ReturnDelay, 2500))
+	r.returned, r.at = true, now+max(400, min(max(d.MeanBacklog, d.ReturnDelay), r.kind.request.CallerTimeout/4))
 	p.returns = append(p.returns, r)
 	slices.SortStableFunc(p.returns, func(x, y playedRequest) int { return int(x.at - y.at) })
 }
 
+// begin starts the prefill of a task of a request.
+func (s *batchServer) begin(r *playedRequest, task int) {
+	t := &r.tasks[task]
+	chunks := 1 + int(r.kind.request.PromptTokens/overloadEngine.PrefillChunk)/len(r.tasks)
+	s.prefills = append(s.prefills, &prefill{request: r, sharded: t.Sharded, chunks: chunks, chunkMillis: math.Floor(t.PrefillMillis) / float64(chunks)})
+	s.memory += t.MemoryTokens
+}
+
 // advance ends the pass of a server and begins the next one.
 func (p *play) advance(s *batchServer, now oleanderspool.Millis) {
 	if now < s.passEnd {
 		return
 	}
-	kept := s.running[:0]
-	for _, r := range s.running {
-		if r.first == 0 {
-			r.first = now
-			p.all(func(sc *placement.Scheduler) { sc.MarkDecoding(r.task.ID) })
+	for _, f := range s.ending {
+		f.request.prefills--
+	}
+	s.ending = s.ending[:0]
+	s.admitted = slices.DeleteFunc(s.admitted, func(r *playedRequest) bool { return p.endsWith(r, now) })
+	s.admit(p, now)
+	s.passEnd = now + oleanderspool.Millis(math.Round(s.prefillPass()+s.decodePass()))
+}
+
+// endsWith gives a request the event of a pass, and reports whether it was the last one.
+func (p *play) endsWith(r *playedRequest, now oleanderspool.Millis) bool {
+	if r.prefills > 0 {
+		return false
+	}
+	if r.first == 0 {
+		r.first, r.lastEvent = now, now
+		for _, t := range r.tasks {
+			p.all(func(sc *placement.Scheduler) { sc.MarkDecoding(t.ID) })
+		}
+	}
+	r.pause, r.lastEvent = max(r.pause, now-r.lastEvent), now
+	if r.left--; r.left > 0 {
+		return false
+	}
+	p.servers[r.tasks[0].Server].memory -= r.tasks[0].MemoryTokens
+	p.end(r)
+	return true
+}
+
+// end removes a request and the shards of its helpers.
+func (p *play) end(r *playedRequest) {
+	for i, t := range r.tasks {
+		if i > 0 {
+			p.servers[t.Server].memory -= t.MemoryTokens
 		}
-		if r.left--; r.left > 0 {
-			kept = append(kept, r)
+		p.all(func(sc *placement.Scheduler) { sc.Remove(t.ID) })
+	}
+	p.done = append(p.done, *r)
+}
+
+// admit gives slots and memory to the requests that wait, in their order, unless their
+// callers have given up.
+func (s *batchServer) admit(p *play, now oleanderspool.Millis) {
+	for len(s.waiting) > 0 && len(s.admitted) < overloadEngine.Slots {
+		r := s.waiting[0]
+		if now-r.made > r.kind.request.CallerTimeout {
+			s.waiting = s.waiting[1:]
+			p.end(r)
 			continue
 		}
-		p.all(func(sc *placement.Scheduler) { sc.Remove(r.task.ID) })
-		p.done = append(p.done, r)
+		if s.memory+r.tasks[0].MemoryTokens > overloadEngine.KVCacheTokens {
+			return
+		}
+		s.waiting = s.waiting[1:]
+		s.admitted = append(s.admitted, r)
+		s.begin(r, 0)
 	}
-	s.running, s.passEnd = kept, now
-	if len(kept) > 0 {
-		s.passEnd += passMillis
+}
+
+// prefillPass prefills what fits into a pass, and returns the time that it takes in ms.
+// Shards precede whole prompts, and the newest shard comes first.
+func (s *batchServer) prefillPass() float64 {
+	duration, budget := 0.0, overloadEngine.StepsPerPass
+	run := func(f *prefill) {
+		n := min(budget, f.chunks)
+		budget, f.chunks, duration = budget-n, f.chunks-n, duration+float64(n)*f.chunkMillis
+		if n > 0 && f.chunks == 0 {
+			s.ending = append(s.ending, f)
+		}
 	}
-	for len(s.waiting) > 0 && len(s.running) < overloadEngine.Slots {
-		s.running, s.waiting = append(s.running, s.waiting[0]), s.waiting[1:]
-		s.passEnd += promptMillis
+	for _, f := range slices.Backward(s.prefills) {
+		if f.sharded {
+			run(f)
+		}
 	}
+	for _, f := range s.prefills {
+		if !f.sharded {
+			run(f)
+		}
+	}
+	s.prefills = slices.DeleteFunc(s.prefills, func(f *prefill) bool { return f.chunks == 0 })
+	return duration
+}
+
+// decodePass returns the time that a pass takes for the requests that decode, in ms: that of full
+// slots of short prompts at least.
+func (s *batchServer) decodePass() float64 {
+	decoding, tokens := 0, int64(0)
+	for _, r := range s.admitted {
+		if r.prefills == 0 {
+			decoding, tokens = decoding+1, tokens+r.kind.request.PromptTokens
+		}
+	}
+	if decoding == 0 {
+		return 0
+	}
+	e := overloadEngine
+	return max(passMillis, float64(e.StepsPerPass)*(e.StepMillis+float64(decoding)*e.SequenceCost+float64(tokens)/1000*e.ContextCost))
 }
 
 func (p *play) all(f func(*placement.Scheduler)) {
@@ -286,7 +413,9 @@
 func TestOverloadKeepsRanks(t *testing.T) {
 	p := newPlay()
 	p.rank = func(r *rand.Rand) int { return r.IntN(2) }
-	p.goal = func(rank int) oleanderspool.Millis { return overloadRequest.TTFTGoal * oleanderspool.Millis(1+11*rank) }
+	p.goal = func(_ *requestKind, rank int) oleanderspool.Millis {
+		return overloadRequest.TTFTGoal * oleanderspool.Millis(1+11*rank)
+	}
 	p.runJump()
 	from, until := jumpStart+2*oleanderspool.Second, jumpEnd
 	served := make([]float64, 2)
