Hold long TTFT goals back while shorter ones are refused more often

Cause: under a mix of all lengths at three times the capacity, medium prompts are hardly ever refused: a goal of 1,500 ms lets them wait for servers that are busy with prefills, so for them no contention begins. Their prefills keep the servers busy for the short prompts, which are refused, or late because of pauses of their streams.

Change: requests are refused (cause `goal`) while those of the same rank with a shorter goal contend for slots and are refused more often, so that the fractions become equal, as between ranks.

--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -75,10 +75,13 @@
 	RefusedShare RefusalCause = "share"
 	// RefusedRank: requests of a more urgent rank are refused more often.
 	RefusedRank RefusalCause = "rank"
+	// RefusedGoal: requests of the same rank with a shorter TTFT goal are refused more
+	// often.
+	RefusedGoal RefusalCause = "goal"
 )
 
 // RefusalCauses lists all causes.
-var RefusalCauses = []RefusalCause{RefusedCost, RefusedLate, RefusedMargin, RefusedReturned, RefusedShare, RefusedRank}
+var RefusalCauses = []RefusalCause{RefusedCost, RefusedLate, RefusedMargin, RefusedReturned, RefusedShare, RefusedRank, RefusedGoal}
 
 // Contention describes the use of the slots of a service by requests with the TTFT goal
 // of a request.
@@ -94,9 +97,11 @@
 type contention struct {
 	// periods holds the contentions that last by the TTFT goal of the requests. A server
 	// that is busy with prefills has room for those with a long goal only.
-	periods  map[oleanderspool.Millis]period
-	all      outcomes
-	ranks    [MaxRank + 1]outcomes
+	periods map[oleanderspool.Millis]period
+	all     outcomes
+	ranks   [MaxRank + 1]outcomes
+	// goals holds the outcomes of the requests of a rank by their TTFT goal.
+	goals    map[rankedGoal]*outcomes
 	accounts map[string]decayingCount
 	admitted decayingCount // of all accounts
 	// active is the number of accounts with recent requests as of activeAt.
@@ -109,6 +114,12 @@
 	since, seenAt oleanderspool.Millis
 }
 
+// rankedGoal is the TTFT goal of requests of a rank.
+type rankedGoal struct {
+	rank int
+	goal oleanderspool.Millis
+}
+
 // outcomes counts recent requests.
 type outcomes struct {
 	offered, refused decayingCount
@@ -220,7 +231,7 @@
 func (c *contention) cause(r Request, wait, ttft float64, u slotUse, now oleanderspool.Millis) RefusalCause {
 	p, contended := c.periods[r.TTFTGoal]
 	if !contended {
-		return ""
+		return c.goalCause(r, now)
 	}
 	goal := float64(r.TTFTGoal)
 	late := goal > 0 && wait > minWaitFraction*goal && missProbability(ttft, goal) >= lateProbability
@@ -240,6 +251,28 @@
 	case c.precedesUrgent(r.Rank, now):
 		return RefusedRank
 	}
+	return c.goalCause(r, now)
+}
+
+// goalCause returns RefusedGoal if requests of the same rank with a shorter TTFT goal
+// contend for slots and are refused more often. Requests with a long goal find room on
+// servers that are busy with prefills, and would keep these busy.
+func (c *contention) goalCause(r Request, now oleanderspool.Millis) RefusalCause {
+	if r.TTFTGoal == 0 || r.Resubmitted && !r.Overdue {
+		return ""
+	}
+	key := rankedGoal{clampRank(r.Rank), r.TTFTGoal}
+	own := 0.0
+	if o := c.goals[key]; o != nil {
+		own = o.refusedFraction(now)
+	}
+	for other, o := range c.goals {
+		p, contended := c.periods[other.goal]
+		if other.rank == key.rank && other.goal > 0 && other.goal < key.goal && contended && now-p.since >= contentionGrace &&
+			now-o.offered.at < outcomeWindow && o.refusedFraction(now) > own+rankTolerance {
+			return RefusedGoal
+		}
+	}
 	return ""
 }
 
@@ -288,6 +321,7 @@
 	// other ranks back.
 	if cause != RefusedShare && cause != RefusedReturned {
 		c.ranks[clampRank(r.Rank)].record(refused, now)
+		c.recordGoal(rankedGoal{clampRank(r.Rank), r.TTFTGoal}, refused, now)
 	}
 	if refused {
 		return
@@ -299,6 +333,18 @@
 	}
 }
 
+func (c *contention) recordGoal(key rankedGoal, refused bool, now oleanderspool.Millis) {
+	o := c.goals[key]
+	if o == nil {
+		if len(c.goals) >= maxGoals {
+			return
+		}
+		o = &outcomes{}
+		c.goals[key] = o
+	}
+	o.record(refused, now)
+}
+
 // expire forgets accounts without recent requests, and contentions for which no request
 // has asked lately, for example because the goals in the configuration have changed.
 func (c *contention) expire(now oleanderspool.Millis) {
@@ -312,13 +358,20 @@
 			delete(c.periods, goal)
 		}
 	}
+	for key, o := range c.goals {
+		if now-o.offered.at > retention {
+			delete(c.goals, key)
+		}
+	}
 }
 
 // contentionOf returns the contention for the slots of a service.
 func (sc *Scheduler) contentionOf(service string) *contention {
 	c := sc.contentions[service]
 	if c == nil {
-		c = &contention{periods: make(map[oleanderspool.Millis]period), accounts: make(map[string]decayingCount)}
+		c = &contention{
+			periods: make(map[oleanderspool.Millis]period), goals: make(map[rankedGoal]*outcomes), accounts: make(map[string]decayingCount),
+		}
 		sc.contentions[service] = c
 	}
 	return c
--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -443,6 +443,24 @@
 	}
 }
 
+// TestOverloadServesShortGoals guards against medium prompts, whose goal lets them wait for
+// servers that are busy with prefills, that keep these busy and so shut out the short ones:
+// the prompts of all lengths in the proportions of the first deployment at three times the
+// capacity.
+func TestOverloadServesShortGoals(t *testing.T) {
+	p, perSecond, capacity := newMixedPlay(mixedKinds, policies[0])
+	p.run(1, jumpStart, perSecond*capacity/2)
+	p.run(jumpStart, jumpEnd, 3*perSecond*capacity)
+	from, until := jumpStart, jumpEnd-5*oleanderspool.Second // answers have ended
+	inTime := func(k *requestKind) float64 {
+		own := func(r playedRequest) bool { return r.kind == k && !r.returned }
+		return p.count(from, until, func(r playedRequest) bool { return own(r) && r.inTime() }) / p.count(from, until, own)
+	}
+	if short, medium := inTime(shortKind), inTime(mediumKind); short < medium/2 {
+		t.Errorf("%.3f of the short prompts in time, %.3f of the medium ones", short, medium)
+	}
+}
+
 // TestContentionIsForgotten guards against contentions that stay when the goals in the
 // configuration change, until no contention for another goal is noticed.
 func TestContentionIsForgotten(t *testing.T) {
