Remove the grace of a contention, and test its hysteresis and preference

Cause: no test failed without the rule for the first 150 ms of a contention, without the hysteresis, or without the preference for callers that come back as told.

TestContentionSettles and TestReturningCallersArePreferred guard the other two.

TestContentionSettles fails without the hysteresis (ends at 12 of 120 free slots), TestReturningCallersArePreferred without each of the two conditions of the preference.

--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -26,12 +26,6 @@
 	// fullMarginRefused is the fraction of refused requests from which on the whole margin
 	// is left free.
 	fullMarginRefused = 0.15
-	// contentionGrace is the time from the start of a contention in which requests that
-	// will be late are still accepted: they are served when it was a short one.
-	contentionGrace = 150 * oleanderspool.Millis(1)
-	// maxGraceWait bounds their wait for a slot, as a multiple of the TTFT goal. It
-	// bounds the queue that is left when the contention turns out to be a long one.
-	maxGraceWait = 0.5
 	// minWaitFraction is the wait, as a fraction of the TTFT goal, up to which no request
 	// counts as late because of the contention. A prompt whose prefill takes most of its
 	// goal is judged by its wait, like the shorter ones.
@@ -229,8 +223,7 @@
 // cause returns why a request is refused that has to wait for the given time for a server
 // and then has its first token after the given one, both in ms; empty for none.
 func (c *contention) cause(r Request, wait, ttft float64, u slotUse, now oleanderspool.Millis) RefusalCause {
-	p, contended := c.periods[r.TTFTGoal]
-	if !contended {
+	if !c.lasts(r.TTFTGoal) {
 		return c.goalCause(r, now)
 	}
 	goal := float64(r.TTFTGoal)
@@ -238,9 +231,9 @@
 	left := float64(u.free) - c.margin(u, now)
 	reserved := reservedFree * float64(u.slots)
 	switch {
-	case late && (wait > maxGraceWait*goal || now-p.since >= contentionGrace):
+	case late:
 		return RefusedLate
-	case now-p.since < contentionGrace || r.Resubmitted && !r.Overdue:
+	case r.Resubmitted && !r.Overdue:
 		return ""
 	case r.Overdue && left < reserved:
 		return RefusedReturned
@@ -267,8 +260,7 @@
 		own = o.refusedFraction(now)
 	}
 	for other, o := range c.goals {
-		p, contended := c.periods[other.goal]
-		if other.rank == key.rank && other.goal > 0 && other.goal < key.goal && contended && now-p.since >= contentionGrace &&
+		if other.rank == key.rank && other.goal > 0 && other.goal < key.goal && c.lasts(other.goal) &&
 			now-o.offered.at < outcomeWindow && o.refusedFraction(now) > own+rankTolerance {
 			return RefusedGoal
 		}
--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -461,6 +461,51 @@
 	}
 }
 
+// TestReturningCallersArePreferred guards against callers that come back as told, soon
+// enough for their goal, and are refused as often as new ones.
+func TestReturningCallersArePreferred(t *testing.T) {
+	var offered, refused [2]float64 // new requests and those that come back
+	p, perSecond, capacity := newMixedPlay(mixedKinds, policies[0])
+	decide := p.place
+	p.place = func(p *play, entry int, r placement.Request, now oleanderspool.Millis) (placement.Decision, bool) {
+		d, found := decide(p, entry, r, now)
+		if i := 0; r.TTFTGoal == mediumKind.request.TTFTGoal && !r.Overdue {
+			if r.Resubmitted {
+				i = 1
+			}
+			offered[i]++
+			if d.Refused != "" && d.Refused != placement.RefusedLate {
+				refused[i]++
+			}
+		}
+		return d, found
+	}
+	p.run(1, jumpStart, perSecond*capacity/2)
+	p.run(jumpStart, jumpEnd, 3*perSecond*capacity)
+	if offered[1] < 10 || refused[0] == 0 || refused[1] > 0 {
+		t.Errorf("%.0f of %.0f new requests refused that would not be late, %.0f of %.0f of those that came back, want none", refused[0], offered[0], refused[1], offered[1])
+	}
+}
+
+// TestContentionSettles guards against a contention that ends with the first few free slots
+// and begins anew with the next requests: until a quarter is free, requests that arrive
+// before their entry knows of the latest placements take them.
+func TestContentionSettles(t *testing.T) {
+	sc, list := placement.NewScheduler(), servers(10)
+	slots := len(list) * overloadEngine.Slots
+	for i := range slots {
+		sc.Add(placement.Task{ID: placement.TaskID(i + 1), Server: list[i%len(list)].Instance, OutputTokens: 1, Decoding: true})
+	}
+	for free, last := 0, false; free <= slots/2; free++ {
+		d, found := sc.Choose(list, overloadEngine, overloadRequest, 1)
+		if want := free < slots/4; !found || d.Contention.Lasts != want || d.Contention.Changed != (want != last) {
+			t.Fatalf("contention %+v with %d of %d slots free, want it to last: %t", d.Contention, free, slots, want)
+		}
+		last = d.Contention.Lasts
+		sc.Remove(placement.TaskID(free + 1))
+	}
+}
+
 // TestContentionIsForgotten guards against contentions that stay when the goals in the
 // configuration change, until no contention for another goal is noticed.
 func TestContentionIsForgotten(t *testing.T) {
