Count memory as a scarce resource in the overload decision

Cause: a slot counted as free also where the server's memory (KV cache) was full, and the predicted wait had no term for memory. Prompts that fill the memory of a server at seven of its twelve slots never caused a contention: they waited for memory until they were late, and short prompts waited behind them. A sharded placement without free memory even counted as immediate.

Change: as many slots of a server count as its memory holds requests of the size; the wait for memory is part of the predicted time, for whole and sharded prompts; contentions and outcomes are kept by TTFT goal and by how many such requests a server holds, so that sizes with the same goal do not end each other's contention.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -129,12 +129,12 @@
 		tieBreak = longTieBreakCost
 	}
 	sc.unknown.decay(now)
-	c, slots := sc.contentionOf(loads[0].server.Service), sc.slotUseOf(loads, e, r.TTFTGoal)
+	c, slots := sc.contentionOf(loads[0].server.Service), sc.slotUseOf(loads, e, r)
 	changed := false
 	if len(r.Tried) == 0 && !r.Started { // others do not compare all servers
-		changed = c.observe(slots, r.TTFTGoal, now)
+		changed = c.observe(slots, now)
 	}
-	best := sc.choosePriced(loads, e, r, tieBreak, c.lasts(r.TTFTGoal), now)
+	best := sc.choosePriced(loads, e, r, tieBreak, c.lasts(slots.class), now)
 	switch {
 	case !math.IsInf(best.Cost, 1):
 		sc.refuseByCost(&best, loads, e, r)
@@ -143,7 +143,7 @@
 	default:
 		best = Decision{Refused: RefusedLate}
 	}
-	best.Contention = Contention{Changed: changed, Lasts: c.lasts(r.TTFTGoal), Slots: slots.slots, Free: slots.free}
+	best.Contention = Contention{Changed: changed, Lasts: c.lasts(slots.class), Slots: slots.slots, Free: slots.free}
 	c.decide(&best, r, slots, now)
 	return best, true
 }
@@ -274,8 +274,9 @@
 	sc.wholeCandidates = sc.wholeCandidates[:0]
 	bestCost := math.Inf(1)
 	for _, s := range loads {
-		start := max(s.backlog, s.slotWait(e))
-		cost := s.memoryCost(e, r, s.missingTokens(e, r))
+		missing := s.missingTokens(e, r)
+		start := max(s.backlog, s.slotWait(e), s.memoryWait(e, missing))
+		cost := s.memoryCost(e, r, missing)
 		if math.IsInf(start+cost, 1) {
 			continue
 		}
@@ -296,7 +297,7 @@
 	}
 	c := sc.draw(sc.wholeCandidates, e, count, margin)
 	d := c.decision(c.cost, c.ttft)
-	d.Wait = millis(max(c.backlog, c.slotWait(e)))
+	d.Wait = millis(max(c.backlog, c.slotWait(e), c.memoryWait(e, c.missingTokens(e, r))))
 	return d
 }
 
@@ -367,12 +368,12 @@
 	prefill, _ := shardPrefill(e, r, shards)
 	sortCandidates(candidates, e, r, shards, tieBreak, now)
 	var best *helperCandidate
-	bestCost, bestTTFT := math.Inf(1), 0.0
+	bestCost, bestTTFT, bestStart := math.Inf(1), 0.0, 0.0
 	for i := range candidates {
 		c := &candidates[i]
 		helperCost, missing := c.helperCost(candidates, e, r, shards, nil)
 		cost := helperCost + c.memoryCost(e, r, missing)
-		start := c.slotWait(e)
+		start := max(c.slotWait(e), c.memoryWait(e, missing))
 		if math.IsInf(start+cost, 1) {
 			continue
 		}
@@ -382,14 +383,14 @@
 		// secondaryCost contains too, and the crossing of one shard.
 		cost += c.cost - backlogCost*c.backlog - tieBreak*c.tieBreak + c.secondaryCost(e, tieBreak) + crossing*float64(shards-1)/float64(shards) + r.ttftLoss(ttft)
 		if cost < bestCost {
-			best, bestCost, bestTTFT = c, cost, ttft
+			best, bestCost, bestTTFT, bestStart = c, cost, ttft, start
 		}
 	}
 	if best == nil {
 		return Decision{Cost: bestCost}
 	}
 	d := best.decision(bestCost, bestTTFT)
-	d.Wait = millis(best.slotWait(e))
+	d.Wait = millis(bestStart)
 	best.helperCost(candidates, e, r, shards, &d.Helpers)
 	return d
 }
@@ -501,12 +502,26 @@
 	case float64(waiting) > queueFraction*float64(e.Slots):
 		return math.Inf(1)
 	}
+	return float64(waiting) * s.answerMillis(e, e.MeanAnswerTokens) / float64(e.Slots)
+}
+
+// memoryWait returns the time in ms until the server has released the memory in tokens
+// that a request lacks. It assumes that the requests on the server hold their memory for
+// the mean of their expected answers and that it is released evenly.
+func (s *serverLoad) memoryWait(e *directory.Engine, missing int64) float64 {
+	if missing <= 0 || s.slotsUsed == 0 {
+		return 0
+	}
+	return float64(missing) / float64(s.memoryTokens) * s.answerMillis(e, float64(s.outputTokens)/float64(s.slotsUsed))
+}
+
+// answerMillis returns the time that an answer takes on the server, in ms.
+func (s *serverLoad) answerMillis(e *directory.Engine, tokens float64) float64 {
 	pass := s.passDuration
 	if pass == 0 { // all requests are still prefilled
 		pass = passMillis(e, e.Slots, 0)
 	}
-	answer := math.Ceil(e.MeanAnswerTokens/float64(e.StepsPerPass)) * pass
-	return float64(waiting) * answer / float64(e.Slots)
+	return math.Ceil(tokens/float64(e.StepsPerPass)) * pass
 }
 
 // goals are the latencies up to which a request loses no value.
