--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -129,12 +129,12 @@
 		tieBreak = longTieBreakCost
 	}
 	sc.unknown.decay(now)
-	c, slots := sc.contentionOf(loads[0].server.Service), sc.slotUseOf(loads, e, r)
+	c, slots := sc.contentionOf(loads[0].server.Service), sc.slotUseOf(loads, e, r.TTFTGoal)
 	changed := false
 	if len(r.Tried) == 0 && !r.Started { // others do not compare all servers
-		changed = c.observe(slots, now)
+		changed = c.observe(slots, r.TTFTGoal, now)
 	}
-	best := sc.choosePriced(loads, e, r, tieBreak, c.lasts(slots.class), now)
+	best := sc.choosePriced(loads, e, r, tieBreak, c.lasts(r.TTFTGoal), now)
 	switch {
 	case !math.IsInf(best.Cost, 1):
 		sc.refuseByCost(&best, loads, e, r)
@@ -143,7 +143,7 @@
 	default:
 		best = Decision{Refused: RefusedLate}
 	}
-	best.Contention = Contention{Changed: changed, Lasts: c.lasts(slots.class), Slots: slots.slots, Free: slots.free}
+	best.Contention = Contention{Changed: changed, Lasts: c.lasts(r.TTFTGoal), Slots: slots.slots, Free: slots.free}
 	c.decide(&best, r, slots, now)
 	return best, true
 }
@@ -274,9 +274,8 @@
 	sc.wholeCandidates = sc.wholeCandidates[:0]
 	bestCost := math.Inf(1)
 	for _, s := range loads {
-		missing := s.missingTokens(e, r)
-		start := max(s.backlog, s.slotWait(e), s.memoryWait(e, missing))
-		cost := s.memoryCost(e, r, missing)
+		start := max(s.backlog, s.slotWait(e))
+		cost := s.memoryCost(e, r, s.missingTokens(e, r))
 		if math.IsInf(start+cost, 1) {
 			continue
 		}
@@ -297,7 +296,7 @@
 	}
 	c := sc.draw(sc.wholeCandidates, e, count, margin)
 	d := c.decision(c.cost, c.ttft)
-	d.Wait = millis(max(c.backlog, c.slotWait(e), c.memoryWait(e, c.missingTokens(e, r))))
+	d.Wait = millis(max(c.backlog, c.slotWait(e)))
 	return d
 }
 
@@ -368,12 +367,12 @@
 	prefill, _ := shardPrefill(e, r, shards)
 	sortCandidates(candidates, e, r, shards, tieBreak, now)
 	var best *helperCandidate
-	bestCost, bestTTFT, bestStart := math.Inf(1), 0.0, 0.0
+	bestCost, bestTTFT := math.Inf(1), 0.0
 	for i := range candidates {
 		c := &candidates[i]
 		helperCost, missing := c.helperCost(candidates, e, r, shards, nil)
 		cost := helperCost + c.memoryCost(e, r, missing)
-		start := max(c.slotWait(e), c.memoryWait(e, missing))
+		start := c.slotWait(e)
 		if math.IsInf(start+cost, 1) {
 			continue
 		}
@@ -383,14 +382,14 @@
 		// secondaryCost contains too, and the crossing of one shard.
 		cost += c.cost - backlogCost*c.backlog - tieBreak*c.tieBreak + c.secondaryCost(e, tieBreak) + crossing*float64(shards-1)/float64(shards) + r.ttftLoss(ttft)
 		if cost < bestCost {
-			best, bestCost, bestTTFT, bestStart = c, cost, ttft, start
+			best, bestCost, bestTTFT = c, cost, ttft
 		}
 	}
 	if best == nil {
 		return Decision{Cost: bestCost}
 	}
 	d := best.decision(bestCost, bestTTFT)
-	d.Wait = millis(bestStart)
+	d.Wait = millis(best.slotWait(e))
 	best.helperCost(candidates, e, r, shards, &d.Helpers)
 	return d
 }
@@ -502,26 +501,12 @@
 	case float64(waiting) > queueFraction*float64(e.Slots):
 		return math.Inf(1)
 	}
-	return float64(waiting) * s.answerMillis(e, e.MeanAnswerTokens) / float64(e.Slots)
-}
-
-// memoryWait returns the time in ms until the server has released the memory in tokens
-// that a request lacks. It assumes that the requests on the server hold their memory for
-// the mean of their expected answers and that it is released evenly.
-func (s *serverLoad) memoryWait(e *directory.Engine, missing int64) float64 {
-	if missing <= 0 || s.slotsUsed == 0 {
-		return 0
-	}
-	return float64(missing) / float64(s.memoryTokens) * s.answerMillis(e, float64(s.outputTokens)/float64(s.slotsUsed))
-}
-
-// answerMillis returns the time that an answer takes on the server, in ms.
-func (s *serverLoad) answerMillis(e *directory.Engine, tokens float64) float64 {
 	pass := s.passDuration
 	if pass == 0 { // all requests are still prefilled
 		pass = passMillis(e, e.Slots, 0)
 	}
-	return math.Ceil(tokens/float64(e.StepsPerPass)) * pass
+	answer := math.Ceil(e.MeanAnswerTokens/float64(e.StepsPerPass)) * pass
+	return float64(waiting) * answer / float64(e.Slots)
 }
 
 // goals are the latencies up to which a request loses no value.
--- a/internal/placement/overload.go
+++ b/internal/placement/overload.go
@@ -42,8 +42,8 @@
 	retention = 4 * outcomeWindow
 	// MaxRank is the least urgent rank that is distinguished.
 	MaxRank = 7
-	// maxClasses bounds the classes of requests that are distinguished.
-	maxClasses = 64
+	// maxGoals bounds the TTFT goals that are distinguished.
+	maxGoals = 64
 	// activeInterval is the time between two counts of the active accounts. A count takes
 	// some 0.7 ms for 20,000 accounts.
 	activeInterval = 100 * oleanderspool.Millis(1)
@@ -89,14 +89,13 @@
 // slot from one that would have been in time, so that without refusals all are late.
 // It is not safe for concurrent use.
 type contention struct {
-	// periods holds the contentions that last by the class of the requests. A server that
-	// is busy with prefills has room for those with a long goal only, and one whose memory
-	// is full for those with short prompts only.
-	periods map[requestClass]period
+	// periods holds the contentions that last by the TTFT goal of the requests. A server
+	// that is busy with prefills has room for those with a long goal only.
+	periods map[oleanderspool.Millis]period
 	all     outcomes
 	ranks   [MaxRank + 1]outcomes
-	// classes holds the outcomes of the requests of a rank by their class.
-	classes  map[rankedClass]*outcomes
+	// goals holds the outcomes of the requests of a rank by their TTFT goal.
+	goals    map[rankedGoal]*outcomes
 	accounts map[string]decayingCount
 	admitted decayingCount // of all accounts
 	// active is the number of accounts with recent requests as of activeAt.
@@ -109,17 +108,10 @@
 	since, seenAt oleanderspool.Millis
 }
 
-// requestClass distinguishes requests by their TTFT goal and by how many of them the slots
-// and the memory of a server hold.
-type requestClass struct {
-	goal      oleanderspool.Millis
-	perServer int
-}
-
-// rankedClass is a class of requests of a rank.
-type rankedClass struct {
+// rankedGoal is the TTFT goal of requests of a rank.
+type rankedGoal struct {
 	rank int
-	requestClass
+	goal oleanderspool.Millis
 }
 
 // outcomes counts recent requests.
@@ -157,7 +149,6 @@
 // free if a request can begin there soon enough for its TTFT goal.
 type slotUse struct {
 	slots, free int
-	class       requestClass
 	// unknown is the expected number of placements of other entries that this entry does
 	// not know of yet.
 	unknown float64
@@ -175,48 +166,40 @@
 	return min(math.Sqrt(u.unknown*float64(u.slots)), maxMargin*float64(u.slots))
 }
 
-// slotUseOf returns the use of the slots of the given servers for requests like the given
-// one. Of the slots of a server only as many count as its memory has room for such
-// requests.
-func (sc *Scheduler) slotUseOf(loads []*serverLoad, e *directory.Engine, r Request) slotUse {
-	tokens := max(1, r.PromptTokens+r.OutputTokens)
-	perServer := max(1, fitting(e.KVCacheTokens, tokens, e.Slots))
-	u := slotUse{slots: len(loads) * perServer, class: requestClass{r.TTFTGoal, perServer}, unknown: sc.unknown.mean}
+// slotUseOf returns the use of the slots of the given servers for requests with a TTFT
+// goal.
+func (sc *Scheduler) slotUseOf(loads []*serverLoad, e *directory.Engine, goal oleanderspool.Millis) slotUse {
+	u := slotUse{slots: len(loads) * e.Slots, unknown: sc.unknown.mean}
 	for _, l := range loads {
-		if r.TTFTGoal == 0 || l.backlog <= minWaitFraction*float64(r.TTFTGoal) {
-			u.free += fitting(e.KVCacheTokens-l.memoryTokens, tokens, e.Slots-l.slotsUsed)
+		if goal == 0 || l.backlog <= minWaitFraction*float64(goal) {
+			u.free += max(0, e.Slots-l.slotsUsed)
 		}
 	}
 	return u
 }
 
-// fitting returns how many requests fit into an amount of memory and a number of slots.
-func fitting(memory, tokens int64, slots int) int {
-	return int(max(0, min(memory/tokens, int64(slots))))
-}
-
-// observe records the use of the slots by requests of a class, and reports whether they
-// have begun or ceased to contend for them.
-func (c *contention) observe(u slotUse, now oleanderspool.Millis) (changed bool) {
+// observe records the use of the slots by requests with a TTFT goal, and reports whether
+// they have begun or ceased to contend for them.
+func (c *contention) observe(u slotUse, goal, now oleanderspool.Millis) (changed bool) {
 	free := u.freeFraction()
-	p, contended := c.periods[u.class]
+	p, contended := c.periods[goal]
 	switch {
 	case contended && free >= settledFree:
-		delete(c.periods, u.class)
+		delete(c.periods, goal)
 	case contended:
-		c.periods[u.class] = period{since: p.since, seenAt: now}
+		c.periods[goal] = period{since: p.since, seenAt: now}
 		return false
-	case free < contendedFree && len(c.periods) < maxClasses:
-		c.periods[u.class] = period{since: now, seenAt: now}
+	case free < contendedFree && len(c.periods) < maxGoals:
+		c.periods[goal] = period{since: now, seenAt: now}
 	default:
 		return false
 	}
 	return true
 }
 
-// lasts reports whether requests of a class contend for slots.
-func (c *contention) lasts(class requestClass) bool {
-	_, contended := c.periods[class]
+// lasts reports whether requests with a TTFT goal contend for slots.
+func (c *contention) lasts(goal oleanderspool.Millis) bool {
+	_, contended := c.periods[goal]
 	return contended
 }
 
@@ -228,20 +211,20 @@
 	if d.Refused == "" {
 		d.Refused = c.cause(r, float64(d.Wait), float64(d.TTFT), u, now)
 	}
-	if p, contended := c.periods[u.class]; contended && d.Refused != "" {
+	if p, contended := c.periods[r.TTFTGoal]; contended && d.Refused != "" {
 		// An overload that has lasted for some time is expected to last as long again.
 		d.ReturnDelay = now - p.since
 	}
 	if len(r.Tried) == 0 {
-		c.record(r, u.class, d.Refused, now)
+		c.record(r, d.Refused, now)
 	}
 }
 
 // cause returns why a request is refused that has to wait for the given time for a server
 // and then has its first token after the given one, both in ms; empty for none.
 func (c *contention) cause(r Request, wait, ttft float64, u slotUse, now oleanderspool.Millis) RefusalCause {
-	if !c.lasts(u.class) {
-		return c.goalCause(r, u.class, now)
+	if !c.lasts(r.TTFTGoal) {
+		return c.goalCause(r, now)
 	}
 	goal := float64(r.TTFTGoal)
 	late := goal > 0 && wait > minWaitFraction*goal && missProbability(ttft, goal) >= lateProbability
@@ -261,23 +244,23 @@
 	case c.precedesUrgent(r.Rank, now):
 		return RefusedRank
 	}
-	return c.goalCause(r, u.class, now)
+	return c.goalCause(r, now)
 }
 
 // goalCause returns RefusedGoal if requests of the same rank with a shorter TTFT goal
 // contend for slots and are refused more often. Requests with a long goal find room on
 // servers that are busy with prefills, and would keep these busy.
-func (c *contention) goalCause(r Request, class requestClass, now oleanderspool.Millis) RefusalCause {
+func (c *contention) goalCause(r Request, now oleanderspool.Millis) RefusalCause {
 	if r.TTFTGoal == 0 || r.Resubmitted && !r.Overdue {
 		return ""
 	}
-	key := rankedClass{clampRank(r.Rank), class}
+	key := rankedGoal{clampRank(r.Rank), r.TTFTGoal}
 	own := 0.0
-	if o := c.classes[key]; o != nil {
+	if o := c.goals[key]; o != nil {
 		own = o.refusedFraction(now)
 	}
-	for other, o := range c.classes {
-		if other.rank == key.rank && other.goal > 0 && other.goal < key.goal && c.lasts(other.requestClass) &&
+	for other, o := range c.goals {
+		if other.rank == key.rank && other.goal > 0 && other.goal < key.goal && c.lasts(other.goal) &&
 			now-o.offered.at < outcomeWindow && o.refusedFraction(now) > own+rankTolerance {
 			return RefusedGoal
 		}
@@ -323,14 +306,14 @@
 
 // record counts a decision, also without a contention, so that the shares are known when
 // one begins.
-func (c *contention) record(r Request, class requestClass, cause RefusalCause, now oleanderspool.Millis) {
+func (c *contention) record(r Request, cause RefusalCause, now oleanderspool.Millis) {
 	refused := cause != ""
 	c.all.record(refused, now)
 	// What an account sends beyond its share, or what comes back late, does not hold the
 	// other ranks back.
 	if cause != RefusedShare && cause != RefusedReturned {
 		c.ranks[clampRank(r.Rank)].record(refused, now)
-		c.recordClass(rankedClass{clampRank(r.Rank), class}, refused, now)
+		c.recordGoal(rankedGoal{clampRank(r.Rank), r.TTFTGoal}, refused, now)
 	}
 	if refused {
 		return
@@ -342,14 +325,14 @@
 	}
 }
 
-func (c *contention) recordClass(key rankedClass, refused bool, now oleanderspool.Millis) {
-	o := c.classes[key]
+func (c *contention) recordGoal(key rankedGoal, refused bool, now oleanderspool.Millis) {
+	o := c.goals[key]
 	if o == nil {
-		if len(c.classes) >= maxClasses {
+		if len(c.goals) >= maxGoals {
 			return
 		}
 		o = &outcomes{}
-		c.classes[key] = o
+		c.goals[key] = o
 	}
 	o.record(refused, now)
 }
@@ -362,14 +345,14 @@
 			delete(c.accounts, account)
 		}
 	}
-	for class, p := range c.periods {
+	for goal, p := range c.periods {
 		if now-p.seenAt > retention {
-			delete(c.periods, class)
+			delete(c.periods, goal)
 		}
 	}
-	for key, o := range c.classes {
+	for key, o := range c.goals {
 		if now-o.offered.at > retention {
-			delete(c.classes, key)
+			delete(c.goals, key)
 		}
 	}
 }
@@ -379,7 +362,7 @@
 	c := sc.contentions[service]
 	if c == nil {
 		c = &contention{
-			periods: make(map[requestClass]period), classes: make(map[rankedClass]*outcomes), accounts: make(map[string]decayingCount),
+			periods: make(map[oleanderspool.Millis]period), goals: make(map[rankedGoal]*outcomes), accounts: make(map[string]decayingCount),
 		}
 		sc.contentions[service] = c
 	}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -259,7 +259,6 @@
 	decoding       int              // number of tasks that decode
 	memoryTokens   int64            // KV cache in use
 	slotsUsed      int              // requests that occupy or wait for a slot
-	outputTokens   int64            // expected tokens of their answers
 	// tieBreak is a small cost that differs by the entry's tie-break seed.
 	tieBreak float64
 
@@ -298,13 +297,12 @@
 // count sums the tasks of a server.
 func (l *serverLoad) count(tasks []*Task, e *directory.Engine) {
 	contextTokens := int64(0)
-	l.memoryTokens, l.slotsUsed, l.outputTokens, l.decoding, l.passDuration = 0, 0, 0, 0, 0
+	l.memoryTokens, l.slotsUsed, l.decoding, l.passDuration = 0, 0, 0, 0
 	l.pending, l.streams = l.pending[:0], l.streams[:0]
 	for _, t := range tasks {
 		l.memoryTokens += t.MemoryTokens
 		if t.OutputTokens > 0 {
 			l.slotsUsed++
-			l.outputTokens += t.OutputTokens
 		}
 		if !t.Decoding {
 			l.pending = append(l.pending, t)
