--- a/internal/forward/evacuation_relay_test.go
+++ b/internal/forward/evacuation_relay_test.go
@@ -87,7 +87,7 @@
 		entries   = 12
 		evacuated = "dc-z"
 	)
-	// Guards against entries that wait for their relay while it can no longer tell them
+	// Guards against entries that wait for their relay while it can no longer inform them
 	// of a record, and against relays that do not notice that they are cut off.
 	for _, c := range []struct {
 		name  string
