--- a/pkg/configuration/review.go
+++ b/pkg/configuration/review.go
@@ -56,7 +56,7 @@
 	return findings.All()
 }
 
-// reductions tells for fields whether a change takes something away from callers.
+// reductions says for fields whether a change takes something away from callers.
 var reductions = map[Kind]map[string]func(before, after any) bool{
 	KindModel: {"set": anyChange, "max_prompt_tokens": lowerNumber},
 	KindClientAccount: {
