--- a/internal/placement/overload_test.go
+++ b/internal/placement/overload_test.go
@@ -461,7 +461,7 @@
 	}
 }
 
-// TestReturningCallersArePreferred guards against callers that come back as told, soon
+// TestReturningCallersArePreferred guards against callers that come back after their Retry-After, soon
 // enough for their goal, and are refused as often as new ones.
 func TestReturningCallersArePreferred(t *testing.T) {
 	var offered, refused [2]float64 // new requests and those that come back
