--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -17,6 +17,7 @@
 // cases are the scripts by the names of their folders.
 var cases = map[string]func(directory string, trouble bool) (int, error){
 	"6": joinedPieces,
+	"7": removedWhileCut,
 }
 
 func main() {
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -25,6 +25,7 @@
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]bool
+	gone     bool // its entry was removed
 }
 
 func newRunner(s *store, id, service, zone string) (*runner, error) {
@@ -45,6 +46,23 @@
 	})
 }
 
+// renew writes the entry again unless it was removed.
+func (r *runner) renew() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.gone {
+		r.register("ready")
+	}
+}
+
+// remove removes the entry; the runner serves on.
+func (r *runner) remove() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gone = true
+	r.store.put("keyed.servers", r.id, nil)
+}
+
 func (r *runner) serve(l net.Listener) {
 	for {
 		conn, err := l.Accept()
