Review: end the started processes with the script

Cause: a script that was ended from outside left its processes running. Ruled out: the ordinary end, which stopped them.

--- a/review/stand2/front.go
+++ b/review/stand2/front.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"time"
 )
 
@@ -102,7 +103,22 @@
 	}
 }
 
+// started are the processes that were started, so that none outlives this one.
+var started struct {
+	mu   sync.Mutex
+	list []*os.Process
+}
+
+func killStarted() {
+	started.mu.Lock() // stays locked: no other process is to start
+	for _, p := range started.list {
+		_ = p.Kill()
+	}
+}
+
 func (f *front) start() error {
+	started.mu.Lock()
+	defer started.mu.Unlock()
 	log, err := os.OpenFile(f.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -114,6 +130,7 @@
 	if err := c.Start(); err != nil {
 		return err
 	}
+	started.list = append(started.list, c.Process)
 	f.command, f.exited = c, make(chan struct{})
 	go func(done chan struct{}) {
 		_ = c.Wait()
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // The exit codes of a case.
@@ -25,6 +27,13 @@
 		fmt.Fprintln(os.Stderr, "usage: stand2 CASE DIRECTORY")
 		os.Exit(notRun)
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-signals
+		killStarted()
+		os.Exit(notRun)
+	}()
 	code, err := cases[os.Args[1]](os.Args[2], os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
