Tell an outage of the store from a cut of the entry's own link

Cause: after failed reads of the registry the follower deferred all removals for 1.5 s, since registrations of running servers may expire in an outage of the store. It did so as well when only its own link was cut. It then applied the removals at the next read, up to 1.2 s later, ignored the updates of other entries meanwhile, and paused up to 1 s after each read that had already waited 2.8 s for an answer.

Change: - The records since the last read show whether the servers renewed their registrations meanwhile. If the median server did, the store was reachable, nothing expired, and removals are final. - An update says for how long the store was reachable for its sender; one that covers the whole failure ends the grace period. This also covers a list after the records were deleted, which has no renewals to count. An entry that started after the failure proves nothing. - A timer ends the grace period. - The delay of a retry runs from the start of the read that failed.

Ruled out: leaving the grace period out after timeouts alone, since a store that is down may not answer either; ending it at the first complete list, since registrations come back up to 2 s after an outage.

--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -73,18 +73,6 @@
 	// since the entries of a fleet that starts fail at the same time.
 	minListRetryDelay = 50 * oleanderspool.Millis(1)
 	maxListRetryDelay = 800 * oleanderspool.Millis(1)
-	// expiryGrace is the time after an outage of the store during which a removed
-	// server is still used: its registration may have expired only because the
-	// server could not renew it. It is shorter than the time after which a server
-	// that left must receive no more requests.
-	expiryGrace = 1500 * oleanderspool.Millis(1)
-	// expiryHeartbeats is the length of an outage, in heartbeats of the servers, from
-	// which on registrations may expire by it. A registration expires after three
-	// heartbeats without a renewal, and the last one may have preceded the outage by
-	// one and some delay.
-	expiryHeartbeats = 1.6
-	// defaultHeartbeat applies without [WithHeartbeat].
-	defaultHeartbeat = 1200 * oleanderspool.Millis(1)
 )
 
 // Follower keeps a view up to date from a configuration feed and a server feed.
@@ -93,17 +81,19 @@
 	clock  oleanderspool.Clock
 	logger *slog.Logger
 
-	budget  Budget
-	renewal oleanderspool.Millis // time after which a confirmation is renewed; 0 if it does not expire
-	// expiryOutage is the length of an outage of the store by which registrations may
-	// expire.
-	expiryOutage   oleanderspool.Millis
+	budget         Budget
+	renewal        oleanderspool.Millis // time after which a confirmation is renewed; 0 if it does not expire
+	heartbeat      oleanderspool.Millis // interval at which servers renew their registrations
 	configurations feedState
 	servers        feedState
 	list           *serverList // the list of servers that is being read; nil for none
 	// listedEnd is the offset after the newest record of the lists that were read.
 	listedEnd oleanderspool.Offset
-	expired   []Change // removals that are deferred to the end of the grace period
+	recovery  *recovery // from an outage by which registrations may have expired; nil for none
+	// reachableSince is the instant from which on no registration can have expired because
+	// the store was out of reach of the servers; 0 before the first reply.
+	reachableSince oleanderspool.Millis
+	expired        []Change // removals that are deferred to the end of the grace period
 	// unlisted is the last complete list, until the servers that it lacks are removed.
 	unlisted      *serverList
 	coordinator   Coordinator
@@ -124,7 +114,7 @@
 
 // WithHeartbeat sets the interval at which servers renew their registrations.
 func WithHeartbeat(interval oleanderspool.Millis) FollowerOption {
-	return func(f *Follower) { f.expiryOutage = part(interval, expiryHeartbeats) }
+	return func(f *Follower) { f.heartbeat = interval }
 }
 
 // WithConfirmationTTL sets how long a confirmation of the configuration is valid; 0
@@ -168,7 +158,6 @@
 	failingSince oleanderspool.Millis
 	// timeoutsOnly says that all failed reads since then got no answer in time.
 	timeoutsOnly bool
-	recoveredAt  oleanderspool.Millis
 	listEnd      oleanderspool.Offset // Next of the last reply of Newest, which may be seconds old
 	lastReadAt   oleanderspool.Millis // instant at which the last successful read was sent, by this or another entry
 }
@@ -179,7 +168,7 @@
 	budget, _ := NewBudget(0, 0) // no delay is too short
 	metrics := observe.NewMetrics()
 	f := &Follower{
-		view: view, clock: clock, logger: logger, budget: budget, expiryOutage: part(defaultHeartbeat, expiryHeartbeats),
+		view: view, clock: clock, logger: logger, budget: budget, heartbeat: defaultHeartbeat,
 		guard:       observe.NewGuard(logger, metrics),
 		metrics:     metrics,
 		coordinator: noCoordinator{}, received: make(chan receivedUpdate, maxReceived), confirmations: make(chan Confirmation, maxReceived),
@@ -237,7 +226,7 @@
 			f.coordinator.ConfirmConfiguration(sentAt, f.configurations.next)
 			failures = 0
 		} else if !ok {
-			clock.Sleep(ctx, f.retryDelay(failures, !f.coordinator.ReadsConfiguration()))
+			f.awaitRetry(ctx, sentAt, f.retryDelay(failures, !f.coordinator.ReadsConfiguration()))
 			failures++
 		}
 	}
@@ -251,9 +240,10 @@
 	return f.budget.ReadWait
 }
 
-// retryDelay returns the delay after a number of failed reads before this one. The
-// first retry is immediate, since a connection may have gone silent while new ones work.
-// Later delays grow only if others read for this entry.
+// retryDelay returns the time between the start of a failed read and the next one, after a
+// number of failed reads before it. The first retry is immediate, since a connection may
+// have gone silent while new ones work. Later delays grow only if others read for this
+// entry.
 func (f *Follower) retryDelay(failures int, grows bool) oleanderspool.Millis {
 	if failures == 0 {
 		return 0
@@ -264,6 +254,13 @@
 	return min(retryInterval<<min(failures-1, 8), maxRetryInterval)
 }
 
+// awaitRetry waits until a delay since the start of a failed read has passed. A read that
+// timed out has loaded the store no more than one that was refused at once, and its timeout
+// already delays the next one.
+func (f *Follower) awaitRetry(ctx context.Context, sentAt, delay oleanderspool.Millis) {
+	clock.Sleep(ctx, max(0, sentAt+delay-f.clock.Now()))
+}
+
 // ReceiveConfirmation queues the confirmation of another entry. It does not block.
 func (f *Follower) ReceiveConfirmation(c Confirmation) {
 	select {
@@ -322,7 +319,8 @@
 	for ctx.Err() == nil {
 		f.applyReceived()
 		var ok bool
-		switch now := f.clock.Now(); {
+		now := f.clock.Now()
+		switch {
 		case f.servers.synced:
 			ok = f.readServers(ctx)
 		case f.list.readsChanges(now, f.budget.ServerInterval):
@@ -332,7 +330,7 @@
 		}
 		switch {
 		case !ok && f.servers.synced:
-			clock.Sleep(ctx, f.retryDelay(failures, f.coordinator.ReadDelay(f.budget.ReadDelay) > 0))
+			f.awaitRetry(ctx, now, f.retryDelay(failures, f.coordinator.ReadDelay(f.budget.ReadDelay) > 0))
 			failures++
 		case !ok:
 			clock.Sleep(ctx, listRetryDelay(failures))
@@ -363,7 +361,7 @@
 		f.removeExpired()
 		return false
 	}
-	applied := f.applyRead(batch.Changes)
+	applied := f.applyRead(batch, sentAt)
 	if batch.More {
 		return true
 	}
@@ -377,28 +375,61 @@
 	return true
 }
 
-// applyRead applies records of the registry and returns those that change a server.
-// During the grace period removals are deferred.
-func (f *Follower) applyRead(changes []Change) []Change {
-	current := changes
+// applyRead applies the records of a read that was sent at an instant and returns those
+// that change a server. During the grace period removals are deferred.
+func (f *Follower) applyRead(batch Batch, sentAt oleanderspool.Millis) []Change {
+	if f.recovery != nil {
+		f.recovery.count(batch.Changes)
+		if !batch.More {
+			f.assessOutage(sentAt)
+		}
+	}
+	current := batch.Changes
 	if f.inGrace() {
 		removed := func(c Change) bool { return c.Removed }
-		current = slices.DeleteFunc(slices.Clone(changes), removed)
-		f.expired = append(f.expired, slices.DeleteFunc(slices.Clone(changes), func(c Change) bool { return !removed(c) })...)
+		current = slices.DeleteFunc(slices.Clone(batch.Changes), removed)
+		f.expired = append(f.expired, slices.DeleteFunc(slices.Clone(batch.Changes), func(c Change) bool { return !removed(c) })...)
 	}
 	applied := f.register(current)
 	f.removeExpired()
 	return applied
 }
 
+// assessOutage ends the grace period if the servers renewed their registrations while
+// the store did not answer this entry.
+func (f *Follower) assessOutage(sentAt oleanderspool.Millis) {
+	unrenewed, known := f.recovery.unrenewed(sentAt, f.heartbeat)
+	f.recovery.ignoreRecords()
+	if !known {
+		return
+	}
+	expiry := unrenewed > maxMissedHeartbeats*f.heartbeat
+	f.logger.Info("renewals by servers assessed", "since_ms", int64(sentAt-f.recovery.lastReadAt), "unrenewed_ms", int64(unrenewed), "defers_removals", expiry)
+	if !expiry {
+		f.endGrace()
+	}
+}
+
+// endGrace ends the grace period: the servers reached the store all the time.
+func (f *Follower) endGrace() {
+	f.reachableSince = f.recovery.reachableSince
+	f.recovery = nil
+	f.removeExpired()
+}
+
 // awaitRead waits until this entry has to read the registry again, and applies the
-// updates of other entries meanwhile. An update postpones the read.
+// updates of other entries and the removals that were deferred meanwhile. An update
+// postpones the read.
 func (f *Follower) awaitRead(ctx context.Context) {
 	for ctx.Err() == nil {
+		f.removeExpired()
 		left := f.servers.lastReadAt + f.budget.ServerInterval + f.coordinator.ReadDelay(f.budget.ReadDelay) - f.clock.Now()
 		if left <= 0 {
 			return
 		}
+		if grace := f.recovery.graceLeft(f.clock.Now()); grace > 0 {
+			left = min(left, grace)
+		}
 		timer := time.NewTimer(left.Duration())
 		select {
 		case <-ctx.Done():
@@ -425,7 +456,7 @@
 // inGrace reports whether the store recovered so recently that the registry may
 // still lack servers that could not renew their registrations during the outage.
 func (f *Follower) inGrace() bool {
-	return f.servers.recoveredAt != 0 && f.clock.Now()-f.servers.recoveredAt < expiryGrace
+	return f.recovery.graceLeft(f.clock.Now()) > 0
 }
 
 // removeExpired applies the deferred removals once the grace period has ended. A
@@ -434,6 +465,7 @@
 	if f.inGrace() {
 		return
 	}
+	f.recovery = nil
 	f.register(f.expired)
 	f.expired = nil
 	if f.unlisted == nil {
@@ -498,6 +530,9 @@
 		if s.feed.Compacted(err) {
 			f.logger.Info("records at offset deleted; reading the newest records", "feed", s.name, "offset", s.next)
 			s.synced = false
+			if s == &f.servers {
+				f.recovery.ignoreRecords()
+			}
 		}
 		timeout := errorx.IsOfType(err, oleanderspool.ErrTimeout)
 		s.timeoutsOnly = timeout && (s.timeoutsOnly || s.failingSince == 0)
@@ -512,13 +547,29 @@
 		s.failingSince = 0
 		// Timeouts for a shorter time are those of connections that have gone silent, or
 		// no registration has expired meanwhile.
-		if !s.timeoutsOnly || now-s.lastReadAt >= f.expiryOutage {
-			s.recoveredAt = now
+		if s == &f.servers && (!s.timeoutsOnly || now-s.lastReadAt >= part(f.heartbeat, expiryHeartbeats)) {
+			f.beginGrace(now)
 		}
 	}
+	if s == &f.servers && f.reachableSince == 0 {
+		f.reachableSince = now
+	}
 	return true
 }
 
+// beginGrace begins a grace period at the first reply after an outage.
+func (f *Follower) beginGrace(now oleanderspool.Millis) {
+	if f.recovery.counts() {
+		f.recovery.startedAt = now // the records of the replies before the last failure are still needed
+		return
+	}
+	f.recovery = newRecovery(now, f.servers.lastReadAt, f.view.UsableInstances())
+	f.recovery.reachableSince, f.reachableSince = f.reachableSince, now
+	if !f.servers.synced {
+		f.recovery.ignoreRecords() // a list has the newest record of each server only
+	}
+}
+
 // configure applies records of the operator; complete says that they are the newest of
 // each key.
 func (f *Follower) configure(records []Change, complete bool) {
--- /dev/null
+++ b/internal/directory/outage.go
@@ -0,0 +1,103 @@
+package directory
+
+import (
+	"slices"
+
+	"github.com/oleanderspool/oleanderspool"
+)
+
+const (
+	// expiryGrace is the time after an outage of the store during which a removed
+	// server is still used: its registration may have expired only because the
+	// server could not renew it. It is shorter than the time after which a server
+	// that left must receive no more requests.
+	expiryGrace = 1500 * oleanderspool.Millis(1)
+	// expiryHeartbeats is the length of an outage, in heartbeats of the servers, from
+	// which on registrations may expire by it. A registration expires after three
+	// heartbeats without a renewal, and the last one may have preceded the outage by
+	// one and some delay.
+	expiryHeartbeats = 1.6
+	// maxMissedHeartbeats is the time without renewals, in heartbeats of the servers, up
+	// to which the store counts as reachable for them. A read meets the heartbeats of a
+	// server at any phase, so that one may be missing; an outage by which registrations
+	// expire lasts longer.
+	maxMissedHeartbeats = 1
+	// defaultHeartbeat applies without [WithHeartbeat].
+	defaultHeartbeat = 1200 * oleanderspool.Millis(1)
+)
+
+// recovery is the state of a follower after reads of the registry that failed. It tells
+// an outage of the store, in which the registrations of running servers expire, from a
+// failure of this entry's own connection, during which the servers go on renewing their
+// registrations. It has no I/O.
+type recovery struct {
+	startedAt oleanderspool.Millis // of the first read that succeeded again
+	// lastReadAt is the instant at which the last read before the failures was sent.
+	lastReadAt oleanderspool.Millis
+	// reachableSince is that of the follower before the failures.
+	reachableSince oleanderspool.Millis
+	// renewals counts the records since lastReadAt of each server that was usable then
+	// and is still registered; nil when it is not or no longer of use: the records are
+	// not known one by one, or they have been assessed.
+	renewals map[oleanderspool.InstanceID]int
+}
+
+// newRecovery returns the recovery at an instant from failures since a read that was sent
+// at lastReadAt, with the servers that were usable then.
+func newRecovery(now, lastReadAt oleanderspool.Millis, usable []oleanderspool.InstanceID) *recovery {
+	r := &recovery{startedAt: now, lastReadAt: lastReadAt, renewals: make(map[oleanderspool.InstanceID]int, len(usable))}
+	for _, id := range usable {
+		r.renewals[id] = 0
+	}
+	return r
+}
+
+// counts reports whether the records since lastReadAt are still being counted.
+func (r *recovery) counts() bool {
+	return r != nil && r.renewals != nil
+}
+
+// count counts the records of a reply.
+func (r *recovery) count(changes []Change) {
+	for _, c := range changes {
+		n, counted := r.renewals[c.Instance]
+		switch {
+		case !counted:
+		case c.Removed:
+			delete(r.renewals, c.Instance)
+		default:
+			r.renewals[c.Instance] = n + 1
+		}
+	}
+}
+
+// ignoreRecords ends the count: records are missing in it.
+func (r *recovery) ignoreRecords() {
+	if r != nil {
+		r.renewals = nil
+	}
+}
+
+// unrenewed returns for how long, up to a read that was sent at an instant, most servers
+// did not renew their registrations although they were due at the given interval, or
+// false if the records do not show it.
+func (r *recovery) unrenewed(sentAt, heartbeat oleanderspool.Millis) (oleanderspool.Millis, bool) {
+	if len(r.renewals) == 0 {
+		return 0, false
+	}
+	counts := make([]int, 0, len(r.renewals))
+	for _, n := range r.renewals {
+		counts = append(counts, n)
+	}
+	slices.Sort(counts)
+	median := counts[len(counts)/2]
+	return max(0, sentAt-r.lastReadAt-oleanderspool.Millis(median)*heartbeat), true
+}
+
+// graceLeft returns how much longer removals are deferred.
+func (r *recovery) graceLeft(now oleanderspool.Millis) oleanderspool.Millis {
+	if r == nil {
+		return 0
+	}
+	return max(0, r.startedAt+expiryGrace-now)
+}
--- a/internal/directory/registry_update.go
+++ b/internal/directory/registry_update.go
@@ -16,6 +16,9 @@
 	// duration instead of an instant, since entries have different clocks.
 	Changes []Change
 	Age     oleanderspool.Millis // time since the read was sent
+	// Reachable is for how long, up to the read, no registration can have expired because
+	// the servers could not reach the store; 0 if unknown.
+	Reachable oleanderspool.Millis
 }
 
 // Confirmation is what another entry's reads of the configuration say about this
@@ -85,10 +88,18 @@
 
 // apply applies the update of another entry. It ignores the update when records
 // before it are missing here, when this entry's copy of the registry is incomplete, and
-// during the grace period after an outage.
+// during the grace period after an outage, unless the update shows that the store was
+// out of reach of this entry only.
 func (f *Follower) apply(u receivedUpdate) {
 	s := &f.servers
-	if !s.synced || f.defersRemovals() || u.From > s.next {
+	if !s.synced || u.From > s.next {
+		return
+	}
+	if f.inGrace() && u.sentAt-u.Reachable <= f.recovery.lastReadAt {
+		f.logger.Info("store was reachable for another entry", "reachable_ms", int64(u.Reachable), "since_ms", int64(f.clock.Now()-f.recovery.lastReadAt))
+		f.endGrace()
+	}
+	if f.defersRemovals() {
 		return
 	}
 	changes := make([]Change, len(u.Changes))
@@ -110,6 +121,9 @@
 		return
 	}
 	now := f.clock.Now()
+	update := func(from, next oleanderspool.Offset, changes []Change, age oleanderspool.Millis) RegistryUpdate {
+		return RegistryUpdate{From: from, Next: next, Changes: changes, Age: age, Reachable: max(0, now-age-f.reachableSince)}
+	}
 	for i, c := range changes {
 		changes[i] = c.shifted(-now)
 	}
@@ -118,10 +132,10 @@
 		part := changes[:maxUpdateChanges]
 		next := part[maxUpdateChanges-1].Offset + 1
 		// Only the last update is as new as the read.
-		f.coordinator.Publish(RegistryUpdate{From: from, Next: next, Changes: part, Age: f.budget.ServerInterval + now - sentAt})
+		f.coordinator.Publish(update(from, next, part, f.budget.ServerInterval+now-sentAt))
 		from, changes = next, changes[maxUpdateChanges:]
 	}
-	f.coordinator.Publish(RegistryUpdate{From: from, Next: f.servers.next, Changes: changes, Age: now - sentAt})
+	f.coordinator.Publish(update(from, f.servers.next, changes, now-sentAt))
 }
 
 // shifted returns the change with its ColdUntil moved by delta, but not below 0.
--- a/internal/directory/server_list.go
+++ b/internal/directory/server_list.go
@@ -99,7 +99,7 @@
 		return false
 	}
 	f.servers.next = max(f.servers.next, batch.Next)
-	f.applyRead(batch.Changes)
+	f.applyRead(batch, sentAt)
 	if !batch.More {
 		f.list.changesReadAt = sentAt
 	}
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -221,6 +221,19 @@
 	return count
 }
 
+// UsableInstances returns the usable servers of all services, evacuated or not.
+func (v *View) UsableInstances() []oleanderspool.InstanceID {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var usable []oleanderspool.InstanceID
+	for id, r := range v.records {
+		if r.usable {
+			usable = append(usable, id)
+		}
+	}
+	return usable
+}
+
 // Registered is the effect of a record of a server.
 type Registered struct {
 	// Changed says that the record changes what is known of the server.
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -64,6 +64,7 @@
 	fieldUpdateNext
 	fieldUpdateAge
 	fieldUpdateChange
+	fieldUpdateReachable
 )
 
 // Field numbers of a change of the registry.
@@ -225,6 +226,7 @@
 	e.number(fieldUpdateFrom, uint64(max(0, u.From)))
 	e.number(fieldUpdateNext, uint64(max(0, u.Next)))
 	e.millis(fieldUpdateAge, u.Age)
+	e.millis(fieldUpdateReachable, u.Reachable)
 	for _, c := range u.Changes {
 		e.nested(fieldUpdateChange, func(e *encoder) {
 			e.number(fieldChangeOffset, uint64(max(0, c.Offset)))
@@ -414,6 +416,8 @@
 			u.Next = v.offset()
 		case fieldUpdateAge:
 			u.Age = v.millis()
+		case fieldUpdateReachable:
+			u.Reachable = v.millis()
 		case fieldUpdateChange:
 			c, err := decodeChange(v.bytes)
 			u.Changes = append(u.Changes, c)
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -35,7 +35,7 @@
 	Answered:    []gossip.Answer{{Fingerprint: 15, Age: 25}},
 	Quarantined: []oleanderspool.QuarantinedPart{{Fingerprint: 26, Age: 28, Idle: 27}},
 	SentAt:      16,
-	RegistryUpdates: []directory.RegistryUpdate{{From: 17, Next: 20, Age: 18, Changes: []directory.Change{
+	RegistryUpdates: []directory.RegistryUpdate{{From: 17, Next: 20, Age: 18, Reachable: 30, Changes: []directory.Change{
 		{Offset: 17, Instance: "gone", Removed: true},
 		{Offset: 19, Instance: "s", Server: &directory.Server{
 			Instance: "s", Service: "llm", Address: "10.0.0.1:80", DataCentre: "a", Started: 5, Slots: 16, Draining: true, ColdUntil: 21,
