Do not take an answer for whole whose connection was reset

Cause: the operating system reports a reset once. The write of the upload that was still in progress got the error, and the read of the answer got io.EOF, the end mark of an answer without a length. Exchange (entries) and net/http behind once.Sender (agents) both upload and read at once.

An answer that ends while the server goes on reading the upload stays whole.

Ruled out: TCP_INFO, which shows the same state for a reset and for an answer that ended before the reset; and failing every such answer while the upload lasts.

--- a/internal/backend/exchange_test.go
+++ b/internal/backend/exchange_test.go
@@ -151,6 +151,41 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	// Guards against a part of an answer that is taken for the whole one when the server
+	// resets the connection during an upload: the error reaches the upload only.
+	It("fails on an answer without a length whose connection is reset during the upload", func() {
+		s := serve(func(conn net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err == nil {
+				write(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+				time.Sleep(5 * time.Millisecond)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		upload := []byte(strings.Repeat("x", 4<<20))
+		for range 100 {
+			_, err := get(newPool(), s, backend.Request{Method: http.MethodPost, Body: upload})
+			Expect(err).To(HaveOccurred())
+		}
+	})
+
+	// Guards against an answer without a length that fails although it is whole, because
+	// the server goes on reading the upload after it.
+	It("reads an answer without a length that ends before the upload", func() {
+		s := serve(func(conn net.Conn, r *bufio.Reader) {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			write(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+			_ = conn.(*net.TCPConn).CloseWrite()
+			time.Sleep(50 * time.Millisecond)
+			_, _ = io.Copy(io.Discard, q.Body)
+		})
+		body, err := get(newPool(), s, backend.Request{Method: http.MethodPost, Body: []byte(strings.Repeat("x", 16<<20))})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("whole"))
+	})
+
 	// Guards against the rest of a request body that the server reads as the next
 	// request.
 	It("closes the connection when the answer arrives before the whole body was sent", func() {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -18,6 +18,7 @@
 	"github.com/oleanderspool/oleanderspool/internal/buffer"
 	"github.com/oleanderspool/oleanderspool/internal/clock"
 	"github.com/oleanderspool/oleanderspool/internal/directory"
+	"github.com/oleanderspool/oleanderspool/internal/tcp"
 )
 
 const (
@@ -126,7 +127,7 @@
 		p.open.Add(-1)
 		return nil, oleanderspool.ErrNotSent.Wrap(err, "cannot connect to %s", s.Instance)
 	}
-	c := newConnection(conn, s.Run(), p.budget)
+	c := newConnection(tcp.NewConn(conn), s.Run(), p.budget)
 	c.onClose = func() { p.open.Add(-1) }
 	return c, nil
 }
--- a/internal/service/client_test.go
+++ b/internal/service/client_test.go
@@ -1,10 +1,13 @@
 package service_test
 
 import (
+	"bufio"
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"time"
 
 	"github.com/joomcode/errorx"
 	. "github.com/onsi/ginkgo/v2"
@@ -95,6 +98,42 @@
 		}
 	})
 
+	// rawServer serves one connection after the other with a function.
+	rawServer := func(serve func(conn *net.TCPConn, header *http.Request)) (address string) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				if q, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					serve(conn.(*net.TCPConn), q)
+				}
+				_ = conn.Close()
+			}
+		}()
+		return l.Addr().String()
+	}
+
+	// Guards against a part of a response that is taken for the whole one when the server
+	// resets the connection during an upload: the error reaches the upload only.
+	It("reports an uncertain outcome when a response without a length is reset during the upload", func(ctx context.Context) {
+		address := rawServer(func(conn *net.TCPConn, _ *http.Request) {
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\npart"))
+			time.Sleep(5 * time.Millisecond)
+			_ = conn.SetLinger(0)
+		})
+		upload := call(http.MethodPost, "/pegs/reserve", strings.Repeat("x", 4<<20))
+		upload.Remaining = 3000
+		for range 100 {
+			_, err := service.NewClient(address).Call(ctx, upload)
+			Expect(errorx.IsOfType(err, oleanderspool.ErrUncertain)).To(BeTrue(), "%v", err)
+		}
+	})
+
 	It("returns a response of any status and limits its length", func(ctx context.Context) {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			Expect(r.Header.Get("Idempotency-Key")).To(BeEmpty())
--- a/internal/service/once/once.go
+++ b/internal/service/once/once.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/tcp"
 )
 
 // DefaultDialTimeout bounds the time to connect. Peers are in the same region,
@@ -86,7 +87,11 @@
 			if _, err := netip.ParseAddrPort(address); err != nil {
 				return nil, oleanderspool.ErrInvalid.Wrap(err, "address is not an IP number and port")
 			}
-			return dialer.DialContext(ctx, network, address)
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return tcp.NewConn(conn), nil
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    8,
--- a/internal/service/once/pooled.go
+++ b/internal/service/once/pooled.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
 	"github.com/oleanderspool/oleanderspool"
+	"github.com/oleanderspool/oleanderspool/internal/tcp"
 )
 
 const (
@@ -91,7 +91,7 @@
 	// responded is set only by the first byte.
 	decided   atomic.Bool
 	responded atomic.Bool
-	conn      atomic.Pointer[net.TCPConn]
+	conn      atomic.Pointer[tcp.Conn]
 }
 
 func newFirstByteWait(parent context.Context, timeout time.Duration) *firstByteWait {
@@ -103,7 +103,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			w.connected.Store(true)
 			w.reused.Store(info.Reused)
-			if conn, ok := info.Conn.(*net.TCPConn); ok {
+			if conn, ok := info.Conn.(*tcp.Conn); ok {
 				w.conn.Store(conn)
 			}
 			if info.Reused {
