Reject answers with a status below 100

What callers saw: through an agent, an answer of a plain service with the status 000 was passed on as one. An entry took it for an interim answer and read on, so that whatever followed on the connection became the answer.

Cause: net/http accepts any three digits as a status, and both clients compared it only with 200.

Change: a status below 100 is an uncertain outcome, as other bytes that are no answer, for entries, agents and their engines.

Measured: "fails on an answer with the status 000" (internal/backend) and "reports an uncertain outcome for a response with the status 000" (internal/service) failed before and pass now.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -133,6 +133,9 @@
 		if err != nil {
 			return err
 		}
+		if response.StatusCode < http.StatusContinue {
+			return oleanderspool.ErrUncertain.New("received an answer with the status %03d", response.StatusCode)
+		}
 		if response.StatusCode < http.StatusOK {
 			if interim++; interim > maxInterimAnswers {
 				return errAnswerTooLong
--- a/internal/backend/exchange_test.go
+++ b/internal/backend/exchange_test.go
@@ -186,6 +186,19 @@
 		Expect(body).To(Equal("whole"))
 	})
 
+	// Guards against an answer that is read behind one whose status is none of HTTP.
+	It("fails on an answer with the status 000", func() {
+		for _, answer := range []string{"HTTP/1.1 000 Unknown\r\nContent-Length: 2\r\n\r\nno", "HTTP/1.1 000 Unknown\r\n\r\n" + completeAnswer} {
+			s := serve(func(conn net.Conn, r *bufio.Reader) {
+				if readRequest(r) {
+					write(conn, answer)
+				}
+			})
+			_, err := get(newPool(), s, backend.Request{})
+			Expect(errorx.IsOfType(err, oleanderspool.ErrUncertain)).To(BeTrue())
+		}
+	})
+
 	// Guards against the rest of a request body that the server reads as the next
 	// request.
 	It("closes the connection when the answer arrives before the whole body was sent", func() {
--- a/internal/service/client_test.go
+++ b/internal/service/client_test.go
@@ -134,6 +134,15 @@
 		}
 	})
 
+	// Guards against a response that is passed on although its status is none of HTTP.
+	It("reports an uncertain outcome for a response with the status 000", func(ctx context.Context) {
+		address := rawServer(func(conn *net.TCPConn, _ *http.Request) {
+			_, _ = conn.Write([]byte("HTTP/1.1 000 Unknown\r\nContent-Length: 2\r\n\r\nno"))
+		})
+		_, err := service.NewClient(address).Call(ctx, calls[2])
+		Expect(errorx.IsOfType(err, oleanderspool.ErrUncertain)).To(BeTrue(), "%v", err)
+	})
+
 	It("returns a response of any status and limits its length", func(ctx context.Context) {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			Expect(r.Header.Get("Idempotency-Key")).To(BeEmpty())
--- a/internal/service/once/once.go
+++ b/internal/service/once/once.go
@@ -58,7 +58,7 @@
 	request.Header.Del("X-Idempotency-Key")
 	response, err := s.transport.RoundTrip(request)
 	if err == nil {
-		return response, nil
+		return checkStatus(response)
 	}
 	if connected {
 		return nil, oleanderspool.ErrUncertain.Wrap(err, "connection to %s failed", request.URL.Host)
@@ -66,6 +66,16 @@
 	return nil, oleanderspool.ErrNotSent.Wrap(err, "cannot connect to %s", request.URL.Host)
 }
 
+// checkStatus returns the response, or an error of type ErrUncertain if its status is not
+// one of HTTP, such as 000.
+func checkStatus(response *http.Response) (*http.Response, error) {
+	if response.StatusCode >= http.StatusContinue {
+		return response, nil
+	}
+	_ = response.Body.Close() // the connection is not used again
+	return nil, oleanderspool.ErrUncertain.New("received a response with the status %03d", response.StatusCode)
+}
+
 // WithTimeout returns a context that ends after timeout milliseconds. A context
 // that already has a deadline keeps it: the timeout is rounded down to
 // milliseconds, so it could end the call before the caller's context, and the
--- a/internal/service/once/pooled.go
+++ b/internal/service/once/pooled.go
@@ -63,7 +63,7 @@
 	switch {
 	case err == nil && responded:
 		response.Body = &cancellingBody{ReadCloser: response.Body, cancel: w.cancel}
-		return response, nil
+		return checkStatus(response)
 	case err == nil:
 		_ = response.Body.Close()
 		err = context.Canceled
