Predict the backlog of a server from the prefills that it has done

Cause: the prediction of a server's prefills simulates the tasks that still wait. As soon as one had ended, the time that the server spent on it was counted for the others. Entries then took a server with 2 s of work for an idle one and placed the next shards there. A server prefills the newest shards first, so each of them delayed the prompts that waited already. Traced on a prompt of 332,563 tokens: another entry placed 440,944 tokens on two of the same three servers 2 ms before, and three more prompts followed on them while the first one was overdue.

Change: tasks whose prefill has ended stay in the simulation while others of the same time wait. Where one ended sooner than simulated, the others get back the time that the simulation gave them.

Two specs of "The predicted backlog of a server" failed before (with a stub of the new function) and pass now.

--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -120,7 +120,9 @@
 func (s *sharedState) recordFirstToken(as assignment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.clock.Now()
 	for i, id := range as.ids {
+		s.scheduler.FinishPrefill(id, now)
 		if i > 0 && as.Helpers[i-1].ReservedTokens == 0 {
 			s.removeTasks(as.ids[i : i+1])
 			continue
@@ -142,6 +144,7 @@
 func (s *sharedState) removeTasks(ids []placement.TaskID) {
 	for _, id := range ids {
 		if _, found := s.scheduler.Task(id); found {
+			s.scheduler.FinishPrefill(id, s.clock.Now())
 			s.scheduler.Remove(id)
 			s.ended = append(s.ended, id)
 			delete(s.changed, id)
@@ -422,9 +425,13 @@
 		if _, known := s.scheduler.Task(t.ID); !known && t.OutputTokens > 0 {
 			s.scheduler.ObserveDelay(g.Age, now)
 		}
+		if t.Decoding {
+			s.scheduler.FinishPrefill(t.ID, now)
+		}
 		s.scheduler.Add(t)
 	}
 	for _, id := range m.EndedTasks {
+		s.scheduler.FinishPrefill(id, now)
 		s.scheduler.Remove(id)
 	}
 	if m.Complete {
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -42,6 +42,9 @@
 	Decoding             bool // the first token has been produced
 }
 
+// never is an instant that does not come.
+const never = oleanderspool.Millis(math.MaxInt64)
+
 // taskExpiry is the age at which a task is removed, in case its end was not reported.
 // A request that runs for longer is no longer counted.
 const taskExpiry = 20 * oleanderspool.Second
@@ -71,6 +74,7 @@
 // without tasks until [Scheduler.Expire], so that its memory is reused.
 type serverState struct {
 	tasks    []*Task
+	finished []finishedPrefill // since the first task that waits was placed
 	load     serverLoad
 	changed  bool // the load does not reflect the tasks
 	tieBreak float64
@@ -290,7 +294,7 @@
 		return l
 	}
 	l.calculatedAt = now
-	l.predict(e, now)
+	l.predict(e, st.finished, now)
 	return l
 }
 
@@ -319,9 +323,12 @@
 	if l.decoding > 0 {
 		l.passDuration = passMillis(e, l.decoding, contextTokens)
 	}
-	slices.SortFunc(l.pending, func(x, y *Task) int {
-		return cmp.Or(cmp.Compare(x.PlacedAt, y.PlacedAt), cmp.Compare(x.ID, y.ID))
-	})
+	slices.SortFunc(l.pending, comparePlacement)
+}
+
+// comparePlacement compares two tasks by the instant at which they were placed.
+func comparePlacement(x, y *Task) int {
+	return cmp.Or(cmp.Compare(x.PlacedAt, y.PlacedAt), cmp.Compare(x.ID, y.ID))
 }
 
 func (l *serverLoad) addStream(t *Task) {
@@ -335,10 +342,10 @@
 }
 
 // predict calculates what changes with the time.
-func (l *serverLoad) predict(e *directory.Engine, now oleanderspool.Millis) {
+func (l *serverLoad) predict(e *directory.Engine, finished []finishedPrefill, now oleanderspool.Millis) {
 	l.backlog, l.maxPassPrefill = 0, 0
 	l.prefills = l.prefills[:0]
-	order, left := l.simulation.run(l.pending, now)
+	order, left := l.simulation.run(l.pending, finished, now)
 	for _, i := range order {
 		if left[i] == 0 {
 			continue
@@ -369,72 +376,3 @@
 	*Task
 	finishesIn float64 // time in ms until its prefill is done
 }
-
-// simulation predicts the prefills of a server. It keeps its slices for reuse.
-type simulation struct {
-	order         []int
-	left, endedAt []float64
-}
-
-// setOrder sets order to the indices of tasks, which are sorted by placement time,
-// in the order in which a server prefills them: shards first, newest first, then
-// whole prompts, oldest first.
-func (si *simulation) setOrder(tasks []*Task) {
-	si.order = si.order[:0]
-	for i := len(tasks) - 1; i >= 0; i-- {
-		if tasks[i].Sharded {
-			si.order = append(si.order, i)
-		}
-	}
-	for i, t := range tasks {
-		if !t.Sharded {
-			si.order = append(si.order, i)
-		}
-	}
-}
-
-// overdueFactor predicts the rest of an overdue prefill, as a fraction of the time
-// for which it is overdue.
-const overdueFactor = 0.3
-
-// run returns the order of the tasks and the remaining prefill time of each in ms. It
-// simulates a server that always runs the first task of the order among those placed
-// so far. The results are valid until the next run.
-func (si *simulation) run(tasks []*Task, now oleanderspool.Millis) (order []int, left []float64) {
-	si.setOrder(tasks)
-	si.left, si.endedAt = si.left[:0], si.endedAt[:0]
-	for _, t := range tasks {
-		si.left = append(si.left, t.PrefillMillis)
-		si.endedAt = append(si.endedAt, 0)
-	}
-	end := float64(now)
-	for clock := 0.0; clock < end; {
-		next, current := end, -1
-		for _, i := range si.order {
-			switch at := float64(tasks[i].PlacedAt); {
-			case at > clock:
-				next = min(next, at)
-			case si.left[i] > 0 && current < 0:
-				current = i
-			}
-		}
-		if current < 0 {
-			clock = next
-			continue
-		}
-		duration := min(next-clock, si.left[current])
-		si.left[current] -= duration
-		clock += duration
-		if si.left[current] <= 0 {
-			si.left[current], si.endedAt[current] = 0, clock
-		}
-	}
-	for i, t := range tasks {
-		// The end of the prefill is reported for a request, but not for the shards
-		// of helpers, so only a request can be known to be overdue.
-		if si.left[i] == 0 && t.OutputTokens > 0 && t.PrefillMillis > 0 {
-			si.left[i] = (end - si.endedAt[i]) * overdueFactor
-		}
-	}
-	return si.order, si.left
-}
