Accept the longest prompts under more load when they come back

Cause: prefill costs more per token the longer a prompt is, and the refusal by cost compares the cost with the value, which grows with the length only. The surcharge of a prompt that came back is bounded, but the delay of others alone came to 0.9 to 1.2 of its value.

The mean is taken over the placements of all entries, which each entry knows, so that nothing more is sent.

The specs of "A prompt that is far longer than usual" do not compile on the code before; the first fails with the old bound.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -158,7 +158,7 @@
 	d.MeanBacklog = millis(meanBacklog)
 	prefill := prefillMillis(e, r.PromptTokens)
 	d.Cost += r.prefillCost(prefill, meanBacklog)
-	if !r.Started && prefill >= longPrefill && d.Cost > refusalFraction*r.Value() {
+	if !r.Started && prefill >= longPrefill && d.Cost > sc.refusalFraction(r, d)*r.Value() {
 		d.Refused = RefusedCost
 	}
 }
--- a/internal/placement/export_test.go
+++ b/internal/placement/export_test.go
@@ -15,3 +15,8 @@
 func (sc *Scheduler) FinishedPrefills(server oleanderspool.InstanceID) int {
 	return len(sc.state(server).finished)
 }
+
+// MeanValues returns the number of TTFT goals with a mean value.
+func (sc *Scheduler) MeanValues() int {
+	return len(sc.means)
+}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -67,6 +67,7 @@
 	wholeCandidates               []wholeCandidate
 	unknown                       unknownPlacements
 	contentions                   map[string]*contention // by service
+	means                         meanValues
 	dataCentres                   dataCentres
 }
 
@@ -108,7 +109,7 @@
 		byServer: make(map[oleanderspool.InstanceID]*serverState),
 		avoided:  make(map[oleanderspool.InstanceID]avoidance),
 
-		contentions: make(map[string]*contention),
+		contentions: make(map[string]*contention), means: make(meanValues),
 
 		maxCandidates: defaultMaxCandidates, maxHelperCandidates: defaultMaxHelperCandidates,
 	}
@@ -129,6 +130,7 @@
 		}
 		sc.detach(old)
 	}
+	sc.means.record(t)
 	added := new(Task) // not &t, which would be allocated for a replaced task too
 	*added = t
 	st := sc.state(t.Server)
