Extend the grace period when the store fails again during it

Cause: the second recovery replaced the first one. The records since then show that the store was reachable, which ended the grace period for the removals of the first outage too.

Change: a recovery lasts until its grace period ends, and a later failure extends it.

--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -557,10 +557,11 @@
 	return true
 }
 
-// beginGrace begins a grace period at the first reply after an outage.
+// beginGrace begins a grace period at the first reply after an outage, or extends the one
+// of an earlier outage: the removals that it defers are not explained by the later one.
 func (f *Follower) beginGrace(now oleanderspool.Millis) {
-	if f.recovery.counts() {
-		f.recovery.startedAt = now // the records of the replies before the last failure are still needed
+	if f.recovery != nil {
+		f.recovery.startedAt = now
 		return
 	}
 	f.recovery = newRecovery(now, f.servers.lastReadAt, f.view.UsableInstances())
--- a/internal/directory/outage.go
+++ b/internal/directory/outage.go
@@ -52,11 +52,6 @@
 	return r
 }
 
-// counts reports whether the records since lastReadAt are still being counted.
-func (r *recovery) counts() bool {
-	return r != nil && r.renewals != nil
-}
-
 // count counts the records of a reply.
 func (r *recovery) count(changes []Change) {
 	for _, c := range changes {
--- a/internal/directory/outage_test.go
+++ b/internal/directory/outage_test.go
@@ -33,6 +33,7 @@
 type simulatedRegistry struct {
 	clock       *clock.Manual
 	cut, outage span // of the entry only, of the store
+	again       span // a second outage of the store
 	refuses     bool // an unreachable store answers with an error at once
 	leftAt      oleanderspool.Millis
 	records     []timedChange
@@ -67,7 +68,7 @@
 		for at := oleanderspool.Millis(i) * 170; at < r.end; at += 10 {
 			change := directory.Change{Instance: server.Instance}
 			switch {
-			case r.outage.contains(at):
+			case r.down(at):
 				continue
 			case i == 0 && r.leftAt > 0 && at >= r.leftAt:
 				change.Removed = true
@@ -93,6 +94,11 @@
 	}
 }
 
+// down reports whether the store is in an outage.
+func (r *simulatedRegistry) down(at oleanderspool.Millis) bool {
+	return r.outage.contains(at) || r.again.contains(at)
+}
+
 func (r *simulatedRegistry) Newest(ctx context.Context, _ string) (directory.Batch, error) {
 	return r.Read(ctx, 0, 0)
 }
@@ -104,7 +110,7 @@
 	if now >= r.end {
 		r.cancel()
 	}
-	if r.cut.contains(now) || r.outage.contains(now) {
+	if r.cut.contains(now) || r.down(now) {
 		if r.refuses {
 			r.clock.Advance(250)
 			return directory.Batch{}, oleanderspool.ErrUnavailable.New("refused")
@@ -167,16 +173,17 @@
 	// Guards against an empty registry after an outage of the store, in which running
 	// servers could not renew their registrations.
 	for _, c := range []struct {
-		name        string
-		outage, cut span
-		refuses     bool
+		name               string
+		outage, again, cut span
+		refuses            bool
 	}{
-		{"keeps the servers whose registrations expired in an outage", span{10_000, 15_000}, span{}, false},
-		{"keeps them after a short outage", span{10_000, 13_000}, span{}, true},
-		{"keeps them when the entry was cut off before and during the outage", span{10_000, 15_000}, span{8_000, 14_500}, false},
+		{"keeps the servers whose registrations expired in an outage", span{10_000, 15_000}, span{}, span{}, false},
+		{"keeps them after a short outage", span{10_000, 13_000}, span{}, span{}, true},
+		{"keeps them when the entry was cut off before and during the outage", span{10_000, 15_000}, span{}, span{8_000, 14_500}, false},
+		{"keeps them when the store fails again before they have renewed them", span{10_000, 15_000}, span{15_200, 15_400}, span{}, true},
 	} {
 		It(c.name, func() {
-			r := &simulatedRegistry{outage: c.outage, cut: c.cut, refuses: c.refuses, end: 20_000}
+			r := &simulatedRegistry{outage: c.outage, again: c.again, cut: c.cut, refuses: c.refuses, end: 20_000}
 			r.follow()
 			for _, u := range r.usable[1:] {
 				Expect(u.servers).To(Equal(simulatedServers), "at %d", u.at)
