Count removed servers in the assessment of an outage

What callers would see: after an outage of the store of about three heartbeats, servers whose registrations had expired were removed until they had renewed them, some 0.6 s later.

Cause: only the servers that were still registered were counted. They are those that had renewed last, and they renew again as soon as the store is back, so that less than a heartbeat seemed to be missing. When the store failed again, a failed read ended the grace period although renewals could be among the records that it did not get.

Change: all servers that were usable count, up to their removal. Up to half a heartbeat without renewals the store was reachable; up to a whole one, no more than a third of the servers may be removed. Removals stay deferred while reads fail.

Ruled out: a bound of half a heartbeat alone; servers that renew at the same instants miss up to a whole one after a cut.

All specs of internal/directory pass with the race detector.

--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -358,8 +358,7 @@
 	from, sentAt := f.servers.next, f.clock.Now()
 	batch, ok := f.read(ctx, &f.servers, 0)
 	if !ok {
-		f.removeExpired()
-		return false
+		return false // the store may be out of reach of the servers again
 	}
 	applied := f.applyRead(batch, sentAt)
 	if batch.More {
@@ -398,14 +397,15 @@
 // assessOutage ends the grace period if the servers renewed their registrations while
 // the store did not answer this entry.
 func (f *Follower) assessOutage(sentAt oleanderspool.Millis) {
-	unrenewed, known := f.recovery.unrenewed(sentAt, f.heartbeat)
-	f.recovery.ignoreRecords()
-	if !known {
+	if len(f.recovery.renewals) == 0 {
 		return
 	}
-	expiry := unrenewed > maxMissedHeartbeats*f.heartbeat
-	f.logger.Info("renewals by servers assessed", "since_ms", int64(sentAt-f.recovery.lastReadAt), "unrenewed_ms", int64(unrenewed), "defers_removals", expiry)
-	if !expiry {
+	unrenewed := f.recovery.unrenewed(sentAt, f.heartbeat)
+	defers := f.recovery.defersRemovals(unrenewed, f.heartbeat)
+	f.logger.Info("renewals by servers assessed", "since_ms", int64(sentAt-f.recovery.lastReadAt), "unrenewed_ms", int64(unrenewed),
+		"servers", len(f.recovery.renewals), "removed", len(f.recovery.removed), "defers_removals", defers)
+	f.recovery.ignoreRecords()
+	if !defers {
 		f.endGrace()
 	}
 }
--- a/internal/directory/outage.go
+++ b/internal/directory/outage.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/oleanderspool/oleanderspool"
@@ -17,11 +18,15 @@
 	// heartbeats without a renewal, and the last one may have preceded the outage by
 	// one and some delay.
 	expiryHeartbeats = 1.6
-	// maxMissedHeartbeats is the time without renewals, in heartbeats of the servers, up
-	// to which the store counts as reachable for them. A read meets the heartbeats of a
-	// server at any phase, so that one may be missing; an outage by which registrations
-	// expire lasts longer.
-	maxMissedHeartbeats = 1
+	// maxUnrenewed is the time without renewals, in heartbeats of the servers, up to which
+	// the store may have been reachable for them. A read meets the heartbeats of a server
+	// at any phase, so that one may be missing.
+	maxUnrenewed = 1
+	// surelyRenewed is the same up to which it was reachable. In between, servers that
+	// renew at the same instants look as after an outage.
+	surelyRenewed = 0.5
+	// maxDoubtfulRemovals is the fraction of the servers that may be removed in doubt.
+	maxDoubtfulRemovals = 1.0 / 3
 	// defaultHeartbeat applies without [WithHeartbeat].
 	defaultHeartbeat = 1200 * oleanderspool.Millis(1)
 )
@@ -36,16 +41,20 @@
 	lastReadAt oleanderspool.Millis
 	// reachableSince is that of the follower before the failures.
 	reachableSince oleanderspool.Millis
-	// renewals counts the records since lastReadAt of each server that was usable then
-	// and is still registered; nil when it is not or no longer of use: the records are
-	// not known one by one, or they have been assessed.
+	// renewals counts the records since lastReadAt of each server that was usable then,
+	// up to its removal; nil when they are not or no longer of use: the records are not
+	// known one by one, or they have been assessed.
 	renewals map[oleanderspool.InstanceID]int
+	removed  map[oleanderspool.InstanceID]bool // of those in renewals
 }
 
 // newRecovery returns the recovery at an instant from failures since a read that was sent
 // at lastReadAt, with the servers that were usable then.
 func newRecovery(now, lastReadAt oleanderspool.Millis, usable []oleanderspool.InstanceID) *recovery {
-	r := &recovery{startedAt: now, lastReadAt: lastReadAt, renewals: make(map[oleanderspool.InstanceID]int, len(usable))}
+	r := &recovery{
+		startedAt: now, lastReadAt: lastReadAt,
+		renewals: make(map[oleanderspool.InstanceID]int, len(usable)), removed: make(map[oleanderspool.InstanceID]bool),
+	}
 	for _, id := range usable {
 		r.renewals[id] = 0
 	}
@@ -57,9 +66,9 @@
 	for _, c := range changes {
 		n, counted := r.renewals[c.Instance]
 		switch {
-		case !counted:
+		case !counted || r.removed[c.Instance]:
 		case c.Removed:
-			delete(r.renewals, c.Instance)
+			r.removed[c.Instance] = true
 		default:
 			r.renewals[c.Instance] = n + 1
 		}
@@ -74,19 +83,18 @@
 }
 
 // unrenewed returns for how long, up to a read that was sent at an instant, most servers
-// did not renew their registrations although they were due at the given interval, or
-// false if the records do not show it.
-func (r *recovery) unrenewed(sentAt, heartbeat oleanderspool.Millis) (oleanderspool.Millis, bool) {
-	if len(r.renewals) == 0 {
-		return 0, false
-	}
-	counts := make([]int, 0, len(r.renewals))
-	for _, n := range r.renewals {
-		counts = append(counts, n)
-	}
-	slices.Sort(counts)
+// did not renew their registrations although they were due at the given interval.
+func (r *recovery) unrenewed(sentAt, heartbeat oleanderspool.Millis) oleanderspool.Millis {
+	counts := slices.Sorted(maps.Values(r.renewals))
 	median := counts[len(counts)/2]
-	return max(0, sentAt-r.lastReadAt-oleanderspool.Millis(median)*heartbeat), true
+	return max(0, sentAt-r.lastReadAt-oleanderspool.Millis(median)*heartbeat)
+}
+
+// defersRemovals reports whether registrations may have expired because the servers could
+// not reach the store for a duration.
+func (r *recovery) defersRemovals(unrenewed, heartbeat oleanderspool.Millis) bool {
+	doubtful := unrenewed > part(heartbeat, surelyRenewed)
+	return unrenewed > maxUnrenewed*heartbeat || doubtful && float64(len(r.removed)) > maxDoubtfulRemovals*float64(len(r.renewals))
 }
 
 // graceLeft returns how much longer removals are deferred.
--- a/internal/directory/server_list.go
+++ b/internal/directory/server_list.go
@@ -92,7 +92,6 @@
 	sentAt := f.clock.Now()
 	batch, err := f.servers.feed.Read(ctx, f.servers.next, 0)
 	if !f.recordReply(ctx, &f.servers, err) {
-		f.removeExpired()
 		if err != nil && f.servers.feed.Compacted(err) {
 			f.list = nil
 		}
