Run the fuzz test of outages in a process of its own

The race detector ends the process by a check of its own when a process that has made very many synchronizing calls then runs many goroutines; startup_scale_race_test.go already names the same check. The 1,000 checks of TestOutagesAndCuts make those calls, and TestStartAfterOutage starts 120 goroutines in the same process after them.

Change: the tests of outages move, unchanged, to a package of tests, internal/directory/outagetest.

--- a/internal/directory/outage_test.go
+++ b/internal/directory/outagetest/outage_test.go
@@ -1,4 +1,4 @@
-package directory_test
+package outagetest_test
 
 import (
 	"context"
