Give the whole receive buffer only to connections that send a body

Each accepted connection had a receive buffer of 1/2048 of the memory, which the kernel fills to 1.5 times of it. Ruled out: the accept queue, which stays within its part, and the memory of the process, 76 MiB.

Change: a connection keeps the smaller buffer that it has in the accept queue, and gets the whole one when a body longer than it is about to be read, out of the limit for unread bytes. It returns it when the request has arrived, when the next header is awaited and when it is closed.

TestReceiveBuffers now asks for the smaller buffer after the accept, too. internal/clientconn, clientlimit and forward pass. Not measured: uploads over a link with a delay.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -33,6 +33,7 @@
 	clock   oleanderspool.Clock
 	tally   *observe.Tally
 	headers *buffer.Budget
+	uploads *buffer.Budget // whole receive buffers
 	opened  atomic.Uint64
 	ending  atomic.Int64 // connections closed for others whose requests have not ended
 
@@ -45,7 +46,7 @@
 func NewGuard(limits clientlimit.Limits, clock oleanderspool.Clock, tally *observe.Tally) *Guard {
 	return &Guard{
 		limits: limits, clock: clock, tally: tally, headers: buffer.NewBudget(limits.HeaderMemory),
-		table: clientlimit.NewTable(limits), open: make(map[clientlimit.ID]*Conn),
+		uploads: buffer.NewBudget(limits.UnreadBytes), table: clientlimit.NewTable(limits), open: make(map[clientlimit.ID]*Conn),
 	}
 }
 
@@ -85,9 +86,9 @@
 // it keeps for a client that does not read, so that such a client shows at once. The
 // connections inherit it. If it fails, Sweep still closes those with unread bytes.
 //
-// The kernel also receives for connections that wait to be accepted: about 300 of 400
-// clients held 18 of 21 MB that way, on an instance of 72 MiB. So they get a smaller
-// buffer until they are accepted, and a bounded queue.
+// The kernel also receives for connections that wait to be accepted, and for requests that
+// wait for memory or have been refused. So a connection gets a smaller buffer, unless it
+// sends a body, and the queue is bounded.
 func (g *Guard) limitBuffers(l *net.TCPListener) {
 	raw, err := l.SyscallConn()
 	if err != nil {
@@ -100,19 +101,6 @@
 	})
 }
 
-// raiseBuffer gives an accepted connection its whole receive buffer. If it fails, the
-// connection is slower.
-func (g *Guard) raiseBuffer(conn *net.TCPConn) {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, g.limits.SocketBuffer)
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, g.limits.SocketBuffer)
-	})
-}
-
 type listener struct {
 	net.Listener
 	guard *Guard
@@ -131,7 +119,6 @@
 		}
 		l.guard.awaitEnding()
 		if c := l.guard.add(tcp); c != nil {
-			l.guard.raiseBuffer(tcp)
 			return c, nil
 		}
 		_ = tcp.Close() // nothing was received or sent
@@ -229,6 +216,7 @@
 	defer c.mu.Unlock()
 	c.closed = true
 	c.release()
+	c.returnBuffer()
 }
 
 // Sweep closes the connections that have waited for a request, or for the rest of its
@@ -314,6 +302,7 @@
 	headerStartedAt oleanderspool.Millis // arrival of the first byte of the header; 0 before it
 	scan            scanner
 	reserved        int // memory of the header beyond the free part
+	buffer          int // memory of the whole receive buffer; 0 for the smaller one
 	// pipelines means that the client has sent bytes of a request before the answer to
 	// the one before, so it is not known which of the bytes read belong to which.
 	pipelines  bool
@@ -431,6 +420,7 @@
 func (c *Conn) startHeader(now oleanderspool.Millis) bool {
 	c.mu.Lock()
 	c.release()
+	c.lowerBuffer()
 	leftover := c.leftover()
 	c.inHeader, c.waitingSince, c.headerStartedAt = true, now, 0
 	c.scan, c.afterHead = scanner{}, 0
@@ -469,11 +459,58 @@
 	return false
 }
 
+// StartBody records that the body of a request is about to be read. It gives the
+// connection the whole receive buffer if the body needs it and there is room; otherwise
+// the body arrives more slowly.
+func (c *Conn) StartBody(length int64) {
+	limits := c.guard.limits
+	if 0 <= length && length <= int64(limits.PendingBuffer) {
+		return
+	}
+	memory := limits.ReceiveMemory()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.buffer > 0 || !c.guard.uploads.Reserve(memory) {
+		return
+	}
+	c.buffer = memory
+	c.setBuffer(limits.SocketBuffer)
+}
+
+// lowerBuffer returns to the smaller receive buffer. What the kernel has received stays.
+// c.mu is held.
+func (c *Conn) lowerBuffer() {
+	if c.buffer > 0 && !c.closed {
+		c.setBuffer(c.guard.limits.PendingBuffer)
+	}
+	c.returnBuffer()
+}
+
+// returnBuffer returns the memory of the whole receive buffer. c.mu is held.
+func (c *Conn) returnBuffer() {
+	c.guard.uploads.Release(c.buffer)
+	c.buffer = 0
+}
+
+// setBuffer sets the size of the receive buffer in bytes. If it fails, the connection is
+// slower, or Sweep closes it when it holds much.
+func (c *Conn) setBuffer(bytes int) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes)
+	})
+}
+
 // Run records that a whole request has arrived, so that the connection is not closed in
 // favour of another one.
 func (c *Conn) Run() {
 	c.update((*clientlimit.Table).Run)
 	c.mu.Lock()
+	c.lowerBuffer()
 	pipelines := c.isAhead()
 	c.mu.Unlock()
 	if pipelines {
--- a/internal/clientconn/conn_test.go
+++ b/internal/clientconn/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
@@ -16,16 +17,12 @@
 )
 
 // TestReceiveBuffers guards against connections that hold memory while they wait to be
-// accepted, and against accepted ones that keep the smaller buffer.
+// accepted or for memory, and against bodies that are received with the smaller buffer.
 func TestReceiveBuffers(t *testing.T) {
 	for _, megabytes := range []int64{72, 136, 300, 512} {
 		g := NewWithT(t)
 		limits := clientlimit.ForInstance(megabytes<<20, 0)
-		inner, err := net.Listen("tcp4", "127.0.0.1:0")
-		g.Expect(err).NotTo(HaveOccurred())
-		defer inner.Close()
-		guard := clientconn.NewGuard(limits, clock.NewBoot(), observe.NewTally(clock.NewBoot(), nil, observe.NewMetrics(), ""))
-		listener := guard.Listen(inner)
+		inner, listener, _ := listen(t, g, limits)
 
 		unreadOf := func(accept func() (net.Conn, error)) int {
 			conn, err := net.Dial("tcp4", inner.Addr().String())
@@ -41,10 +38,65 @@
 			return unread(g, accepted)
 		}
 		g.Expect(unreadOf(inner.Accept)).To(BeNumerically("<=", 2*limits.PendingBuffer), "before it is accepted, %d MiB", megabytes)
-		g.Expect(unreadOf(listener.Accept)).To(BeNumerically(">=", limits.SocketBuffer*15/16), "accepted, %d MiB", megabytes)
+		g.Expect(unreadOf(listener.Accept)).To(BeNumerically("<=", 2*limits.PendingBuffer), "accepted, %d MiB", megabytes)
+		g.Expect(unreadOf(func() (net.Conn, error) {
+			accepted, err := listener.Accept()
+			accepted.(*clientconn.Conn).StartBody(-1)
+			return accepted, err
+		})).To(BeNumerically(">=", limits.SocketBuffer*15/16), "sends a body, %d MiB", megabytes)
 	}
 }
 
+// TestWholeReceiveBuffers guards against bodies that wait for memory and together fill more
+// receive buffers than the limit for unread bytes, and against buffers that are not returned.
+func TestWholeReceiveBuffers(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(*http.Server, *clientconn.Conn) // returns the buffer
+	}{
+		{"a whole request", func(_ *http.Server, c *clientconn.Conn) { c.Run() }},
+		{"an answer before the end of the body", func(s *http.Server, c *clientconn.Conn) { s.ConnState(c, http.StateIdle) }},
+		{"a closed connection", func(s *http.Server, c *clientconn.Conn) { s.ConnState(c, http.StateClosed) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			limits := clientlimit.ForInstance(136<<20, 0)
+			limits.UnreadBytes = int64(2 * limits.ReceiveMemory())
+			inner, listener, server := listen(t, g, limits)
+			var conns []*clientconn.Conn
+			start := func() int {
+				conn, err := net.Dial("tcp4", inner.Addr().String())
+				g.Expect(err).NotTo(HaveOccurred())
+				t.Cleanup(func() { _ = conn.Close() })
+				accepted, err := listener.Accept()
+				g.Expect(err).NotTo(HaveOccurred())
+				t.Cleanup(func() { _ = accepted.Close() })
+				conns = append(conns, accepted.(*clientconn.Conn))
+				conns[len(conns)-1].StartBody(-1)
+				fill(conn)
+				return unread(g, accepted)
+			}
+			whole, smaller := limits.SocketBuffer*15/16, 2*limits.PendingBuffer
+			g.Expect(start()).To(BeNumerically(">=", whole))
+			g.Expect(start()).To(BeNumerically(">=", whole))
+			g.Expect(start()).To(BeNumerically("<=", smaller), "beyond the limit")
+			c.end(server, conns[0])
+			g.Expect(start()).To(BeNumerically(">=", whole), "after one was returned")
+			g.Expect(start()).To(BeNumerically("<=", smaller), "beyond the limit again")
+		})
+	}
+}
+
+func listen(t *testing.T, g *WithT, limits clientlimit.Limits) (inner, guarded net.Listener, server *http.Server) {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = inner.Close() })
+	guard := clientconn.NewGuard(limits, clock.NewBoot(), observe.NewTally(clock.NewBoot(), nil, observe.NewMetrics(), ""))
+	server = new(http.Server)
+	guard.Install(server)
+	return inner, guard.Listen(inner), server
+}
+
 // fill sends until the kernel takes no more, and returns the number of bytes.
 func fill(conn net.Conn) int {
 	sum := 0
--- a/internal/clientlimit/limits.go
+++ b/internal/clientlimit/limits.go
@@ -35,8 +35,8 @@
 	socketPart = 1.0 / 2048
 	// maxSocketBuffer serves 200 Mbit/s at a round trip of 10 ms.
 	maxSocketBuffer = 256 << 10
-	// pendingBufferPart is the part of the socket buffer for a connection that is not
-	// accepted yet. An ordinary header and a short prompt fit into it.
+	// pendingBufferPart is the part of the socket buffer for a connection that sends no
+	// large body. An ordinary header and a short prompt fit into it.
 	pendingBufferPart = 1.0 / 4
 	// maxUnscaledBuffer is the largest socket buffer for which pendingBufferPart applies.
 	// The kernel chooses the window scale of a connection from its first buffer, and
@@ -71,7 +71,7 @@
 	SmallBodyMemory    int64 // bodies up to a few KiB, in addition to BodyMemory
 	UnreadBytes        int64 // bytes that arrived and were not read
 	SocketBuffer       int   // receive buffer and send buffer of a connection in the kernel
-	PendingBuffer      int   // receive buffer of a connection that is not accepted yet
+	PendingBuffer      int   // receive buffer of a connection that sends no large body
 	PendingConnections int   // connections that wait to be accepted
 }
 
@@ -108,14 +108,18 @@
 	return l
 }
 
+// ReceiveMemory returns the memory in bytes of the receive buffer of a connection that
+// sends a large body.
+func (l Limits) ReceiveMemory() int { return kernelBufferFactor * l.SocketBuffer }
+
 // pendingBuffer returns the first receive buffer of a connection that gets a larger one
-// when it is accepted. It is a power of two if the window needs a scale: with that one
+// when it sends a large body. It is a power of two if the window needs a scale: with that one
 // the window can grow to twice the buffer.
-func pendingBuffer(accepted int) int {
-	if accepted <= maxUnscaledBuffer {
-		return int(float64(accepted) * pendingBufferPart)
+func pendingBuffer(whole int) int {
+	if whole <= maxUnscaledBuffer {
+		return int(float64(whole) * pendingBufferPart)
 	}
-	return 1 << (bits.Len(uint(accepted-1)) - 1)
+	return 1 << (bits.Len(uint(whole-1)) - 1)
 }
 
 const (
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -182,6 +182,10 @@
 	if t.request.ContentLength > limit {
 		return oleanderspool.Refuse(oleanderspool.RefusalBodyTooLarge, "the body is too large")
 	}
+	conn := clientconn.FromContext(t.request.Context())
+	if conn != nil {
+		conn.StartBody(t.request.ContentLength)
+	}
 	controller := http.NewResponseController(w)
 	t.setReadDeadline(controller, time.Now().Add(t.remaining().Duration()))
 	defer context.AfterFunc(t.gateway.ended, func() { t.setReadDeadline(controller, time.Now()) })()
@@ -214,7 +218,7 @@
 	}
 	t.setReadDeadline(controller, time.Time{})
 	t.received = true
-	if conn := clientconn.FromContext(t.request.Context()); conn != nil {
+	if conn != nil {
 		conn.Run()
 	}
 	h := xxhash.New()
