Judge whole lines of a stream, not the slices of a buffer

Cause: callers of a resumable stream got an event of two pieces after a backend server had broken off within an event. Of a line of 4,096 bytes, or a multiple, ReadSlice returns the line end as a slice of its own. It counted as the empty line that ends an event, so that a part of the event was passed on and the stream was resumed behind it. With CR LF a line of 4,095 bytes does the same. A slice that begins with "id:" counted as an id.

Change: copyEvents judges the line from its start in the buffer of the event.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -142,29 +142,31 @@
 	defer event.Reset()
 	defer o.flushPending()
 	var id, written []byte
+	lineStart := 0 // of the line that is being read, in the event
 	defer func() {
 		if len(written) > 0 {
 			o.transaction.lastEvent = string(written)
 		}
 	}()
 	for {
-		line, err := reader.ReadSlice('\n')
-		if event.Len()+len(line) > maxEvent {
+		part, err := reader.ReadSlice('\n')
+		if event.Len()+len(part) > maxEvent {
 			return oleanderspool.ErrInvalid.New("an event of the stream exceeds %d bytes", maxEvent)
 		}
-		if _, exhausted := event.Write(line); exhausted != nil {
+		if _, exhausted := event.Write(part); exhausted != nil {
 			o.transaction.recordExhausted("event", exhausted)
 			return exhausted
 		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
-			continue
+			continue // the line is longer than the reader's buffer
 		case err == io.EOF:
 			return o.checkEnd(event.Bytes())
 		case err != nil:
 			return err
 		}
-		content := bytes.TrimRight(line, "\r\n")
+		content := bytes.TrimRight(event.Bytes()[lineStart:], "\r\n")
+		lineStart = event.Len()
 		if value, found := o.transaction.gateway.format.EventID(content); found {
 			id = append(id[:0], value...)
 		}
@@ -178,6 +180,7 @@
 			written = append(written[:0], id...)
 		}
 		event.Reset()
+		lineStart = 0
 	}
 }
 
