Publish no update while removals are deferred

Cause: applyRead asks twice whether the grace period lasts. When it ended in between, the removals of the read took effect here, were missing in the update for the other entries, and these moved their position past them. They would have sent requests to the removed servers until the next list.

Change: an update is published only if nothing was deferred before the records were applied. The other entries then read the registry themselves.

--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -379,6 +379,7 @@
 	if !ok {
 		return false // the store may be out of reach of the servers again
 	}
+	deferred := f.defersRemovals()
 	applied := f.applyRead(batch, sentAt)
 	if batch.More {
 		return true
@@ -386,8 +387,8 @@
 	f.servers.lastReadAt = sentAt
 	f.view.ServersRead(sentAt)
 	// The list may contain later records. They change nothing here and would be missing
-	// in the update.
-	if from >= f.listedEnd {
+	// in the update. So would removals that are deferred while the grace period ends.
+	if from >= f.listedEnd && !deferred {
 		f.publish(from, applied, sentAt)
 	}
 	return true
