Find the end of a chunked body however it is cut

Cause: whether a client sends requests ahead was judged by the last read. The end of a chunked body in two reads looked like the start of a next request, so that the connection counted as one that pipelines for good and was closed before idle ones when connections ran short.

Change: the last five bytes are kept over reads.

Measured: TestChunkedEnd, each cut of a request with and without a next one: fails before ("cut at 63"), passes after. internal/clientconn passes.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -309,12 +309,12 @@
 	afterHead  int64 // bytes read since the end of the header
 	bodyLength int64 // -1 for an unknown length
 	lastRead   chunk // what the last read returned
+	ending     ending
 }
 
 // chunk describes the bytes of a read.
 type chunk struct {
 	bytes, lines int
-	endsChunked  bool // ends as a chunked body does
 }
 
 // withCancel returns a copy of ctx that ends when the connection is closed.
@@ -364,10 +364,10 @@
 
 // recordRead records what the last read returned. c.mu is held.
 func (c *Conn) recordRead(p []byte) {
+	c.ending.add(p)
 	if len(p) == 1 {
 		// net/http reads one byte ahead while a request runs.
 		c.lastRead.bytes++
-		c.lastRead.endsChunked = false
 		return
 	}
 	c.lastRead = describe(p)
@@ -442,7 +442,7 @@
 	case c.bodyLength >= 0:
 		return c.isAhead()
 	default:
-		return c.afterHead > 0 && !c.lastRead.endsChunked
+		return c.afterHead > 0 && !c.ending.isChunked()
 	}
 }
 
--- a/internal/clientconn/conn_test.go
+++ b/internal/clientconn/conn_test.go
@@ -1,6 +1,7 @@
 package clientconn_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"syscall"
@@ -97,6 +98,42 @@
 	return inner, guard.Listen(inner), server
 }
 
+// TestChunkedEnd guards against a connection that counts as one of a client that sends
+// requests ahead, and is closed before others, since the end of a chunked body arrived in
+// two reads.
+func TestChunkedEnd(t *testing.T) {
+	const head, body = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n0\r\n\r\n"
+	for cut := range len(head + body) {
+		for _, ahead := range []string{"", "GET / HTTP/1.1\r\nHost: h\r\n\r\n"} {
+			g := NewWithT(t)
+			_, listener, server := listen(t, g, clientlimit.ForInstance(512<<20, 0))
+			conns := make(chan *clientconn.Conn, 2)
+			server.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				conns <- clientconn.FromContext(r.Context())
+			})
+			go func() { _ = server.Serve(listener) }()
+			client, err := net.Dial("tcp4", listener.Addr().String())
+			g.Expect(err).NotTo(HaveOccurred())
+			for _, part := range []string{(head + body)[:cut], (head + body)[cut:] + ahead} {
+				_, err := client.Write([]byte(part))
+				g.Expect(err).NotTo(HaveOccurred())
+				time.Sleep(2 * time.Millisecond) // the parts arrive in two reads
+			}
+			_, err = client.Read(make([]byte, 1)) // the answer
+			g.Expect(err).NotTo(HaveOccurred())
+			conn := <-conns
+			if ahead == "" {
+				g.Consistently(conn.Pipelines, 5*time.Millisecond, time.Millisecond).Should(BeFalse(), "cut at %d", cut)
+			} else {
+				g.Eventually(conn.Pipelines, time.Second, time.Millisecond).Should(BeTrue(), "cut at %d", cut)
+			}
+			g.Expect(client.Close()).To(Succeed())
+			g.Expect(server.Close()).To(Succeed())
+		}
+	}
+}
+
 // fill sends until the kernel takes no more, and returns the number of bytes.
 func fill(conn net.Conn) int {
 	sum := 0
--- a/internal/clientconn/scanner.go
+++ b/internal/clientconn/scanner.go
@@ -37,12 +37,25 @@
 
 func describe(p []byte) chunk {
 	if len(p) > maxBuffered {
-		// Such a read goes into the buffer of the body and not beyond its end.
-		return chunk{endsChunked: bytes.HasSuffix(p, chunkedEnd)}
+		return chunk{} // it goes into the buffer of the body and not beyond its end
 	}
-	return chunk{bytes: len(p), lines: bytes.Count(p, []byte{'\n'}), endsChunked: bytes.HasSuffix(p, chunkedEnd)}
+	return chunk{bytes: len(p), lines: bytes.Count(p, []byte{'\n'})}
 }
 
+// ending holds the last bytes that were read, however they were cut.
+type ending struct {
+	bytes []byte
+}
+
+func (e *ending) add(p []byte) {
+	p = p[max(0, len(p)-len(chunkedEnd)):]
+	e.bytes = append(e.bytes, p...)
+	e.bytes = append(e.bytes[:0], e.bytes[max(0, len(e.bytes)-len(chunkedEnd)):]...)
+}
+
+// isChunked reports whether the bytes end as a chunked body does.
+func (e *ending) isChunked() bool { return bytes.Equal(e.bytes, chunkedEnd) }
+
 // maxBuffered is the size in bytes of the buffer in which net/http keeps bytes that it
 // has read beyond a request.
 const maxBuffered = 4 << 10
