Close the log in time while nobody reads it

Change: the close gives up after 1 s; the lines that wait are lost.

Measured: "is closed in time while the underlying writer blocks" fails before (3 s), passes after. Not run with a whole process.

--- a/internal/observe/async.go
+++ b/internal/observe/async.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // maxBufferedLines bounds the lines that wait to be written. Lines beyond it are
@@ -46,11 +47,18 @@
 	return len(line), nil
 }
 
-// Close writes the buffered lines and ends the goroutine. Write must not be called
-// afterwards.
+// closeTimeout is how long Close waits for the lines to be written. A process whose log
+// nobody reads must end all the same.
+const closeTimeout = time.Second
+
+// Close writes the buffered lines and ends the goroutine, unless the underlying writer
+// blocks: then the lines are lost. Write must not be called afterwards.
 func (w *AsyncWriter) Close() {
 	w.once.Do(func() { close(w.lines) })
-	<-w.done
+	select {
+	case <-w.done:
+	case <-time.After(closeTimeout):
+	}
 }
 
 func (w *AsyncWriter) run() {
--- a/internal/observe/async_test.go
+++ b/internal/observe/async_test.go
@@ -59,6 +59,21 @@
 		Expect(written + dropped).To(Equal(lines))
 	})
 
+	// Guards against a process that does not end while nobody reads its log.
+	It("is closed in time while the underlying writer blocks", func() {
+		blocked := &blockedWriter{unblock: make(chan struct{})}
+		defer close(blocked.unblock)
+		w := observe.NewAsyncWriter(blocked)
+		_, err := w.Write([]byte("x\n"))
+		Expect(err).NotTo(HaveOccurred())
+		closed := make(chan struct{})
+		go func() {
+			w.Close()
+			close(closed)
+		}()
+		Eventually(closed, "3s").Should(BeClosed())
+	})
+
 	// Guards against a system call for each line of a busy process, against writes of
 	// which another process may write into the middle, and against lost or reordered
 	// lines, also long ones.
