Save a quarantined part again that is being saved

Cause: after a restore of the store the entry queues its quarantined parts again. While the same part was being saved, the end of that save removed the new one too, since both have the same value, and the part was missing in the restored store.

Change: pending saves are numbered, and a save that ends removes only itself.

--- a/internal/forward/gateway.go
+++ b/internal/forward/gateway.go
@@ -125,7 +125,7 @@
 			scheduler: placement.NewScheduler(placement.WithTieBreakSeed(entry)), exclusions: placement.NewExclusions(), crashes: newCrashExchange(), refusals: newRefusalTracker(),
 			coldLimits: newColdLimits(entry, clock.Now()),
 			budgets:    make(map[string]*retry.Budget), changed: make(map[placement.TaskID]bool),
-			changedQuarantine: make(chan struct{}, 1), unsaved: make(map[oleanderspool.Fingerprint]bool),
+			changedQuarantine: make(chan struct{}, 1), unsaved: make(map[oleanderspool.Fingerprint]pendingSave),
 		},
 	}
 	g.ended, g.endRequests = context.WithCancel(context.Background())
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -58,12 +58,12 @@
 // saveQuarantine saves the changes that are not saved yet. A change that fails is
 // saved by a later call.
 func (g *Gateway) saveQuarantine(ctx context.Context) {
-	for f, quarantined := range g.shared.unsavedParts() {
-		if err := g.quarantineStore.Save(ctx, f, quarantined); err != nil {
-			g.logger.Warn("cannot save a quarantined part", "part_fingerprint", uint64(f), "quarantined", quarantined, "error", err.Error())
+	for f, save := range g.shared.unsavedParts() {
+		if err := g.quarantineStore.Save(ctx, f, save.quarantined); err != nil {
+			g.logger.Warn("cannot save a quarantined part", "part_fingerprint", uint64(f), "quarantined", save.quarantined, "error", err.Error())
 			return
 		}
-		g.shared.markSaved(f, quarantined)
+		g.shared.markSaved(f, save)
 	}
 }
 
@@ -131,21 +131,28 @@
 	if len(s.unsaved) >= maxPendingSaves {
 		return
 	}
-	s.unsaved[f] = quarantined
+	s.lastSave++
+	s.unsaved[f] = pendingSave{quarantined: quarantined, number: s.lastSave}
 	broadcast.Wake(s.changedQuarantine)
 }
 
-func (s *sharedState) unsavedParts() map[oleanderspool.Fingerprint]bool {
+// pendingSave is a change of the quarantine of a part that is not saved yet.
+type pendingSave struct {
+	quarantined bool
+	number      uint64 // distinguishes it from a later one of the same part
+}
+
+func (s *sharedState) unsavedParts() map[oleanderspool.Fingerprint]pendingSave {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return maps.Clone(s.unsaved)
 }
 
-// markSaved removes a saved change, unless the part has changed again since.
-func (s *sharedState) markSaved(f oleanderspool.Fingerprint, quarantined bool) {
+// markSaved removes a saved change, unless the part has to be saved again since.
+func (s *sharedState) markSaved(f oleanderspool.Fingerprint, saved pendingSave) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.unsaved[f] == quarantined {
+	if s.unsaved[f] == saved {
 		delete(s.unsaved, f)
 	}
 }
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -1,7 +1,9 @@
 package forward_test
 
 import (
+	"context"
 	"net/http"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -13,6 +15,21 @@
 	"github.com/oleanderspool/oleanderspool/platform/platformtest"
 )
 
+// restoredStore is a store that is restored during the first save.
+type restoredStore struct {
+	count    atomic.Int32
+	restored atomic.Pointer[*forward.Gateway]
+}
+
+func (s *restoredStore) Load(context.Context) ([]oleanderspool.Fingerprint, error) { return nil, nil }
+
+func (s *restoredStore) Save(context.Context, oleanderspool.Fingerprint, bool) error {
+	if s.count.Add(1) == 1 {
+		(*s.restored.Load()).StoreRestored()
+	}
+	return nil
+}
+
 var _ = Describe("A quarantined part of prompts", func() {
 	atEnd := func(f func()) { DeferCleanup(f) }
 	withPart := query{path: "/ask/1", prompt: 500, parts: []string{commonPart, crashingPart}}
@@ -80,6 +97,17 @@
 		Eventually(func() int { return next.send(withPart).status }, waitTimeout, pollInterval).Should(Equal(http.StatusServiceUnavailable))
 	})
 
+	// Guards against a save that is forgotten since the same part is being saved when the
+	// store has been restored.
+	It("is saved again when the store was restored during a save", func() {
+		saves := &restoredStore{}
+		h := &harness{store: platformtest.NewStore(2)}
+		h.startWorld(atEnd, 0, 4, forward.WithQuarantineStore(saves))
+		saves.restored.Store(&h.gateway)
+		quarantine(h)
+		Eventually(saves.count.Load, waitTimeout, pollInterval).Should(BeNumerically("==", 2))
+	})
+
 	// Guards against a part that stays quarantined although another entry has received
 	// an answer to a request with it.
 	It("is released by an answer at another entry", func() {
--- a/internal/forward/shared.go
+++ b/internal/forward/shared.go
@@ -42,7 +42,8 @@
 	avoidances      []gossip.Suspicion         // servers to avoid; Remaining holds the instant at which the suspicion ends
 	registryUpdates []directory.RegistryUpdate // not sent to the other entries yet
 	// unsaved holds the parts whose quarantine began or ended and was not saved yet.
-	unsaved map[oleanderspool.Fingerprint]bool
+	unsaved  map[oleanderspool.Fingerprint]pendingSave
+	lastSave uint64 // number of the latest pending save
 }
 
 var (
