--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -10,6 +10,7 @@
 var cases = map[string]func(root string, trouble bool) int{
 	"11": publicRoute,
 	"12": foreignEntry,
+	"13": changedSettings,
 }
 
 // The figures of the settings that the cases judge by.
