--- a/review/stand3/case11.go
+++ b/review/stand3/case11.go
@@ -10,7 +10,7 @@
 // of a tenant to runners whose key was taken away long ago, on routes that are public.
 func publicRoute(root string, trouble bool) int {
 	routes := []route{{"/reserve/", "non_idempotent", "app", 1, false, false}, {"/open/", "non_idempotent", "app", 1, true, false}}
-	s := newSite(root, 3, configuration(7, routes, map[string][]string{"alerce": {"key-1", "key-2"}, "boldo": {"key-3"}}))
+	s := newSite(root, 3, configuration(7, routes, map[string][]string{"alerce": {"key-1", "key-2", "key-4"}, "boldo": {"key-3"}}))
 	var mu sync.Mutex
 	tenants := map[string]string{} // by request id
 	for i := range 3 {
@@ -47,28 +47,37 @@
 	}
 	cutAt := time.Now()
 	time.Sleep(500 * time.Millisecond)
-	taken := s.store.put("keyed.op", "config", configuration(9, routes, map[string][]string{"alerce": {"key-2"}, "boldo": {"key-3"}}))
-	note("the store acknowledges version 9, which takes key-1 away")
-	result, late := held, []string{}
+	taken := s.store.put("keyed.op", "config", configuration(9, routes, map[string][]string{"alerce": {"key-2"}, "boldo": {"key-3", "key-4"}}))
+	note("the store acknowledges version 9: no tenant holds key-1 any more, and boldo holds key-4 instead of alerce")
+	holders := map[string]string{"key-1": "", "key-4": "boldo"}
+	type lateRequest struct{ id, key string }
+	result, late := held, []lateRequest{}
 	for time.Since(cutAt) < 8500*time.Millisecond {
 		time.Sleep(600 * time.Millisecond)
 		sentAt := time.Now()
-		ids := ask("after", "/open/a", "key-1")
-		ask("after", "/reserve/a", "key-1")
-		if sentAt.Sub(taken) > revokeTime+200*time.Millisecond {
-			late = append(late, ids...)
+		for key := range holders {
+			ids := ask("after", "/open/a", key)
+			ask("after", "/reserve/a", key)
+			if sentAt.Sub(taken) <= revokeTime+200*time.Millisecond {
+				continue
+			}
+			for _, id := range ids {
+				late = append(late, lateRequest{id, key})
+			}
 		}
 	}
 	s.gates[0].set(open)
 	mu.Lock()
 	defer mu.Unlock()
-	for _, id := range late {
-		if tenant, ran := tenants[id]; ran && tenant != "" {
-			note("broken: %s was sent more than revokeMs after key-1 had been taken away and ran as tenant %q", id, tenant)
+	wrong := map[string]int{}
+	for _, q := range late {
+		if tenant, ran := tenants[q.id]; ran && tenant != holders[q.key] {
+			note("broken: %s was sent more than revokeMs after the acknowledgement of version 9 and ran as tenant %q instead of %q", q.id, tenant, holders[q.key])
 			result = broken
+			wrong[q.key]++
 		}
 	}
-	note("%d requests on the public route were sent more than revokeMs after the acknowledgement", len(late))
+	note("%d requests on the public route were sent more than revokeMs after the acknowledgement; with another tenant than the holder of the key ran %d with key-1 and %d with key-4", len(late), wrong["key-1"], wrong["key-4"])
 	if len(late) == 0 {
 		return cannotDo
 	}
