--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Case 15. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 leaves out the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+if [ "${TROUBLE:-1}" = 0 ]; then trouble=false; else trouble=true; fi
+[ -x target/stand3 ] && [ -x target/oleanderspool ] || exit 2
+exec target/stand3 -case 15 -trouble=$trouble -record review/15/record.txt
--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -11,6 +11,8 @@
 	"11": publicRoute,
 	"12": foreignEntry,
 	"13": changedSettings,
+	"14": forgottenHistory,
+	"15": deletedRecords,
 }
 
 // The figures of the settings that the cases judge by.
@@ -59,13 +61,18 @@
 
 // newSite starts entries in three zones and waits until they are ready.
 func newSite(root string, entries int, config []byte) *site {
+	return newSiteBehind(root, entries, config, func(g *gate) string { return g.address() })
+}
+
+// newSiteBehind is newSite with entries that reach their gates at other addresses.
+func newSiteBehind(root string, entries int, config []byte, address func(*gate) string) *site {
 	s := &site{store: newStore()}
 	s.store.put("keyed.op", "config", config)
 	n := newNetwork()
 	n.machines = entries
 	for i := range entries {
 		g := s.store.newGate()
-		e := n.newEntry(temporary, i, []string{"zone-a", "zone-b", "zone-c"}[i%3], g)
+		e := n.newEntry(temporary, i, []string{"zone-a", "zone-b", "zone-c"}[i%3], address(g))
 		e.start(root)
 		s.gates, s.entries = append(s.gates, g), append(s.entries, e)
 	}
--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -24,11 +24,12 @@
 type store struct {
 	mu      sync.Mutex
 	topics  map[string][]record
+	first   map[string]int // offset of the first record that is retained, by topic
 	changed chan struct{}
 }
 
 func newStore() *store {
-	return &store{topics: make(map[string][]record), changed: make(chan struct{})}
+	return &store{topics: make(map[string][]record), first: make(map[string]int), changed: make(chan struct{})}
 }
 
 // put appends a record and returns the instant of its acknowledgement.
@@ -41,6 +42,18 @@
 	return time.Now()
 }
 
+// compact deletes all records of what the operator and the runners wrote, but the newest
+// of each key.
+func (s *store) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, topic := range []string{"keyed.op", "keyed.servers"} {
+		s.first[topic] = len(s.topics[topic])
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // gateMode says how a gate treats calls.
 type gateMode int
 
@@ -174,10 +187,14 @@
 			return
 		}
 		g.store.mu.Lock()
-		records, changed := slices.Clone(g.store.topics[topic]), g.store.changed
+		records, changed, first := slices.Clone(g.store.topics[topic]), g.store.changed, g.store.first[topic]
 		g.store.mu.Unlock()
+		if from < first {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if from < len(records) || last {
-			_, _ = w.Write(encodeRecords(records, from))
+			_, _ = w.Write(encodeRecords(records, from, first))
 			return
 		}
 		select {
@@ -191,10 +208,10 @@
 	}
 }
 
-func encodeRecords(records []record, from int) []byte {
+func encodeRecords(records []record, from, first int) []byte {
 	const limit = 1 << 20
 	body := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
-	body = binary.BigEndian.AppendUint64(body, 0)
+	body = binary.BigEndian.AppendUint64(body, uint64(first))
 	for _, r := range records[min(from, len(records)):] {
 		if len(body)+len(r.key)+len(r.value) > limit {
 			break
