--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -33,8 +33,10 @@
 	var list, accounts []any
 	services := map[string]bool{}
 	for i, r := range routes {
-		list = append(list, map[string]any{"name": fmt.Sprintf("r-%d", i), "host": "site.example", "pathPrefix": r.prefix, "kind": r.kind, "timeoutMs": 2500, "goalMs": 300,
-			"priority": 1, "service": r.service, "attempts": r.attempts, "public": r.public, "sticky": false, "canResume": r.resume, "gapAimMs": 200})
+		list = append(list, map[string]any{
+			"name": fmt.Sprintf("r-%d", i), "host": "site.example", "pathPrefix": r.prefix, "kind": r.kind, "timeoutMs": 2500, "goalMs": 300,
+			"priority": 1, "service": r.service, "attempts": r.attempts, "public": r.public, "sticky": false, "canResume": r.resume, "gapAimMs": 200,
+		})
 		services[r.service] = true
 	}
 	for name, keys := range tenants {
@@ -44,8 +46,10 @@
 	for name := range services {
 		names = append(names, map[string]any{"name": name, "healthPath": "/health", "maxConns": 100, "protocol": "h1", "tls": false})
 	}
-	data, err := json.Marshal(map[string]any{"version": version, "routes": list, "services": names, "tenants": accounts,
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
+	data, err := json.Marshal(map[string]any{
+		"version": version, "routes": list, "services": names, "tenants": accounts,
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
 	if err != nil {
 		fatal(err)
 	}
--- a/review/stand3/entry.go
+++ b/review/stand3/entry.go
@@ -65,11 +65,15 @@
 		"dataDir": nil, "discovery": "platform", "entry": "vip", "heartbeatMs": 1200,
 		"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "spans"},
 		"tolerate":  map[string]any{"machines": 2, "zones": 0, "regions": 0},
-		"bounds": map[string]any{"seedLagS": 3, "reuseDelayS": 2, "contactMs": 3000, "ackMs": 4000, "syncS": 4, "drainMs": 2000, "graceS": 8,
+		"bounds": map[string]any{
+			"seedLagS": 3, "reuseDelayS": 2, "contactMs": 3000, "ackMs": 4000, "syncS": 4, "drainMs": 2000, "graceS": 8,
 			"lossSlackMs": 200, "configMs": 2000, "rollbackSlackMs": 250, "stretchMs": 5000, "strictRevoke": true, "revokeMs": 5000, "retryRatio": 0.2,
-			"retryWindowS": 10, "retrySlack": 102, "recoverS": 12, "passMs": 120, "retryAfterS": 0, "stall_ms": 1500, "holdMaxMs": 20000, "freeMs": 4000, "idleMaxMs": 9000},
-		"provider": map[string]any{"address": storeAddress, "form": "log", "writesPerS": 400, "readsPerS": 2000, "parts": 8, "appendMs": 4.0,
-			"partMbS": 20.0, "readMbS": 80.0, "recordBytes": 262144, "callBytes": 2097152, "keep_s": 300, "partMb": 200, "ttlMinMs": 1000},
+			"retryWindowS": 10, "retrySlack": 102, "recoverS": 12, "passMs": 120, "retryAfterS": 0, "stall_ms": 1500, "holdMaxMs": 20000, "freeMs": 4000, "idleMaxMs": 9000,
+		},
+		"provider": map[string]any{
+			"address": storeAddress, "form": "log", "writesPerS": 400, "readsPerS": 2000, "parts": 8, "appendMs": 4.0,
+			"partMbS": 20.0, "readMbS": 80.0, "recordBytes": 262144, "callBytes": 2097152, "keep_s": 300, "partMb": 200, "ttlMinMs": 1000,
+		},
 	})
 	if err != nil {
 		fatal(err)
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -65,8 +65,10 @@
 		return
 	}
 	r.seq++
-	value, err := json.Marshal(map[string]any{"service": r.service, "address": r.address(), "zone": r.zone, "version": "v1", "slots": 16,
-		"state": r.state, "coldLeftMs": 0, "seq": r.seq, "born": r.born})
+	value, err := json.Marshal(map[string]any{
+		"service": r.service, "address": r.address(), "zone": r.zone, "version": "v1", "slots": 16,
+		"state": r.state, "coldLeftMs": 0, "seq": r.seq, "born": r.born,
+	})
 	if err != nil {
 		fatal(err)
 	}
