Review: look for free ports on loopback addresses only

Cause: the ports were looked for on the address of all interfaces. Now each is held for TCP and UDP on the loopback addresses of the machines.

--- a/review/stand3/entry.go
+++ b/review/stand3/entry.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -21,22 +23,53 @@
 	settings         string
 }
 
-// network hands out loopback addresses with ports that are free on all of them.
+// network hands out loopback addresses, and ports that are free on all of them.
 type network struct {
 	front, ready, control, internal int
 	machines                        int
 }
 
+// maxMachines is the number of addresses on which the ports are free.
+const maxMachines = 8
+
 func newNetwork() *network {
-	free := func() int {
-		l, err := net.Listen("tcp", "0.0.0.0:0")
+	n := &network{}
+	var held []io.Closer
+	defer func() {
+		for _, c := range held {
+			_ = c.Close()
+		}
+	}()
+	for _, port := range []*int{&n.front, &n.ready, &n.control, &n.internal} {
+		for tries := 0; *port == 0; tries++ {
+			if tries == 100 {
+				fatal(errors.New("no port is free on all addresses"))
+			}
+			found, listeners := n.freePort()
+			*port, held = found, append(held, listeners...)
+		}
+	}
+	return n
+}
+
+// freePort returns a port that is free on the addresses of all machines, for TCP and UDP,
+// or 0, and what holds it.
+func (n *network) freePort() (port int, held []io.Closer) {
+	for machine := range maxMachines {
+		address := fmt.Sprintf("%s:%d", n.ip(machine), port)
+		tcp, err := net.Listen("tcp", address)
+		if err != nil {
+			return 0, held
+		}
+		held = append(held, tcp)
+		port = tcp.Addr().(*net.TCPAddr).Port
+		udp, err := net.ListenPacket("udp", fmt.Sprintf("%s:%d", n.ip(machine), port))
 		if err != nil {
-			fatal(err)
+			return 0, held
 		}
-		defer l.Close()
-		return l.Addr().(*net.TCPAddr).Port
+		held = append(held, udp)
 	}
-	return &network{front: free(), ready: free(), control: free(), internal: free()}
+	return port, held
 }
 
 func (n *network) ip(machine int) string { return fmt.Sprintf("127.0.1.%d", machine+1) }
