Log the parts of the cost of long prompts

Cause: the log had the cost of a refusal as one number.

Change: a decision has the parts of the cost of a prompt with half a second of prefill or more; "placed" and "not placed" log them, the mean backlog and whether the caller came back as told.

--- a/internal/forward/transaction.go
+++ b/internal/forward/transaction.go
@@ -44,6 +44,8 @@
 	lastEvent string // id of the last event that the caller received
 	committed bool   // the caller has received a part of the answer
 	events    int    // number of events that the caller received
+	// resubmitted says that the caller came back as told after a refusal.
+	resubmitted bool
 	// crashCheck is closed when the check of the last server that broke an attempt has
 	// ended; nil for none.
 	crashCheck <-chan struct{}
@@ -167,7 +169,9 @@
 		return attempt{}, false
 	}
 	t.snapshot = t.gateway.view.Snapshot()
-	as, found := t.gateway.shared.place(t.snapshot, t.service, t.placementRequest())
+	request := t.placementRequest()
+	t.resubmitted = request.Resubmitted
+	as, found := t.gateway.shared.place(t.snapshot, t.service, request)
 	t.recordContention(as)
 	t.recordLimited(as)
 	if !found {
@@ -243,7 +247,17 @@
 		slog.Float64("cost", as.Cost), slog.Int64("backlog_ms", int64(as.Backlog)), slog.Int("writers", as.ActiveStreams),
 		slog.String("data_centre", string(as.Server.DataCentre)), slog.String("crossing", string(as.Crossing)), slog.Float64("delay_ms", as.Delay),
 		slog.Int("sends", t.sends), slog.Int64("version", t.snapshot.Configuration.Version),
-		slog.Int64("confirmed_ms", int64(t.confirmationAge)), slog.Int64("left_ms", int64(t.remaining())))
+		slog.Int64("confirmed_ms", int64(t.confirmationAge)), slog.Int64("left_ms", int64(t.remaining())),
+		slog.Int64("load_ms", int64(as.MeanBacklog)), slog.Bool("resubmitted", t.resubmitted), lossesAttribute(as.Losses))
+}
+
+// lossesAttribute returns the parts of a cost as a group, which is left out of the line if
+// they are unknown.
+func lossesAttribute(l placement.Losses) slog.Attr {
+	if l == (placement.Losses{}) {
+		return slog.Group("losses")
+	}
+	return slog.Group("losses", "own", l.Own, "streams", l.Streams, "delayed", l.Delayed, "prefill", l.Prefill)
 }
 
 // evacuated returns a data centre of a placement that has been evacuated since, for
@@ -471,7 +485,8 @@
 // no capacity in time.
 func (t *transaction) overloadRefusal(as assignment) *oleanderspool.Refusal {
 	t.gateway.logger.Info("not placed", "request_id", t.call.ID, "prompt", t.call.PromptTokens, "cost", as.Cost, "load_ms", int64(as.MeanBacklog), "predicted_ms", int64(as.TTFT),
-		"wait_ms", int64(as.Wait), "cause", string(as.Refused), "rank", t.rank(), "slots", as.Contention.Slots, "free", as.Contention.Free, "contended_ms", int64(as.ReturnDelay))
+		"wait_ms", int64(as.Wait), "cause", string(as.Refused), "rank", t.rank(), "slots", as.Contention.Slots, "free", as.Contention.Free, "contended_ms", int64(as.ReturnDelay),
+		"helpers", len(as.Helpers), "resubmitted", t.resubmitted, lossesAttribute(as.Losses))
 	t.gateway.metrics.RefusedForOverload(string(as.Refused))
 	t.gateway.shared.recordRefusal(t.subject.Request)
 	retryAfter := jitter(max(meanRetryAfter, min(max(as.MeanBacklog, as.ReturnDelay), t.remaining()/retryAfterDivisor)))
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -95,6 +95,7 @@
 	Helpers []Helper
 	TTFT    oleanderspool.Millis // predicted time to the first token
 	Cost    float64              // expected loss of value, of this request and others
+	Losses  Losses               // main parts of Cost; zero for a prompt that is not long
 	Backlog oleanderspool.Millis // prefill backlog of the server
 	// Refused says why the request is to be refused; empty if it is not.
 	Refused RefusalCause
@@ -137,7 +138,7 @@
 	best := sc.choosePriced(loads, e, r, tieBreak, c.lasts(r.TTFTGoal), now)
 	switch {
 	case !math.IsInf(best.Cost, 1):
-		sc.refuseByCost(&best, loads, e, r)
+		sc.refuseByCost(&best, loads, e, r, now)
 	case r.Started || !queuesFull(loads, e):
 		return Decision{}, false
 	default:
@@ -150,15 +151,21 @@
 
 // refuseByCost adds the cost of the prefill to a decision, and refuses a long prompt that
 // would lose more than it is worth.
-func (sc *Scheduler) refuseByCost(d *Decision, loads []*serverLoad, e *directory.Engine, r Request) {
+func (sc *Scheduler) refuseByCost(d *Decision, loads []*serverLoad, e *directory.Engine, r Request, now oleanderspool.Millis) {
 	meanBacklog := 0.0
 	for _, l := range loads {
 		meanBacklog += l.backlog / float64(len(loads))
 	}
 	d.MeanBacklog = millis(meanBacklog)
 	prefill := prefillMillis(e, r.PromptTokens)
-	d.Cost += r.prefillCost(prefill, meanBacklog)
-	if !r.Started && prefill >= longPrefill && d.Cost > sc.refusalFraction(r, d)*r.Value() {
+	prefillCost := r.prefillCost(prefill, meanBacklog)
+	d.Cost += prefillCost
+	if prefill < longPrefill {
+		return
+	}
+	d.Losses = lossesOf(d, loads, e, r, now)
+	d.Losses.Prefill = prefillCost
+	if !r.Started && d.Cost > sc.refusalFraction(r, d)*r.Value() {
 		d.Refused = RefusedCost
 	}
 }
@@ -467,14 +474,28 @@
 // lose when it prefills a prompt or, if sharded is set, a shard. prefill is the total
 // prefill time and maxPass the longest within one pass, in ms.
 func (s *serverLoad) costToOthers(e *directory.Engine, prefill, maxPass float64, sharded bool, now oleanderspool.Millis) float64 {
+	loss := s.streamLoss(e, prefill, maxPass)
+	if sharded { // whole prompts queue behind all pending prefills and delay none
+		loss += s.delayLoss(prefill, now)
+	}
+	return loss
+}
+
+// streamLoss returns the value that the streams on the server are expected to lose by
+// longer pauses between events when it prefills a prompt or a shard.
+func (s *serverLoad) streamLoss(e *directory.Engine, prefill, maxPass float64) float64 {
 	loss, latency := 0.0, s.passDuration+s.passPrefill(e, prefill, maxPass)
 	for i := range s.streams {
 		g := &s.streams[i]
 		loss += g.value * max(0, g.interTokenLoss(latency)-g.baseLoss)
 	}
-	if !sharded {
-		return loss // whole prompts queue behind all pending prefills and delay none
-	}
+	return loss
+}
+
+// delayLoss returns the value that the pending prompts of the server are expected to lose
+// when a shard with the given prefill time in ms goes first.
+func (s *serverLoad) delayLoss(prefill float64, now oleanderspool.Millis) float64 {
+	loss := 0.0
 	for _, t := range s.prefills {
 		ttft := float64(now-t.PlacedAt) + t.finishesIn
 		loss += t.Value * max(0, t.goals().ttftLoss(ttft+prefill)-t.goals().ttftLoss(ttft))
