Refuse long prompts alike whatever their length

Cause: the cost of a placement grows with the prefill time and the bound above which it is refused with the value. Attention makes prefill grow faster, so in an overload the shorter prompts keep the load just below their own bound, which is above that of the longest ones. The bound of 1.15 for unusually long prompts that came back answered a part of it.

Change: the excess of a prompt is its prefill time per value, relative to a prompt of the mean value for its TTFT goal, from 1 to 3. It divides the surcharge for busy servers, and its square root, or all of it when the caller came back as told, raises the bound. The rule for unusually long prompts is gone. The mean counts long prompts only, so that short ones with the same goal do not make each long one an exception.

"A prompt that is far longer than usual" expected that a first offer is judged as if its length were usual; that is the fault. It now expects that a first offer is accepted no later than if its length were usual, and never where one that came back is refused.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -158,14 +158,15 @@
 	}
 	d.MeanBacklog = millis(meanBacklog)
 	prefill := prefillMillis(e, r.PromptTokens)
-	prefillCost := r.prefillCost(prefill, meanBacklog)
+	excess := sc.means.excess(e, r, prefill)
+	prefillCost := r.prefillCost(prefill/excess, meanBacklog)
 	d.Cost += prefillCost
 	if prefill < longPrefill {
 		return
 	}
 	d.Losses = lossesOf(d, loads, e, r, now)
 	d.Losses.Prefill = prefillCost
-	if !r.Started && d.Cost > sc.refusalFraction(r, d)*r.Value() {
+	if !r.Started && d.Cost > r.refusalLimit(d, excess) {
 		d.Refused = RefusedCost
 	}
 }
@@ -207,7 +208,8 @@
 	busyBacklog      = 1000
 	busyGoalFraction = 1.0 / 3
 	// refusalFraction is the fraction of a request's value that a refusal loses. It
-	// is below 1 because the caller may resubmit when the servers are less busy.
+	// is below 1 because the caller may resubmit when the servers are less busy. See
+	// [Request.refusalLimit].
 	refusalFraction = 0.9
 	// The caller of a stream is expected to give up after the longest of
 	// minAbandonTimeout in ms, abandonTTFTGoals times the TTFT goal and
--- a/internal/placement/unusual_test.go
+++ b/internal/placement/length_test.go
@@ -21,7 +21,7 @@
 			})
 		}
 		for range 10 {
-			f.scheduler.Add(placement.Task{ID: 1, Server: "other", OutputTokens: 1, Value: withPromptTokens(r, usual).Value(), TTFTGoal: r.TTFTGoal})
+			f.scheduler.Add(placement.Task{ID: 1, Server: "other", OutputTokens: 1, PrefillMillis: 1000, Value: withPromptTokens(r, usual).Value(), TTFTGoal: r.TTFTGoal})
 			f.scheduler.Remove(1)
 		}
 		d, found := f.scheduler.Choose(f.servers, engine, r, 1)
@@ -29,12 +29,12 @@
 		return d
 	}
 
-	// Guards against the longest prompts of a route that are refused each time they come
-	// back although they could be in time.
-	It("is accepted under more load than others when it comes back, but not sooner or when it would be late", func() {
+	// Guards against the longest prompts of a route that are refused each time although they
+	// could be in time.
+	It("is accepted under more load than usual ones of its length, most of all when it comes back, but not when it would be late", func() {
 		returned, overdue := longest, longest
 		returned.Resubmitted, overdue.Resubmitted, overdue.Overdue = true, true, true
-		accepted := 0
+		accepted, acceptedFirst := 0, 0
 		for backlog := 50.0; backlog < 3000; backlog += 25 {
 			asUsual, unusual := choose(returned, backlog, 600_000), choose(returned, backlog, 210_000)
 			if asUsual.Refused != "" && unusual.Refused == "" {
@@ -42,11 +42,17 @@
 				accepted++
 			}
 			Expect(asUsual.Refused == "" && unusual.Refused != "").To(BeFalse())
-			for _, r := range []placement.Request{longest, overdue} {
-				Expect(choose(r, backlog, 210_000).Refused).To(Equal(choose(r, backlog, 600_000).Refused))
+			firstAsUsual, first := choose(longest, backlog, 600_000), choose(longest, backlog, 210_000)
+			if firstAsUsual.Refused != "" && first.Refused == "" {
+				Expect(first.TTFT).To(BeNumerically("<=", longest.TTFTGoal))
+				acceptedFirst++
 			}
+			Expect(firstAsUsual.Refused == "" && first.Refused != "").To(BeFalse())
+			Expect(first.Refused == "" && unusual.Refused != "").To(BeFalse(), "refused when it came back, and accepted sooner")
+			Expect(choose(overdue, backlog, 210_000).Refused).To(Equal(choose(overdue, backlog, 600_000).Refused))
 		}
 		Expect(accepted).To(BeNumerically(">", 0))
+		Expect(acceptedFirst).To(BeNumerically(">", 0))
 		Expect(choose(returned, 20_000, 210_000).Refused).To(Equal(placement.RefusedCost))
 	})
 
@@ -65,12 +71,22 @@
 	})
 })
 
-var _ = Describe("The mean value of requests", func() {
+var _ = Describe("The mean value of requests with long prompts", func() {
+	// Guards against short prompts with the same TTFT goal that make each long one unusual,
+	// so that it may delay them by a multiple of its value.
+	It("does not count short prompts", func() {
+		sc := placement.NewScheduler()
+		sc.Add(placement.Task{ID: 1, Server: "s", OutputTokens: 1, Value: 1.5, PrefillMillis: 30, TTFTGoal: 3000})
+		Expect(sc.MeanValues()).To(BeZero())
+		sc.Add(placement.Task{ID: 2, Server: "s", OutputTokens: 1, Value: 20, PrefillMillis: 300, Sharded: true, TTFTGoal: 3000})
+		Expect(sc.MeanValues()).To(Equal(1))
+	})
+
 	// Guards against memory that grows with the TTFT goals that other entries send.
 	It("is kept for a bounded number of TTFT goals", func() {
 		sc := placement.NewScheduler()
 		for i := range oleanderspool.Millis(1000) {
-			sc.Add(placement.Task{ID: 1, Server: "s", OutputTokens: 1, Value: 1, TTFTGoal: i + 1})
+			sc.Add(placement.Task{ID: 1, Server: "s", OutputTokens: 1, Value: 1, PrefillMillis: 1000, TTFTGoal: i + 1})
 			sc.Remove(1)
 		}
 		Expect(sc.MeanValues()).To(BeNumerically("<=", 64))
